--- a/packages/allowance/ryelock/allowance/bucket.py
+++ b/packages/allowance/ryelock/allowance/bucket.py
@@ -8,11 +8,13 @@
 
 
 class Bucket:
-    """Orders that may be sent to one service by one edge."""
+    """Orders that may be sent to one service by one edge; all, where it is not limited."""
 
-    __slots__ = ("at", "burst", "counted", "ends", "expected", "found", "grants", "room", "share")
+    __slots__ = ("at", "burst", "counted", "ends", "expected", "found", "grants", "limited",
+                 "room", "share")
 
-    def __init__(self, now: float, burst: float) -> None:
+    def __init__(self, now: float, burst: float, limited: bool = True) -> None:
+        self.limited = limited
         self.at = now
         self.burst = burst
         self.share = 0.0
@@ -56,6 +58,8 @@
 
     def allow(self, now: float) -> bool:
         """Take room for one order."""
+        if not self.limited:
+            return True
         if self.counted:
             if not self.granted(now):
                 return False
@@ -69,6 +73,8 @@
 
     def wait_for(self, now: float, ahead: int) -> float:
         """Seconds until there is room for an order behind so many others."""
+        if not self.limited:
+            return 0.0
         if self.counted:
             missing = ahead + 1 - self.granted(now) - self.found
             return max(0.0, missing / self.expected) if self.expected > 0 else float("inf")
--- a/packages/cache/ryelock/cache/store.py
+++ b/packages/cache/ryelock/cache/store.py
@@ -8,7 +8,7 @@
 from cachetools import LRUCache
 
 from ryelock.cache.rules import Copy, vary_key
-from ryelock.exchange import Fields
+from ryelock.exchange import Fields, field
 from ryelock.loop import Mailbox
 from ryelock.register import Purge
 
@@ -52,10 +52,12 @@
 
 
 class Store:
-    __slots__ = ("copies", "fills", "purged", "room")
+    __slots__ = ("copies", "fills", "labels", "purged", "recent", "room")
 
-    def __init__(self, room: int) -> None:
+    def __init__(self, room: int, labels: bytes = b"") -> None:
         self.room = room
+        self.labels = labels.lower()
+        self.recent: list[Purge] = []
         self.copies: LRUCache[Key, Variants] = LRUCache(maxsize=max(1, room), getsizeof=size_of)
         self.fills: dict[Key, Fill] = {}
         self.purged = 0
@@ -104,9 +106,11 @@
             return 0
         missed = newest - self.purged > len(fresh)
         self.purged = newest
+        self.recent = purges
         gone = 0
-        for key in list(self.copies):
-            if missed or any(matches(purge, key) for purge in fresh):
+        for key, variants in list(self.copies.items()):
+            if missed or any(matches(purge, key) or self.bears(purge, variants.copies)
+                             for purge in fresh):
                 del self.copies[key]
                 gone += 1
         for key, fill in list(self.fills.items()):
@@ -116,9 +120,25 @@
                 fill.end(None)
         return gone
 
+    def bears(self, purge: Purge, copies: list[Copy]) -> bool:
+        """Whether one of the copies bears the label of a purge."""
+        return purge.kind == "label" and self.labels != b"" and any(
+            purge.text.encode() in (field(copy.fields, self.labels) or b"").split()
+            for copy in copies)
+
+    def purged_since(self, before: int, key: Key, copy: Copy) -> bool:
+        """Whether a purge later than a number names what a fill begun at that number brought."""
+        if self.purged == before:
+            return False
+        fresh = [purge for purge in self.recent if purge.number > before]
+        return self.purged - before > len(fresh) or any(
+            matches(purge, key) or self.bears(purge, [copy]) for purge in fresh)
+
 
 def matches(purge: Purge, key: Key) -> bool:
     route, host, target = key
+    if purge.kind == "label":
+        return False
     if purge.kind == "route":
         return purge.text == route
     if purge.host and purge.host != host:
--- a/packages/core/ryelock/core/keeper.py
+++ b/packages/core/ryelock/core/keeper.py
@@ -8,16 +8,16 @@
 from ryelock.register import Register, encode_word
 from ryelock.roster import Roster
 
-DUTIES = ("aggregator",)
 JOINED_SECONDS = 3.0
 BEHIND_MOST = 200
 
 
 class Keeper:
-    __slots__ = ("council", "log", "register", "roster", "scheduler")
+    __slots__ = ("council", "duties", "log", "register", "roster", "scheduler")
 
     def __init__(self, scheduler: Scheduler, log: Log, council: Council, register: Register,
-                 roster: Roster) -> None:
+                 roster: Roster, duties: tuple[str, ...]) -> None:
+        self.duties = duties
         self.scheduler = scheduler
         self.log = log
         self.council = council
@@ -36,7 +36,7 @@
         cores = {name: session for name, session in self.roster.members().items()
                  if session.role == "core"}
         leaving = [name for name, session in cores.items() if not session.ready]
-        for name in DUTIES:
+        for name in self.duties:
             wanted = next_duty(self.register.duties.get(name), name, cores, leaving)
             if wanted is not None:
                 yield from self.give(wanted)
--- a/packages/core/ryelock/core/platform.py
+++ b/packages/core/ryelock/core/platform.py
@@ -6,19 +6,38 @@
 certainly read later, so a reading that was long on its way cannot bring a server back.
 """
 
+from collections.abc import Callable
+
+from expression import Error, Result
+
 from ryelock.env import Env
 from ryelock.events import LISTING_DECLINED, LISTING_MISSED, Log
 from ryelock.exchange import call
 from ryelock.loop import Network, Scheduler, Step
-from ryelock.roster import Listing, listing_of
-from ryelock.roster.servers import servers_from
+from ryelock.roster import Listing, Server, listing_of
+from ryelock.roster.servers import ListingError, servers_from
 
 Plain = dict[str, object]
+DUTY = "reader"
+MISSED_SECONDS = 2.5
+Listed = Result[list[Server], ListingError]
+Read = Callable[[], Step[Listed]]
 
 
 class PlatformReader:
-    __slots__ = ("digest", "env", "heard", "listing", "log", "missed", "network", "scheduler",
-                 "source")
+    __slots__ = (
+        "digest",
+        "env",
+        "heard",
+        "listing",
+        "log",
+        "missed",
+        "network",
+        "on_duty",
+        "read_listing",
+        "scheduler",
+        "source",
+    )
 
     def __init__(self, env: Env, scheduler: Scheduler, network: Network, log: Log,
                  source: str) -> None:
@@ -31,22 +50,35 @@
         self.digest = b""
         self.heard = b""
         self.missed = False
+        self.on_duty: Callable[[], bool] = lambda: True
+        self.read_listing: Read = self.read_own
 
     def work(self) -> Step[None]:
+        """Read over and over; by duty where there is one, and where its holder tells nothing."""
         while True:
-            yield from self.read()
+            held = self.listing
+            silent = held is None or self.scheduler.now() - held.since > MISSED_SECONDS
+            if self.on_duty() or silent:
+                yield from self.read()
             yield from self.scheduler.pause(self.env.listing_seconds)
 
-    def read(self) -> Step[None]:
-        asked = self.scheduler.now()
+    def read_own(self) -> Step[Listed]:
+        """The listing in this project's own form, see docs/platform.md."""
         found = yield from call(self.scheduler, self.network, self.env.platform_address, b"GET",
                                 b"/servers", [], b"", 1.0)
         if found.is_error() or found.ok[0].status != 200:
-            self.miss("no answer" if found.is_error() else f"status {found.ok[0].status}")
-            return
-        listed = listing_of(found.ok[1])
+            return Error(ListingError("no answer" if found.is_error()
+                                      else f"status {found.ok[0].status}", True))
+        return listing_of(found.ok[1])
+
+    def read(self) -> Step[None]:
+        asked = self.scheduler.now()
+        listed = yield from self.read_listing()
         if listed.is_error():
-            self.log.write(LISTING_DECLINED, fault=str(listed.error))
+            if listed.error.missed:
+                self.miss(str(listed.error))
+            else:
+                self.log.write(LISTING_DECLINED, fault=str(listed.error))
             return
         self.missed = False
         self.take(Listing(self.source, 0, listed.ok, 0.0, asked, self.scheduler.now()))
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -5,6 +5,7 @@
 from ryelock.core.aggregator import Aggregator
 from ryelock.core.keeper import Keeper
 from ryelock.core.leading import Leading
+from ryelock.core.platform import DUTY as READER
 from ryelock.core.platform import PlatformReader
 from ryelock.core.renewals import Renewals
 from ryelock.council import Council, Pace
@@ -38,15 +39,18 @@
         self.roster = Roster(scheduler, source, max(3.0, 2 * env.term_seconds), env.gone_seconds)
         self.door = Door(scheduler, network, log, env.wire_address, self.on_ask)
         pace = Pace(env.beat_seconds, env.election_seconds, env.term_seconds,
-                    env.replace_seconds, env.image_records)
+                    env.replace_seconds, env.image_records, env.may_found)
         self.council = Council(scheduler, self.lines, log, journal, self.register, env.name, disk,
                                self.door.address, env.seeds, pace, random)
         self.platform = PlatformReader(env, scheduler, network, log, f"servers@{source}")
+        if env.reader_duty:
+            self.platform.on_duty = self.reads
         self.renewals = Renewals(env, scheduler, log, self.council, self.register, self.roster,
                                  self.platform, f"members@{source}")
         self.leading = Leading(scheduler, log, self.council, self.register, self.roster,
                                self.renewals)
-        self.keeper = Keeper(scheduler, log, self.council, self.register, self.roster)
+        duties = ("aggregator", READER) if env.reader_duty else ("aggregator",)
+        self.keeper = Keeper(scheduler, log, self.council, self.register, self.roster, duties)
         self.aggregator = Aggregator(env, scheduler, self.register, self.roster, self.decide)
         self.council.say = self.say
         self.council.hear = self.on_said
@@ -77,6 +81,11 @@
         if self.env.platform_address:
             self.running.append(spawn("platform", self.platform.work()))
 
+    def reads(self) -> bool:
+        """Whether this node holds the duty of reading the platform's list."""
+        duty = self.register.duties.get(READER)
+        return duty is not None and duty.holder == self.env.name
+
     def leader(self) -> str:
         if self.council.role == "leader":
             return "here"
@@ -234,10 +243,11 @@
     def hand_over_duties(self) -> Step[None]:
         """The holder names its successor; the leader has it agreed."""
         until = self.scheduler.now() + 1.5
-        while self.aggregator.duty() is not None and self.scheduler.now() < until:
-            duty = self.register.duties["aggregator"]
-            if self.council.role == "leader" and duty.successor:
-                yield from self.keeper.give(Duty(duty.name, duty.successor, duty.epoch + 1, ""))
-            elif not duty.successor:
+        while self.scheduler.now() < until:
+            held = [duty for duty in self.register.duties.values() if duty.holder == self.env.name]
+            if not held or not any(duty.successor for duty in held):
                 return
+            for duty in held:
+                if self.council.role == "leader" and duty.successor:
+                    yield from self.keeper.give(Duty(duty.name, duty.successor, duty.epoch + 1, ""))
             yield from self.scheduler.pause(0.1)
--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -175,7 +175,7 @@
             return 1e9
         services, edges = self.register.configuration.services, len(self.edges())
         return min((self.divider.soon(name, services[name].rate, now) for name in wanted
-                    if name in services and is_narrow(
+                    if name in services and services[name].limited and is_narrow(
                         services[name].rate, services[name].burst_seconds, edges)),
                    default=1e9)
 
@@ -227,6 +227,8 @@
         shares: dict[str, float] = {}
         grants: dict[str, object] = {}
         for name, service in self.register.configuration.services.items():
+            if not service.limited:
+                continue
             held = holding.get(name, 0.0)
             if is_narrow(service.rate, service.burst_seconds, len(edges)):
                 grants[name] = self.divider.grant(name, service.rate, session.name,
@@ -261,7 +263,10 @@
         """
         started = self.scheduler.now()
         epoch = self.council.epoch
-        while self.scheduler.now() < started + self.term_length:
+        most = self.term_length
+        if self.env.serve_lapsed:
+            most = min(most, self.env.settle_seconds)
+        while self.scheduler.now() < started + most:
             now = self.scheduler.now()
             if (self.council.role == "leader" and self.council.epoch == epoch
                     and now >= self.council.settled_at + self.term_length
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -70,17 +70,19 @@
 
 
 class Pace:
-    """How fast a council beats, elects, replaces and writes images."""
+    """How fast a council beats, elects, replaces and writes images; whether it may be founded."""
 
-    __slots__ = ("beat", "election", "image_records", "promise", "replace")
+    __slots__ = ("beat", "election", "image_records", "may_found", "promise", "replace")
 
     def __init__(self, beat: float = 0.15, election: float = 0.7, promise: float = 1.5,
-                 replace: float = 8.0, image_records: int = 4000) -> None:
+                 replace: float = 8.0, image_records: int = 4000,
+                 may_found: bool = True) -> None:
         self.beat = beat
         self.election = election
         self.promise = promise
         self.replace = replace
         self.image_records = image_records
+        self.may_found = may_found
 
 
 class Peer:
@@ -850,7 +852,7 @@
                     found = yield from self.lines.ask(seed, {"kind": "council.who"}, 0.5)
                     if found.is_ok() and isinstance(found.ok.get("disk"), str):
                         answers[seed] = found.ok
-                if (self.empty and self.address in self.seeds
+                if (self.empty and self.pace.may_found and self.address in self.seeds
                         and len(answers) == len(self.seeds) == 3
                         and all(answer.get("empty") is True for answer in answers.values())):
                     voters = {str(answer["disk"]): seed for seed, answer in answers.items()}
--- a/packages/edge/ryelock/edge/gate.py
+++ b/packages/edge/ryelock/edge/gate.py
@@ -34,7 +34,7 @@
         self.scheduler = scheduler
         self.service = service
         now = scheduler.now()
-        self.bucket = Bucket(now, service.burst_seconds)
+        self.bucket = Bucket(now, service.burst_seconds, service.limited)
         self.budget = RepeatBudget(service.repeat_share, 1.0)
         self.flight = 0
         self.route_flight: dict[str, int] = {}
@@ -51,6 +51,7 @@
     def resize(self, service: Service, edges: int) -> None:
         self.service = service
         self.bucket.burst = service.burst_seconds
+        self.bucket.limited = service.limited
         self.budget.resize(service.repeat_share,
                            max(1.0, service.repeat_allowance / max(1, edges))
                            if service.repeat_allowance else 0.0)
--- a/packages/edge/ryelock/edge/member.py
+++ b/packages/edge/ryelock/edge/member.py
@@ -38,15 +38,17 @@
     """What this node knows of the control plane, and its right to serve."""
 
     __slots__ = ("changed", "cores", "demand", "edges", "failed", "failed_version",
-                 "failing_since", "failures", "gone", "grants", "hear_failed", "holding", "leader",
-                 "leaving", "lines", "listing", "listing_news", "listing_term", "log", "members",
-                 "members_version", "named", "pending", "promised_shares",
-                 "register", "running", "scheduler", "seeds", "sequence", "session", "shares",
+                 "failing_since", "failures", "gone", "grants", "hear_failed", "hold_seconds",
+                 "holding", "leader", "leaving", "lines", "listing", "listing_news", "listing_term",
+                 "log", "members", "members_version", "named", "pending", "promised_shares",
+                 "register", "running", "scheduler", "seeds", "sequence", "serve_lapsed", "session",
+                 "shares",
                  "term_seconds", "term_until", "unsure", "wanted", "was_serving")
 
     def __init__(self, scheduler: Scheduler, lines: Lines, log: Log, register: Register,
                  session: Session, seeds: tuple[str, ...], term_seconds: float,
-                 listing_term: float) -> None:
+                 listing_term: float, hold_seconds: float = HOLD_SECONDS,
+                 serve_lapsed: bool = False) -> None:
         self.scheduler = scheduler
         self.lines = lines
         self.log = log
@@ -55,6 +57,8 @@
         self.seeds = seeds
         self.term_seconds = term_seconds
         self.listing_term = listing_term
+        self.hold_seconds = hold_seconds
+        self.serve_lapsed = serve_lapsed
         self.term_until = -1e9
         self.was_serving = False
         self.unsure = False
@@ -93,6 +97,9 @@
 
     @property
     def serving(self) -> bool:
+        """Whether orders may be served now: under a term or, where that is set, after one."""
+        if self.serve_lapsed:
+            return self.register.version > 0
         return self.scheduler.now() < self.term_until
 
     def work(self) -> Step[None]:
@@ -132,7 +139,7 @@
         return (yield from self.renew(other))
 
     def tell_term(self) -> None:
-        serving = self.serving
+        serving = self.scheduler.now() < self.term_until
         if serving != self.was_serving:
             self.was_serving = serving
             self.log.write(TERM_HELD if serving else TERM_LAPSED)
@@ -181,8 +188,8 @@
         """One ask to the leader, and all that its answer brings."""
         asked = self.scheduler.now()
         self.unsure = False
-        message = {"kind": "renew", "hold": HOLD_SECONDS, **self.asking()}
-        found = yield from self.lines.ask(leader, message, HOLD_SECONDS + ANSWER_SECONDS)
+        message = {"kind": "renew", "hold": self.hold_seconds, **self.asking()}
+        found = yield from self.lines.ask(leader, message, self.hold_seconds + ANSWER_SECONDS)
         if found.is_error() or found.ok.get("ok") is not True:
             return False
         answer = found.ok
@@ -278,7 +285,8 @@
 
     def ask_promises(self) -> Step[None]:
         """Without a leader: a term on the promises of enough voters."""
-        if self.session.role != "edge" or self.leaving or self.register.index == 0:
+        if (self.session.role != "edge" or self.leaving or self.register.index == 0
+                or self.serve_lapsed):
             return
         asked = self.scheduler.now()
         box: Mailbox[Message | None] = Mailbox(self.scheduler)
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -11,14 +11,15 @@
 from ryelock.edge.way import Way
 from ryelock.env import Env
 from ryelock.events import STARTED, STOPPED, STOPPING, Log
-from ryelock.exchange import HttpDoor, Limits
+from ryelock.exchange import Dialect, HttpDoor, Limits
 from ryelock.loop import Network, Running, Scheduler, Step
-from ryelock.register import Register
+from ryelock.register import CallerLimits, Register
 from ryelock.roster import Listing, Session
 from ryelock.watch import Prober, Target
 from ryelock.wire import Door, Lines, Message, Reply
 
 STAND_INS = 2
+LASTING = 1e18
 
 
 class TrafficNode:
@@ -29,7 +30,7 @@
                  "told", "told_epoch", "way")
 
     def __init__(self, role: str, env: Env, scheduler: Scheduler, network: Network, log: Log,
-                 random: Random) -> None:
+                 random: Random, dialect: Dialect | None = None) -> None:
         self.role = role
         self.env = env
         self.scheduler = scheduler
@@ -47,7 +48,8 @@
         self.session.probes = role == "prober" or env.probe
         self.session.mark = f"{random.getrandbits(64):016x}" if self.session.probes else ""
         self.member = Member(scheduler, self.lines, log, self.register, self.session, env.seeds,
-                             env.term_seconds, env.listing_term)
+                             env.term_seconds, env.listing_term, env.hold_seconds,
+                             env.serve_lapsed)
         self.member.changed = self.on_change
         self.member.listing_news = self.on_listing
         self.way: Way | None = None
@@ -60,7 +62,8 @@
                          self.explain if role == "edge" else None)
         self.session.control = self.desk.door.address
         if role == "edge":
-            self.way = Way(env, scheduler, network, log, self.member, random)
+            self.way = Way(env, scheduler, network, log, self.member, random,
+                           dialect or Dialect())
             self.member.demand = self.demand
             self.member.holding = self.holding
             self.member.promised_shares = self.promised_shares
@@ -110,12 +113,14 @@
             known = dict(zip(before.route_names, before.routes, strict=True))
             moved = {name for name, route in known.items()
                      if (now := configuration.routes.get(name)) is None
-                     or (now.service, now.cached) != (route.service, route.cached)}
+                     or (now.service, now.split, now.cached)
+                     != (route.service, route.split, route.cached)}
             for key in [key for key in way.store.copies if key[0] in moved]:
                 way.store.drop(key)
             for key, fill in list(way.store.fills.items()):
                 if key[0] in moved:
                     fill.spoiled = True
+            self.limit(configuration.limits.get("callers"))
             for name, service in configuration.services.items():
                 gate = way.gates.get(name)
                 if gate is None:
@@ -126,6 +131,16 @@
                 way.gates.pop(name).running.cancel()
         way.store.take_purges(self.register.purges, self.register.purge_number)
 
+    def limit(self, said: CallerLimits | None) -> None:
+        """What callers may send, by the configuration or else by this process's settings."""
+        if self.orders_door is None:
+            return
+        limits, env = self.orders_door.limits, self.env
+        said = said or CallerLimits()
+        limits.head_bytes = said.head_bytes or env.head_bytes
+        limits.body_bytes = said.body_bytes or env.body_bytes
+        limits.idle_seconds = said.idle_seconds or env.idle_seconds
+
     def on_listing(self, listing: Listing) -> None:
         if self.way is not None:
             self.way.servers.take(listing)
@@ -179,6 +194,8 @@
         if self.way is None:
             return
         now = self.scheduler.now()
+        if self.env.serve_lapsed:
+            until = LASTING
         for name, share in shares.items():
             gate = self.way.gates.get(name)
             if gate is not None:
--- a/packages/edge/ryelock/edge/servers.py
+++ b/packages/edge/ryelock/edge/servers.py
@@ -12,6 +12,7 @@
 import math
 from random import Random
 
+from ryelock.env import Env
 from ryelock.events import SERVER_ASIDE, SERVER_BACK, Log
 from ryelock.exchange import Reader
 from ryelock.loop import Link, Scheduler
@@ -23,12 +24,15 @@
 KEPT_LINKS = 32
 FADE_SECONDS = 5.0
 MUCH_SLOWER = 3.0
-KEPT_SECONDS = 20.0
+OTHER_ZONE = 1.3
+FAR_SECONDS = 0.25
+SAFE_IDLE = 0.5
+SLOT_PART = 3
 ZONE_RANK = {"healthy": 0, "unknown": 1, "stale": 1, "down": 2}
 
 
 class ServerState:
-    __slots__ = ("aside_for", "aside_until", "failures", "gone", "kept", "latency",
+    __slots__ = ("aside_for", "aside_until", "failures", "full_until", "gone", "kept", "latency",
                  "sent_at", "server", "trying", "used_at")
 
     def __init__(self, server: Server) -> None:
@@ -41,6 +45,7 @@
         self.latency = 0.0
         self.used_at = 0.0
         self.gone = False
+        self.full_until = 0.0
         self.kept: list[tuple[Link, Reader, float]] = []
 
     @property
@@ -52,7 +57,7 @@
         latency = self.latency * math.pow(0.5, max(0.0, now - self.used_at) / FADE_SECONDS)
         if self.sent_at:
             latency = max(latency, now - self.sent_at[0])
-        return (self.flight + 1) * (latency + 0.002)
+        return (self.flight + 1) * (latency + 0.002) * (2.0 if self.server.cold else 1.0)
 
     def worse_than(self, other: "ServerState", now: float) -> bool:
         """Whether the other is to be picked of the two."""
@@ -63,13 +68,14 @@
 
 
 class Servers:
-    __slots__ = ("by_service", "listing", "log", "random", "scheduler", "trial_at", "zone")
+    __slots__ = ("by_service", "env", "listing", "log", "random", "scheduler", "trial_at", "zone")
 
-    def __init__(self, scheduler: Scheduler, log: Log, zone: str, random: Random) -> None:
+    def __init__(self, scheduler: Scheduler, log: Log, env: Env, random: Random) -> None:
         self.scheduler = scheduler
         self.random = random
         self.log = log
-        self.zone = zone
+        self.env = env
+        self.zone = env.zone
         self.listing: Listing | None = None
         self.by_service: dict[str, list[ServerState]] = {}
         self.trial_at: dict[str, float] = {}
@@ -98,7 +104,8 @@
         state.kept = []
 
     def live(self, now: float) -> bool:
-        return self.listing is not None and now < self.listing.until
+        """Whether the listing is still believed; with no end where edges serve after a lapse."""
+        return self.listing is not None and (self.env.serve_lapsed or now < self.listing.until)
 
     def is_live(self, state: ServerState, service: str, now: float) -> bool:
         """Whether an order of a service may go to a server at this very moment."""
@@ -106,7 +113,8 @@
                 and state.server.service == service)
 
     def pick(self, service: str, used: set[tuple[str, str, str]], verdicts: dict[str, str],
-             weighed: list[dict[str, object]] | None, edges: int = 1) -> ServerState | None:
+             weighed: list[dict[str, object]] | None, edges: int = 1,
+             links: int = 0) -> ServerState | None:
         """The server for the next dispatch: by zone, then the better of two, fit ones only."""
         now = self.scheduler.now()
         if not self.live(now):
@@ -127,9 +135,15 @@
                 if weighed is not None:
                     weighed.append({"server": server.address, "left_out": "set aside"})
                 continue
+            if self.env.spread_region and not self.has_room(state, edges, links, now):
+                if weighed is not None:
+                    weighed.append({"server": server.address, "left_out": "full"})
+                continue
             near = 0 if server.zone == self.zone else 1
             rank = ZONE_RANK.get(verdicts.get(server.zone, "unknown"), 1) if near else 0
             key = (1 if server.identity in used else 0, near, rank)
+            if self.env.spread_region:
+                key = (key[0], 0, 1 if rank == ZONE_RANK["down"] else 0)
             if weighed is not None:
                 weighed.append({"server": server.address, "zone": server.zone,
                                 "flight": state.flight,
@@ -140,13 +154,57 @@
                 able.append(state)
         if not able:
             return None
-        drawn = self.random.sample(able, min(2, len(able)))
-        best = drawn[-1] if drawn[0].worse_than(drawn[-1], now) else drawn[0]
+        best = self.cheapest(able, now) if self.env.spread_region else self.better(able, now)
         if best.failures >= FAILURES_MOST:
             best.trying = True
             self.log.write(SERVER_BACK, server=best.server.address)
         return best
 
+    def better(self, able: list[ServerState], now: float) -> ServerState:
+        """The better of two drawn by chance."""
+        drawn = self.random.sample(able, min(2, len(able)))
+        return drawn[-1] if drawn[0].worse_than(drawn[-1], now) else drawn[0]
+
+    def cheapest(self, able: list[ServerState], now: float) -> ServerState:
+        """Of the better ones of the own zone, the own region and beyond, the one that costs least.
+
+        Another zone costs a part more; another region the way there, also where that is not
+        known yet, so that far servers take what near ones can't.
+        """
+        region = self.env.regions.get(self.zone, self.zone)
+        groups: tuple[list[ServerState], list[ServerState], list[ServerState]] = ([], [], [])
+        for state in able:
+            zone = state.server.zone
+            far = self.env.regions.get(zone, zone) != region
+            groups[0 if zone == self.zone else 2 if far else 1].append(state)
+        found: list[tuple[float, ServerState]] = []
+        for group, factor, way in zip(groups, (1.0, OTHER_ZONE, OTHER_ZONE),
+                                      (0.0, 0.0, FAR_SECONDS), strict=True):
+            if group:
+                best = self.better(group, now)
+                found.append((best.cost(now) * factor + way, best))
+        return min(found, key=lambda pair: pair[0])[1]
+
+    def has_room(self, state: ServerState, edges: int, links: int, now: float) -> bool:
+        """Whether this edge may have one order more in flight at a server.
+
+        Each edge has a part of the server's slots and of its links; one that just said it is
+        full is left alone for a moment.
+        """
+        if now < state.full_until:
+            return False
+        most = 1 << 30
+        if state.server.slots:
+            most = max(1, math.ceil(SLOT_PART * state.server.slots / max(1, edges)))
+        if links:
+            most = min(most, max(1, links // max(1, edges)))
+        return state.flight < most
+
+    def declined(self, state: ServerState, status: int, seconds: float) -> None:
+        """A server said that it did not run an order: it is full, or another has its address."""
+        state.trying = False
+        state.full_until = self.scheduler.now() + (seconds if status != 421 else 1.0)
+
     def trial(self, service: str, edges: int, now: float,
               weighed: list[dict[str, object]] | None) -> ServerState | None:
         """All servers of a service are set aside: now and then one order tries one of them.
@@ -189,16 +247,20 @@
     def kept_link(self, state: ServerState) -> tuple[Link, Reader] | None:
         now = self.scheduler.now()
         while state.kept:
-            link, reader, since = state.kept.pop()
-            if link.ended or link.inbox.items or reader.buffer or now - since > KEPT_SECONDS:
+            link, reader, until = state.kept.pop()
+            if link.ended or link.inbox.items or reader.buffer or now > until:
                 link.close()
                 continue
             return link, reader
         return None
 
-    def keep_link(self, state: ServerState, link: Link, reader: Reader) -> None:
+    def keep_link(self, state: ServerState, link: Link, reader: Reader,
+                  idle: float | None = None) -> None:
+        """Keep a link for reuse until half of the time that its server keeps it idle is over."""
         if (state.gone or state.server.leaving or link.ended or reader.buffer
                 or link.inbox.items or len(state.kept) >= KEPT_LINKS):
             link.close()
         else:
-            state.kept.append((link, reader, self.scheduler.now()))
+            most = self.env.link_idle_seconds if idle is None else min(
+                self.env.link_idle_seconds, SAFE_IDLE * idle)
+            state.kept.append((link, reader, self.scheduler.now() + most))
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -25,6 +25,7 @@
     Answer,
     AnswerHead,
     CallError,
+    Dialect,
     Exchange,
     Fields,
     Reader,
@@ -32,6 +33,7 @@
     field,
     read_answer,
     send_order,
+    tokens,
 )
 from ryelock.exchange.heads import FramingError
 from ryelock.exchange.reading import Cut, Late
@@ -40,7 +42,10 @@
 
 SAFE = (b"GET", b"HEAD", b"OPTIONS", b"TRACE")
 HELD_ANSWER = 65_536
-DISPATCHES_MOST = 3
+ANSWERS_SKIPPED = 2
+ANSWER_MARGIN = 0.02
+TRY_PART = 0.6
+FULL_SECONDS = 0.15
 CLAIM_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
 CALLER_FIELDS = (b"user-agent", b"authorization", b"cookie")
@@ -80,12 +85,13 @@
 class Way:
     """All that an order needs on its way; one of it a process."""
 
-    __slots__ = ("env", "failed", "gates", "keys", "log", "member", "name", "network", "orders",
-                 "plan", "random", "scheduler", "sequence", "served", "servers", "store")
+    __slots__ = ("dialect", "env", "failed", "gates", "keys", "log", "member", "name", "network",
+                 "orders", "plan", "random", "scheduler", "sequence", "served", "servers", "store")
 
     def __init__(self, env: Env, scheduler: Scheduler, network: Network, log: Log, member: Member,
-                 random: Random) -> None:
+                 random: Random, dialect: Dialect) -> None:
         self.env = env
+        self.dialect = dialect
         self.name = env.name
         self.scheduler = scheduler
         self.network = network
@@ -93,8 +99,8 @@
         self.member = member
         self.random = random
         self.plan = Plan(0, member.register.configuration)
-        self.servers = Servers(scheduler, log, env.zone, random)
-        self.store = Store(env.cache_bytes)
+        self.servers = Servers(scheduler, log, env, random)
+        self.store = Store(env.cache_bytes, dialect.labels)
         self.gates: dict[str, Gate] = {}
         self.orders = Orders(env.explain_orders)
         self.keys = Keys()
@@ -123,7 +129,8 @@
                 yield from self.serve_plain(exchange, order, route)
         finally:
             order.seconds = self.scheduler.now() - order.started
-            if (not order.probe and (order.status >= 500 or order.outcome == "cut")
+            if (self.dialect.own and not order.probe
+                    and (order.status >= 500 or order.outcome == "cut")
                     and any(record["sent"] for record in order.dispatches)):
                 self.failed.tell(caller_of(exchange, order), self.scheduler.now())
             if not order.outcome:
@@ -135,7 +142,9 @@
     def open_order(self, exchange: Exchange) -> Order:
         self.sequence += 1
         head = exchange.head
-        order = Order(f"{self.name}-{self.member.session.incarnation}-{self.sequence}",
+        said = field(head.fields, self.dialect.identity.lower()) if self.dialect.identity else None
+        order = Order(said.decode("latin-1") if said
+                      else f"{self.name}-{self.member.session.incarnation}-{self.sequence}",
                       head.method.decode("latin-1"), head.target.decode("latin-1"),
                       host_of(field(head.fields, b"host")), exchange.started,
                       self.scheduler.clock.wall())
@@ -161,15 +170,27 @@
             return None
         route = plan.routes[order.route]
         order.route_name = plan.route_names[order.route]
-        order.service = route.service
+        order.service = self.service_of(route)
         unsafe = order.method.encode("latin-1") not in SAFE
         order.klass = "once" if route.once or unsafe else "repeatable"
         return route
 
+    def service_of(self, route: Route) -> str:
+        """The route's service, or one of several drawn by their weights."""
+        if not route.split:
+            return route.service
+        names = list(route.split)
+        return self.random.choices(names, [route.split[name] for name in names])[0]
+
     def deadline(self, exchange: Exchange, route: Route) -> float:
+        until = exchange.deadline
         if route.deadline_seconds:
-            return min(exchange.deadline, exchange.started + route.deadline_seconds)
-        return exchange.deadline
+            until = min(until, exchange.started + route.deadline_seconds)
+        if self.dialect.deadline:
+            said = field(exchange.head.fields, self.dialect.deadline.lower()) or b""
+            if said.isdigit() and len(said) < 10:
+                until = min(until, exchange.started + int(said) / 1000 - ANSWER_MARGIN)
+        return until
 
     # The three kinds of order.
 
@@ -276,7 +297,7 @@
                 kept = refreshed(known, carried.head, carried.sent, now)
                 order.cache = "revalidated"
                 self.free_link(carried)
-            elif carried.whole:
+            elif carried.whole and self.sealed(carried.head):
                 kept = copy_of(head, route, carried.head, end_to_end(carried.head.fields),
                                carried.first, carried.sent, now)
             if kept is None:
@@ -288,7 +309,8 @@
                 yield from self.relay(exchange, order, carried)
                 return
             past_the_copy = order.probe and not may_use(kept, route, head.fields, now)
-            fine = self.store.purged == purged and not fill.spoiled and not past_the_copy
+            fine = (not fill.spoiled and not past_the_copy
+                    and not self.store.purged_since(purged, key, kept))
             self.store.end(fill, kept if fine else None)
             if carried.head.status != 304:
                 self.free_link(carried)
@@ -312,6 +334,8 @@
         if gate is None:
             return Failure(503, "the service is not known here yet")
         fields = exchange.head.fields
+        if not self.dialect.own:
+            return (yield from self.pass_gate(exchange, order, route, gate))
         order.repeat = (key is not None and self.keys.seen(order.service, key)) or any(
             (field(fields, name) or b"0").strip() not in (b"0", b"") for name in REPEAT_FIELDS)
         caller = caller_of(exchange, order)
@@ -319,6 +343,10 @@
         if order.repeat and gate.budget.room < 1.0:
             order.allowance = "over the budget of repeats"
             return Failure(429, "too many repeats of orders to this service", back=2.0)
+        return (yield from self.pass_gate(exchange, order, route, gate))
+
+    def pass_gate(self, exchange: Exchange, order: Order, route: Route,
+                  gate: Gate) -> Step[Failure | None]:
         patience = self.deadline(exchange, route) - self.scheduler.now()
         back = yield from gate.enter(order.route_name, route.share, patience,
                                      order.probe)
@@ -342,24 +370,28 @@
         until = self.deadline(exchange, route)
         used: set[tuple[str, str, str]] = set()
         failure = Failure(503, f"no live server of service {order.service}")
-        for number in range(DISPATCHES_MOST):
+        answered: Carried | None = None
+        for number in range(route.attempts):
             if not self.may_still_go(order):
                 return Error(Failure(503, "the term or the route changed; not sent"))
             if exchange.left:
                 return Error(Failure(499, "the caller left"))
             weighed: list[dict[str, object]] = []
             state = self.servers.pick(order.service, used, order.verdict, weighed,
-                                      self.member.edges)
+                                      self.member.edges, gate.service.links)
             if number == 0:
                 order.weighed = weighed
             if state is None:
-                return Error(failure)
+                return self.last_of(answered, failure)
             sent_before = any(record["sent"] for record in order.dispatches)
             if sent_before:
                 patience = until - self.scheduler.now()
                 if not (yield from gate.again(patience)):
                     order.allowance += "; no room to repeat"
-                    return Error(failure)
+                    return self.last_of(answered, failure)
+            if answered is not None:
+                answered.link.abort()
+                answered = None
             used.add(state.server.identity)
             record: dict[str, object] = {"server": state.server.address,
                                          "zone": state.server.zone, "sent": False}
@@ -367,8 +399,9 @@
             started = self.scheduler.now()
             state.sent_at.append(started)
             try:
+                last = number + 1 >= route.attempts
                 found = yield from self.try_server(exchange, order, route, state, until, record,
-                                                   fill, known)
+                                                   fill, known, last)
             finally:
                 state.sent_at.remove(started)
             taken = self.scheduler.now() - started
@@ -377,9 +410,19 @@
                 carried = found.ok
                 self.servers.fared(state, carried.head.status < 500, taken)
                 record["status"] = carried.head.status
+                if (not self.dialect.own and carried.head.status >= 500
+                        and order.klass == "repeatable" and not last):
+                    answered = carried
+                    continue
                 return Ok(carried)
             error = found.error
             record["fault"] = error.reason
+            if error.declined:
+                self.servers.declined(state, error.declined, FULL_SECONDS)
+                failure = Failure(503, error.reason, back=self.soon(route))
+                if error.declined == 429:
+                    return Error(failure)
+                continue
             if error.reason == "over the budget of repeats":
                 state.trying = False
                 return Error(Failure(429, "too many repeats of orders to this service", back=2.0))
@@ -392,7 +435,22 @@
             failure = Failure(504 if late else 502, error.reason)
             if late:
                 return Error(failure)
-        return Error(failure)
+        return self.last_of(answered, failure)
+
+    def last_of(self, answered: Carried | None, failure: Failure) -> Result[Carried, Failure]:
+        """A server's own failure goes to the caller where no other server could be tried."""
+        return Ok(answered) if answered is not None else Error(failure)
+
+    def soon(self, route: Route) -> float:
+        """Seconds after which to come back: within the time that is of full worth."""
+        if self.dialect.own or not route.target_seconds:
+            return 1.0
+        return route.target_seconds * (0.05 + 0.15 * self.random.random())
+
+    def sealed(self, head: AnswerHead) -> bool:
+        """Whether a success bears its server's mark, where servers make one."""
+        return (not self.dialect.seal or not 200 <= head.status < 300
+                or field(head.fields, self.dialect.seal.lower()) is not None)
 
     def may_still_go(self, order: Order) -> bool:
         """Whether the term holds and the version in force still names this service."""
@@ -401,14 +459,16 @@
         if order.version == self.plan.version:
             return True
         index = self.plan.resolve(order.host, order.path)
-        return index >= 0 and self.plan.routes[index].service == order.service and (
+        return index >= 0 and self.plan.routes[index].allows(order.service) and (
             order.klass == "once" or not self.plan.routes[index].once)
 
     def try_server(self, exchange: Exchange, order: Order, route: Route, state: ServerState,
                    until: float, record: dict[str, object], fill: bool,
-                   known: Copy | None) -> Step[Result[Carried, CallError]]:
+                   known: Copy | None, last: bool) -> Step[Result[Carried, CallError]]:
         """One dispatch: a link, the order's bytes, the answer's head, a short body whole."""
-        kept = None if order.klass == "once" else self.servers.kept_link(state)
+        kept = None
+        if order.klass != "once" or not self.dialect.own:
+            kept = self.servers.kept_link(state)
         if kept is not None:
             link, reader = kept
         else:
@@ -431,13 +491,21 @@
             sent = self.scheduler.now()
             self.send(exchange, order, state, link, fill, known)
             answer_until = min(until, sent + self.service_seconds(order))
+            if not self.dialect.own and order.klass == "repeatable" and not last:
+                answer_until = min(answer_until, sent + TRY_PART * (until - sent))
             method = b"GET" if fill else exchange.head.method
-            found = yield from read_answer(reader, method, self.env.head_bytes, answer_until)
-            if found.is_error():
-                return Error(found.error)
-            answer = found.ok
-            first, whole = yield from self.read_first(answer, until, fill)
-            if whole and reader.buffer:
+            for _ in range(ANSWERS_SKIPPED + 1):
+                found = yield from read_answer(reader, method, self.env.head_bytes, answer_until)
+                if found.is_error():
+                    return Error(found.error)
+                answer = found.ok
+                first, whole = yield from self.read_first(answer, until, fill)
+                if self.answers(order, answer.head) or not whole:
+                    break
+            error = self.unfit(order, answer.head)
+            if error is not None:
+                return Error(error)
+            if whole and reader.buffer and self.dialect.own:
                 self.log.write(ANSWER_BROKEN, server=state.server.address, order=order.identity,
                                fault="bytes behind the answer")
                 return Error(CallError("bytes behind the answer's end", True))
@@ -457,6 +525,35 @@
             if not carried:
                 link.abort()
 
+    def answers(self, order: Order, head: AnswerHead) -> bool:
+        """Whether an answer is this order's, where answers say whose they are.
+
+        A server may send one too many; it comes where the next order's is due.
+        """
+        if not self.dialect.identity:
+            return True
+        said = field(head.fields, self.dialect.identity.lower())
+        return said is None or said.decode("latin-1") == order.identity
+
+    def unfit(self, order: Order, head: AnswerHead) -> CallError | None:
+        """Why an answer cannot go to the caller; `declined` where the order did not run."""
+        dialect = self.dialect
+        if dialect.own:
+            return None
+        if not self.answers(order, head):
+            return CallError("an answer to another order", True)
+        if head.status == 421 or (dialect.not_run and head.status >= 400
+                                  and field(head.fields, dialect.not_run.lower()) is not None):
+            return CallError(f"the server declined: {head.status}", False, head.status)
+        if dialect.identity and field(head.fields, dialect.identity.lower()) is None and (
+                head.status < 400):
+            return CallError("an answer that does not say whose it is", True)
+        if not self.sealed(head):
+            return CallError("a success without its server's mark", True)
+        if head.status in (408, 425, 429, 503):
+            return CallError(f"the server failed: {head.status}", True)
+        return None
+
     def account(self, exchange: Exchange, order: Order) -> bool:
         """At an order's first sending: a first earns room for repeats, a repeat takes some.
 
@@ -486,13 +583,21 @@
         if fill:
             dropped |= {b"range", b"if-range", b"if-none-match", b"if-modified-since", b"if-match",
                         b"if-unmodified-since"}
+        if not self.dialect.own:
+            self.speak(order, fields, dropped)
         fields = [(name, value) for name, value in fields if name.lower() not in dropped]
         if field(fields, b"host") is None:
             fields.insert(0, (b"Host", state.server.address.encode()))
         if fill and known is not None and known.etag is not None:
             fields.append((b"If-None-Match", known.etag))
-        fields.append((b"Via", b"1.%d ryelock" % head.minor))
-        fields.append((b"X-Ryelock-Order", order.identity.encode()))
+        if self.dialect.own:
+            fields.append((b"Via", b"1.%d ryelock" % head.minor))
+            fields.append((b"X-Ryelock-Order", order.identity.encode()))
+        else:
+            dialect = self.dialect
+            left = self.deadline(exchange, self.plan.routes[order.route]) - self.scheduler.now()
+            fields.append((dialect.deadline, b"%d" % max(1, int(left * 1000))))
+            fields.append((dialect.expected, state.server.incarnation.encode()))
         target = head.target
         if not target.startswith((b"/", b"*")):
             rest = target.partition(b"://")[2]
@@ -500,6 +605,13 @@
             target = slash + path or b"/"
         send_order(link, b"GET" if fill else head.method, target, fields, order.body)
 
+    def speak(self, order: Order, fields: Fields, dropped: set[bytes]) -> None:
+        """Fields that are said anew to a server; an order without a name gets one."""
+        dialect = self.dialect
+        dropped |= {dialect.deadline.lower(), dialect.expected.lower(), b"x-ryelock-probe"}
+        if field(fields, dialect.identity.lower()) is None:
+            fields.append((dialect.identity, order.identity.encode("latin-1")))
+
     def read_first(self, answer: Answer, until: float, fill: bool) -> Step[tuple[bytes, bool]]:
         """The whole of a short or fillable answer; nothing of a longer one."""
         most = self.env.answer_bytes if fill else HELD_ANSWER
@@ -524,7 +636,8 @@
 
     def free_link(self, carried: Carried) -> None:
         if carried.answer.keep and carried.answer.body.over:
-            self.servers.keep_link(carried.server, carried.link, carried.reader)
+            self.servers.keep_link(carried.server, carried.link, carried.reader,
+                                   idle_of(carried.head))
         else:
             carried.link.close()
 
@@ -579,7 +692,7 @@
                     continue
                 until = self.scheduler.now() + self.env.idle_seconds
                 fine = yield from exchange.send(piece, self.env.idle_seconds)
-            if fine and carried.reader.buffer:
+            if fine and carried.reader.buffer and self.dialect.own:
                 raise FramingError(502, "bytes behind the answer's end")
             if fine:
                 exchange.finish()
@@ -600,6 +713,9 @@
     def answer_copy(self, exchange: Exchange, order: Order, copy: Copy) -> Step[None]:
         now = self.scheduler.now()
         status, reason, fields, body = answer_from(copy, exchange.head, now)
+        if self.dialect.identity:
+            fields = [pair for pair in fields if pair[0].lower() != self.dialect.identity.lower()]
+            fields.append((self.dialect.identity, order.identity.encode("latin-1")))
         order.status = status
         order.outcome = "answered"
         exchange.begin(status, reason, [*fields, *self.own_fields(order)],
@@ -610,6 +726,8 @@
             exchange.cut()
 
     def own_fields(self, order: Order) -> Fields:
+        if not self.dialect.own:
+            return []
         fields: Fields = [(b"Via", b"1.1 ryelock"),
                           (b"X-Ryelock-Order", order.identity.encode())]
         if order.cache:
@@ -630,7 +748,15 @@
                           (b"X-Ryelock-Outcome", order.outcome.replace(" ", "-").encode()),
                           (b"X-Ryelock-Order", order.identity.encode())]
         keyed = field(exchange.head.fields, b"idempotency-key") is not None
-        if failure.status in (429, 502, 503, 504) and (not failure.unknown or keyed):
+        if not self.dialect.own:
+            route = self.plan.routes[order.route] if order.route_name else None
+            back = self.soon(route) if route is not None else 0.2
+            fields = [(b"Content-Type", b"application/json")]
+            if failure.status in (429, 503):
+                fields.append((b"Retry-After", b"%.3f" % back if self.dialect.fractions
+                               else b"%d" % math.ceil(back)))
+            fields.append((self.dialect.identity, order.identity.encode("latin-1")))
+        elif failure.status in (429, 502, 503, 504) and (not failure.unknown or keyed):
             back = math.ceil(failure.back + self.random.random() * 2)
             fields.append((b"Retry-After", b"%d" % back))
         body = json.dumps({"error": failure.reason, "outcome": order.outcome,
@@ -640,6 +766,15 @@
         yield from exchange.answer(failure.status, fields, body)
 
 
+def idle_of(head: AnswerHead) -> float | None:
+    """Seconds that a server says it keeps an idle link; None where it says nothing."""
+    for part in tokens(head.fields, b"keep-alive"):
+        name, _, value = part.partition(b"=")
+        if name.strip() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
 def caller_of(exchange: Exchange, order: Order) -> Caller:
     fields = exchange.head.fields
     return digest_of(exchange.link.peer.rpartition(":")[0].encode(), order.method.encode(),
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -119,6 +119,15 @@
     return found
 
 
+def regions_of(value: object) -> dict[str, str]:
+    """Zones by name with the region of each."""
+    if isinstance(value, str):
+        value = dict(part.strip().partition("=")[::2] for part in value.split(",") if part.strip())
+    if not isinstance(value, dict):
+        raise ValueError("not zone=region, divided by commas")
+    return {noun(zone): noun(region) for zone, region in value.items()}
+
+
 def flag(value: object) -> bool:
     if value in (True, "true", "yes", "1"):
         return True
@@ -145,13 +154,31 @@
     data_folder = Setting("", text, "the one folder a core writes to")
     platform_address = Setting("", optional_address, "where the platform lists servers")
     probe = Setting(False, flag, "whether an edge also probes the edges of its zone")
+    probers_chosen = Setting(0, whole(0, 100), "of the probing machines of a zone, so many that "
+                             "are ready probe, the first by name; 0: all")
+    derive_watches = Setting(False, flag, "whether a watch is made up for each cached route that "
+                             "has none, of an object that was served")
+    may_found = Setting(True, flag, "whether an empty disk may found a core with its seeds")
+    regions: Setting[dict[str, str]] = Setting(
+        {}, regions_of, "zone=region, divided by commas, of the zones that share one")
+    serve_lapsed = Setting(False, flag, "whether an edge whose term lapsed goes on with the last "
+                           "configuration, copies and servers it knows")
+    hold_seconds = Setting(0.15, number(0.02, 5), "how long a renewal may wait for news")
+    settle_seconds = Setting(5.0, number(0, 30), "longest wait for edges before a change is "
+                             "acknowledged, where edges serve after a lapse")
+    reader_duty = Setting(False, flag, "whether one control node at a time reads the platform's "
+                          "list, by a duty with a successor, instead of each")
+    spread_region = Setting(False, flag, "whether servers of the whole region are picked from, by "
+                            "what they cost, instead of the own zone's first")
+    link_idle_seconds = Setting(20.0, number(0.1, 3600), "how long an idle link to a server is "
+                                "kept where the server says nothing")
 
     term_seconds = Setting(1.5, number(0.3, 5), "how long an edge may serve on one term")
     beat_seconds = Setting(0.15, number(0.02, 1), "how often a leader beats to each voter")
     election_seconds = Setting(0.7, number(0.1, 5), "shortest silence before an election")
     replace_seconds = Setting(8.0, number(0.5, 3600), "silence after which a voter is replaced")
     listing_seconds = Setting(0.3, number(0.05, 5), "how often servers are read anew")
-    listing_term = Setting(1.8, number(0.3, 5), "how long a listing of servers is believed")
+    listing_term = Setting(1.8, number(0.3, 30), "how long a listing of servers is believed")
     gone_seconds = Setting(600.0, number(1, 86_400), "how long a lost edge is still probed")
     image_records = Setting(4000, whole(10, 10_000_000), "records between two images")
     segment_bytes = Setting(4_194_304, whole(4096, 1 << 30), "size at which a segment is closed")
--- a/packages/exchange/ryelock/exchange/__init__.py
+++ b/packages/exchange/ryelock/exchange/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ryelock.exchange.caller import Answer, CallError, call, read_answer, send_order
+from ryelock.exchange.dialect import Dialect
 from ryelock.exchange.door import Exchange, HttpDoor, Limits
 from ryelock.exchange.heads import (
     AnswerHead,
@@ -23,8 +24,8 @@
 from ryelock.exchange.reading import Reader
 
 __all__ = [
-    "Answer", "AnswerHead", "CallError", "Exchange", "Fields", "FramingError", "HttpDoor",
-    "Limits", "OrderHead", "Reader", "call", "end_to_end", "field", "http_date",
+    "Answer", "AnswerHead", "CallError", "Dialect", "Exchange", "Fields", "FramingError",
+    "HttpDoor", "Limits", "OrderHead", "Reader", "call", "end_to_end", "field", "http_date",
     "parse_answer_head", "parse_http_date", "parse_order_head", "read_answer", "reason_of",
     "send_order", "tokens",
 ]
--- a/packages/exchange/ryelock/exchange/caller.py
+++ b/packages/exchange/ryelock/exchange/caller.py
@@ -21,10 +21,11 @@
 
 
 class CallError(Exception):
-    """Why there is no whole answer."""
+    """Why there is no whole answer; `declined` is the status by which a server said "not run"."""
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, declined: int = 0) -> None:
         super().__init__(reason)
+        self.declined = declined
         self.reason = reason
         self.sent = sent
 
--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -4,7 +4,7 @@
 import sys
 import traceback
 from collections.abc import Callable
-from random import SystemRandom
+from random import Random, SystemRandom
 from typing import Protocol
 
 from ryelock.core.identity import open_disk
@@ -22,11 +22,18 @@
     def stop(self) -> Step[None]: ...
 
 
-def build(role: str, env: Env, reactor: Reactor, log: Log) -> Node:
+Build = Callable[[Reactor, Log, Random], Node]
+
+
+def build(role: str, env: Env, reactor: Reactor, log: Log, random: Random) -> Node:
     """The node of a role; raises FolderError or NetworkError with a plain message."""
-    random = SystemRandom()
     if role != "core":
         return TrafficNode(role, env, reactor.scheduler, reactor, log, random)
+    return open_control(env, reactor, log, random)
+
+
+def open_control(env: Env, reactor: Reactor, log: Log, random: Random) -> ControlNode:
+    """A control node on its disk; raises FolderError or NetworkError with a plain message."""
     folder = MachineFolder(env.data_folder)
     found = open_disk(folder, log, env.segment_bytes, random)
     if found.is_error():
@@ -36,6 +43,11 @@
 
 
 def run_daemon(role: str, env: Env) -> int:
+    return run_node(role, env, lambda reactor, log, random: build(role, env, reactor, log, random))
+
+
+def run_node(role: str, env: Env, build: Build) -> int:
+    """Run a node as a daemon until it is told to stop; the exit code."""
     log = Log(env.name)
 
     def fault(name: str, error: BaseException) -> None:
@@ -44,7 +56,7 @@
 
     reactor = Reactor(fault)
     try:
-        node = build(role, env, reactor, log)
+        node = build(reactor, log, SystemRandom())
     except (FolderError, NetworkError) as error:
         sys.stderr.write(f"ryelock {role}: {error}\n")
         return 1
--- a/packages/register/ryelock/register/__init__.py
+++ b/packages/register/ryelock/register/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ryelock.register.configuration import (
+    CallerLimits,
     Configuration,
     Route,
     Service,
@@ -17,5 +18,6 @@
 from ryelock.register.state import Purge, Register, encode_word
 from ryelock.register.vector import Vector, vector_of
 
-__all__ = ["Configuration", "Purge", "Register", "Route", "Service", "Vector", "Watch",
+__all__ = [
+    "CallerLimits", "Configuration", "Purge", "Register", "Route", "Service", "Vector", "Watch",
            "configuration_of", "encode_word", "merge_change", "plan_of", "vector_of"]
--- a/packages/register/ryelock/register/configuration.py
+++ b/packages/register/ryelock/register/configuration.py
@@ -13,12 +13,18 @@
 from expression import Error, Ok, Result
 
 NAME_MOST = 100
-PARTS = ("services", "routes", "watches")
+PARTS = ("services", "routes", "watches", "limits")
+ANNOTATION_MOST = 20_000
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A kind of server; how much it may be sent."""
+    """A kind of server; how much it may be sent.
+
+    `limited` false: the service has no rate of its own. `links` is the most links that one server
+    takes from all callers together, 0 where nobody said. `annotation` is the operator's own
+    text, kept and given back as it came.
+    """
 
     rate: float
     burst_seconds: float = 0.2
@@ -27,11 +33,19 @@
     answer_seconds: float = 5.0
     repeat_share: float = 0.2
     repeat_allowance: int = 10
+    limited: bool = True
+    links: int = 0
+    annotation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Which orders go to which service, and what may be done with them."""
+    """Which orders go to which service, and what may be done with them.
+
+    `split` divides orders among several services by weight; `service` is then one of them.
+    `target_seconds` is the time within which an answer is of full worth, `priority` its rank
+    (0 first), `attempts` the most servers that one order may be sent to.
+    """
 
     path: str
     service: str
@@ -41,6 +55,26 @@
     lifetime_seconds: float = 0.0
     share: float = 1.0
     deadline_seconds: float = 0.0
+    target_seconds: float = 0.0
+    priority: int = 0
+    attempts: int = 3
+    split: dict[str, float] = field(default_factory=dict)
+    annotation: str = ""
+
+    def allows(self, service: str) -> bool:
+        """Whether this route's orders may go to a service."""
+        return self.split.get(service, 0) > 0 if self.split else service == self.service
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send and how long they may take; 0: as the process's own settings say."""
+
+    head_bytes: int = 0
+    body_bytes: int = 0
+    head_seconds: float = 0.0
+    idle_seconds: float = 0.0
+    annotation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +95,7 @@
     services: dict[str, Service] = field(default_factory=dict)
     routes: dict[str, Route] = field(default_factory=dict)
     watches: dict[str, Watch] = field(default_factory=dict)
+    limits: dict[str, CallerLimits] = field(default_factory=dict)
 
     def plain(self) -> dict[str, object]:
         return {part: {name: asdict(value) for name, value in getattr(self, part).items()}
@@ -82,8 +117,10 @@
             for key, value in plain.items()}
 
 
-def part_of(kind: type[Service] | type[Route] | type[Watch], path: str, plain: object,
-            faults: list[Fault]) -> Service | Route | Watch | None:
+Part = Service | Route | Watch | CallerLimits
+
+
+def part_of(kind: type[Part], path: str, plain: object, faults: list[Fault]) -> Part | None:
     if isinstance(plain, kind):
         return plain
     if not isinstance(plain, dict) or not all(isinstance(key, str) for key in plain):
@@ -116,13 +153,16 @@
 
 
 def check_service(path: str, service: Service, faults: list[Fault]) -> None:
-    within(faults, f"{path}.rate", service.rate, 0.1, 1e6)
+    if service.limited:
+        within(faults, f"{path}.rate", service.rate, 0.1, 1e6)
     within(faults, f"{path}.burst_seconds", service.burst_seconds, 0.01, 0.4)
     within(faults, f"{path}.flight", service.flight, 1, 100_000)
     within(faults, f"{path}.queue", service.queue, 0, 100_000)
     within(faults, f"{path}.answer_seconds", service.answer_seconds, 0.05, 600)
     within(faults, f"{path}.repeat_share", service.repeat_share, 0, 0.2)
-    within(faults, f"{path}.repeat_allowance", service.repeat_allowance, 0, 10)
+    within(faults, f"{path}.repeat_allowance", service.repeat_allowance, 0, 1000)
+    within(faults, f"{path}.links", service.links, 0, 1_000_000)
+    within(faults, f"{path}.annotation", len(service.annotation), 0, ANNOTATION_MOST)
 
 
 def check_route(path: str, route: Route, whole: Configuration, faults: list[Fault]) -> None:
@@ -134,6 +174,18 @@
         faults.append(fault(f"{path}.host", "not a lower-case host"))
     if route.service not in whole.services:
         faults.append(fault(f"{path}.service", f"no service {route.service!r}"))
+    for name, weight in route.split.items():
+        if name not in whole.services:
+            faults.append(fault(f"{path}.split.{name}", f"no service {name!r}"))
+        within(faults, f"{path}.split.{name}", weight, 0, 1e9)
+    if route.split and not sum(route.split.values()) > 0:
+        faults.append(fault(f"{path}.split", "the weights sum to 0"))
+    if route.split and route.service not in route.split:
+        faults.append(fault(f"{path}.service", "not one of the split"))
+    within(faults, f"{path}.target_seconds", route.target_seconds, 0, 600)
+    within(faults, f"{path}.priority", route.priority, 0, 1_000_000)
+    within(faults, f"{path}.attempts", route.attempts, 1, 100)
+    within(faults, f"{path}.annotation", len(route.annotation), 0, ANNOTATION_MOST)
     within(faults, f"{path}.lifetime_seconds", route.lifetime_seconds, 0, 31_536_000)
     within(faults, f"{path}.share", route.share, 0.01, 1)
     within(faults, f"{path}.deadline_seconds", route.deadline_seconds, 0, 600)
@@ -175,7 +227,9 @@
     services: dict[str, Service] = {}
     routes: dict[str, Route] = {}
     watches: dict[str, Watch] = {}
-    for part, kind in zip(PARTS, (Service, Route, Watch), strict=True):
+    limits: dict[str, CallerLimits] = {}
+    kinds: tuple[type[Part], ...] = (Service, Route, Watch, CallerLimits)
+    for part, kind in zip(PARTS, kinds, strict=True):
         given = plain.get(part, {})
         if not isinstance(given, dict):
             faults.append(fault(part, "not an object"))
@@ -193,7 +247,9 @@
                     routes[name] = found
                 case Watch():
                     watches[name] = found
-    whole = Configuration(services, routes, watches)
+                case CallerLimits():
+                    limits[name] = found
+    whole = Configuration(services, routes, watches, limits)
     if faults:
         return Error(faults)
     for name, service in services.items():
@@ -206,10 +262,22 @@
             faults.append(fault(f"routes.{name}.path", f"the same place as route {other!r}"))
     for name, watch in watches.items():
         check_watch(f"watches.{name}", watch, whole, faults)
+    for name, limit in limits.items():
+        check_limits(f"limits.{name}", name, limit, faults)
     return Error(faults) if faults else Ok(whole)
 
 
-CHANGE_FIELDS = ("id", "base", "put", "remove", "whole", "patch")
+def check_limits(path: str, name: str, limits: CallerLimits, faults: list[Fault]) -> None:
+    if name != "callers":
+        faults.append(fault(path, "only 'callers' have limits"))
+    within(faults, f"{path}.head_bytes", limits.head_bytes, 0, 1 << 20)
+    within(faults, f"{path}.body_bytes", limits.body_bytes, 0, 1 << 30)
+    within(faults, f"{path}.head_seconds", limits.head_seconds, 0, 3600)
+    within(faults, f"{path}.idle_seconds", limits.idle_seconds, 0, 3600)
+    within(faults, f"{path}.annotation", len(limits.annotation), 0, ANNOTATION_MOST)
+
+
+CHANGE_FIELDS = ("id", "base", "put", "remove", "whole", "patch", "version")
 
 
 def patched(current: Configuration, patch: object) -> Result[Configuration, list[Fault]]:
@@ -260,6 +328,10 @@
     base = change.get("base")
     if isinstance(base, bool) or not isinstance(base, int) or base < 0:
         faults.append(fault("base", "not the version the change was made against"))
+    version = change.get("version", 1 << 62)
+    if isinstance(version, bool) or not isinstance(version, int) or not (
+            isinstance(base, int) and base < version <= 1 << 62):
+        faults.append(fault("version", "not a number above the version it was made against"))
     if "patch" in change:
         faults += [fault(key, "does not go with a patch") for key in ("put", "remove", "whole")
                    if key in change]
--- a/packages/register/ryelock/register/state.py
+++ b/packages/register/ryelock/register/state.py
@@ -16,6 +16,7 @@
 REMEMBERED = 2000
 PURGES_KEPT = 2000
 DECISIONS_KEPT = 500
+PURGE_KINDS = ("route", "prefix", "path", "label")
 CLAIMS_KEPT = 50_000
 Plain = dict[str, object]
 
@@ -25,7 +26,7 @@
 
 
 class Purge:
-    """Copies that may not be served any more: a route, a prefix or one path."""
+    """Copies that may not be served any more: a route, a prefix, one path or a label."""
 
     __slots__ = ("host", "kind", "number", "text")
 
@@ -44,12 +45,12 @@
     if not isinstance(scopes, list) or not 0 < len(scopes) <= 1000:
         return "not a list of 1 to 1000 scopes"
     for scope in scopes:
-        if not isinstance(scope, dict) or set(scope) - {"route", "prefix", "path", "host"}:
-            return "a scope has a route, a prefix or a path, and perhaps a host"
-        kinds = [kind for kind in ("route", "prefix", "path") if kind in scope]
+        if not isinstance(scope, dict) or set(scope) - {*PURGE_KINDS, "host"}:
+            return "a scope has a route, a prefix, a path or a label, and perhaps a host"
+        kinds = [kind for kind in PURGE_KINDS if kind in scope]
         if len(kinds) != 1 or not all(isinstance(value, str) for value in scope.values()):
-            return "a scope has exactly one of route, prefix and path"
-        if kinds[0] != "route" and not scope[kinds[0]].startswith("/"):
+            return "a scope has exactly one of route, prefix, path and label"
+        if kinds[0] not in ("route", "label") and not scope[kinds[0]].startswith("/"):
             return "a path starts with '/'"
     return ""
 
@@ -115,7 +116,8 @@
         found = merge_change(self.configuration, change)
         if found.is_error():
             return {"status": "invalid", "faults": found.error, "version": self.version}
-        self.version += 1
+        named = change.get("version") if isinstance(change, dict) else None
+        self.version = named if isinstance(named, int) else self.version + 1
         self.configuration = found.ok
         return {"status": "accepted", "version": self.version, "index": self.index}
 
@@ -125,7 +127,7 @@
         if reason or not isinstance(scopes, list):
             return {"status": "invalid", "faults": [{"path": "scopes", "fault": reason}]}
         for scope in scopes:
-            kind = next(kind for kind in ("route", "prefix", "path") if kind in scope)
+            kind = next(kind for kind in PURGE_KINDS if kind in scope)
             self.purge_number += 1
             self.purges.append(Purge(self.purge_number, kind, scope.get("host", ""), scope[kind]))
         del self.purges[:-PURGES_KEPT]
--- a/packages/roster/ryelock/roster/servers.py
+++ b/packages/roster/ryelock/roster/servers.py
@@ -17,10 +17,14 @@
 
 
 class Server:
-    __slots__ = ("address", "incarnation", "leaving", "service", "zone")
+    """One life of one server; `slots` is how many orders it works on at once, 0 where unknown."""
+
+    __slots__ = ("address", "cold", "incarnation", "leaving", "service", "slots", "zone")
 
     def __init__(self, service: str, address: str, zone: str, incarnation: str,
-                 leaving: bool) -> None:
+                 leaving: bool, slots: int = 0, cold: bool = False) -> None:
+        self.slots = slots
+        self.cold = cold
         self.service = service
         self.address = address
         self.zone = zone
@@ -32,7 +36,8 @@
         return self.service, self.address, self.incarnation
 
     def plain(self) -> list[object]:
-        return [self.service, self.address, self.zone, self.incarnation, self.leaving]
+        return [self.service, self.address, self.zone, self.incarnation, self.leaving,
+                self.slots, self.cold]
 
 
 class Listing:
@@ -63,7 +68,11 @@
 
 
 class ListingError(Exception):
-    """The platform's answer is no listing."""
+    """The platform's answer is no listing, or (`missed`) there was none."""
+
+    def __init__(self, reason: str, missed: bool = False) -> None:
+        super().__init__(reason)
+        self.missed = missed
 
 
 def listing_of(body: bytes) -> Result[list[Server], ListingError]:
@@ -108,8 +117,9 @@
     found: list[Server] = []
     for item in plain:
         match item:
-            case [str(service), str(address), str(zone), str(incarnation), bool(leaving)]:
-                found.append(Server(service, address, zone, incarnation, leaving))
+            case [str(service), str(address), str(zone), str(incarnation), bool(leaving),
+                  int(slots), bool(cold)]:
+                found.append(Server(service, address, zone, incarnation, leaving, slots, cold))
             case _:
                 raise ValueError("not a server")
     return found
