--- a/packages/allowance/ryelock/allowance/divide.py
+++ b/packages/allowance/ryelock/allowance/divide.py
@@ -15,6 +15,7 @@
 WINDOW = 5.0
 OVER = 0.08
 LEAST_DEMAND = 0.5
+SPARE = 0.15
 NARROW = 0.9
 GRANT_SECONDS = 0.3
 GRANT_LATE = 0.1
@@ -155,7 +156,8 @@
         return max(0.0, missing / steady_rate(rate))
 
     def share(self, service: str, rate: float, burst: float, edge: str, edges: list[str],
-              holding: float, now: float, ends: float, fresh: bool) -> float:
+              holding: float, now: float, ends: float, fresh: bool,
+              spare: bool = False) -> float:
         """The share of an edge until `ends`; `holding` is what it says it spends now.
 
         While the rate is more than all demand, each edge gets its demand and an equal part of
@@ -165,11 +167,14 @@
         old one: what an edge says it holds is taken as given back above that.
 
         Until a new leader has seen a whole term pass it is not fresh to it what others
-        hold: an edge then keeps what it holds and gets no more.
+        hold: an edge then keeps what it holds and gets no more, or with `spare` a little that
+        fits beside all that others may hold, for that short time.
         """
         shares = self.given.setdefault(service, {})
         mine = shares.setdefault(edge, Given())
         if not fresh:
+            if spare:
+                holding = max(holding, SPARE * rate / max(1, len(edges)))
             mine.shares.append((holding, ends))
             return holding
         last = max((until for _, until in mine.shares), default=ends)
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -81,6 +81,10 @@
         if self.env.platform_address:
             self.running.append(spawn("platform", self.platform.work()))
 
+    def follow(self, env: Env) -> None:
+        """Settings that changed: the seeds; all others stand for the life of the process."""
+        self.council.seeds = env.seeds
+
     def reads(self) -> bool:
         """Whether this node holds the duty of reading the platform's list."""
         duty = self.register.duties.get(READER)
--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -165,8 +165,18 @@
                       if other.role == "edge")
 
     def fresh(self, now: float) -> bool:
-        """Whether all that a leader before this one gave has ended."""
-        return now >= self.council.settled_at + self.term_length
+        """Whether all that a leader before this one gave has ended.
+
+        Where edges serve after a lapse nothing ends by itself: there, whether those that are in
+        touch had the time to say what they hold.
+        """
+        return now >= self.council.settled_at + self.account_length
+
+    @property
+    def account_length(self) -> float:
+        if self.env.serve_lapsed:
+            return min(self.term_length, self.env.settle_seconds)
+        return self.term_length
 
     def soon(self, wanted: dict[str, int]) -> float:
         """Seconds until one of the narrow services that an edge waits for has an order."""
@@ -235,7 +245,8 @@
                                                   wanted.get(name, 0), held, now, fresh)
             else:
                 shares[name] = self.divider.share(name, service.rate, service.burst_seconds,
-                                                  session.name, edges, held, now, ends, fresh)
+                                                  session.name, edges, held, now, ends, fresh,
+                                                  self.env.serve_lapsed)
         return shares, grants
 
     def leave(self, message: Message, reply: Reply) -> None:
@@ -263,13 +274,10 @@
         """
         started = self.scheduler.now()
         epoch = self.council.epoch
-        most = self.term_length
-        if self.env.serve_lapsed:
-            most = min(most, self.env.settle_seconds)
-        while self.scheduler.now() < started + most:
+        while self.scheduler.now() < started + self.account_length:
             now = self.scheduler.now()
             if (self.council.role == "leader" and self.council.epoch == epoch
-                    and now >= self.council.settled_at + self.term_length
+                    and now >= self.council.settled_at + self.account_length
                     and not self.terms.behind(index, now)):
                 return
             yield from self.scheduler.pause(0.01)
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -278,7 +278,14 @@
         self.scheduler.spawn("council election", self.campaign(self.tries, True))
 
     def put_off_election(self) -> None:
-        spread = self.pace.election * (1 + 0.7 * self.random.random())
+        """Wait for a while of chance; less in a life in which no leader was heard of yet.
+
+        After a restart of all nobody leads, and a trial round disturbs nobody who does.
+        """
+        if self.leader_heard < -1e8:
+            spread = self.pace.election * (0.1 + 0.5 * self.random.random())
+        else:
+            spread = self.pace.election * (1 + 0.7 * self.random.random())
         self.election_at = self.scheduler.now() + spread
 
     def knows_leader(self) -> bool:
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -96,6 +96,10 @@
             self.prober.start()
             self.running.append(self.scheduler.spawn("tells rows", self.tell_rows()))
 
+    def follow(self, env: Env) -> None:
+        """Settings that changed: the seeds; all others stand for the life of the process."""
+        self.member.seeds = env.seeds
+
     def on_ask(self, message: Message, reply: Reply) -> None:
         reply({"fault": "this node answers no asks"})
 
--- a/packages/events/ryelock/events/__init__.py
+++ b/packages/events/ryelock/events/__init__.py
@@ -27,6 +27,9 @@
 STOPPING = Event(1002, INFO, "process is stopping", "nothing")
 STOPPED = Event(1003, INFO, "process stopped", "nothing")
 TASK_FAULT = Event(1004, ERROR, "a task ended by a fault", "report it with the trace")
+SETTINGS_FOLLOWED = Event(1005, INFO, "the settings file changed and was read anew", "nothing")
+SETTINGS_DECLINED = Event(1006, ERROR, "the settings file changed and has faults",
+                          "mend the file; the process goes on with what it had")
 FRAME_DECLINED = Event(1101, WARNING, "a frame from another process was declined",
                        "look whether a program of another version is running")
 ORDER_MALFORMED = Event(1201, INFO, "an order with bad framing was declined", "nothing")
--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -1,5 +1,6 @@
 """Running one daemon or one operator's order on circuits."""
 
+import os
 import signal
 import sys
 import traceback
@@ -10,8 +11,8 @@
 from ryelock.core.identity import open_disk
 from ryelock.core.process import ControlNode
 from ryelock.edge.process import TrafficNode
-from ryelock.env import Env
-from ryelock.events import TASK_FAULT, Log
+from ryelock.env import Env, EnvError
+from ryelock.events import SETTINGS_DECLINED, SETTINGS_FOLLOWED, TASK_FAULT, Log
 from ryelock.journal import FolderError, MachineFolder
 from ryelock.loop import NetworkError, Step
 from ryelock.loop.reactor import Reactor
@@ -19,10 +20,30 @@
 
 class Node(Protocol):
     def start(self) -> None: ...
+    def follow(self, env: Env) -> None: ...
     def stop(self) -> Step[None]: ...
 
 
 Build = Callable[[Reactor, Log, Random], Node]
+LOOK_SECONDS = 0.5
+
+
+class Watched:
+    """A settings file that may change, and how its settings are read."""
+
+    __slots__ = ("path", "read")
+
+    def __init__(self, path: str, read: Callable[[], Env]) -> None:
+        self.path = path
+        self.read = read
+
+    def stamp(self) -> tuple[int, int, int]:
+        """Tells one state of the file from another; zeros where there is none."""
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return 0, 0, 0
+        return found.st_mtime_ns, found.st_size, found.st_ino
 
 
 def build(role: str, env: Env, reactor: Reactor, log: Log, random: Random) -> Node:
@@ -46,8 +67,11 @@
     return run_node(role, env, lambda reactor, log, random: build(role, env, reactor, log, random))
 
 
-def run_node(role: str, env: Env, build: Build) -> int:
-    """Run a node as a daemon until it is told to stop; the exit code."""
+def run_node(role: str, env: Env, build: Build, watched: Watched | None = None) -> int:
+    """Run a node as a daemon until it is told to stop; the exit code.
+
+    Where its settings file is watched, it is read again when it changed or a SIGHUP says so.
+    """
     log = Log(env.name)
 
     def fault(name: str, error: BaseException) -> None:
@@ -61,11 +85,30 @@
         sys.stderr.write(f"ryelock {role}: {error}\n")
         return 1
     node.start()
+    signal.signal(signal.SIGHUP, lambda number, _frame: reactor.signals.put(number))
+    if watched is not None:
+        reactor.scheduler.spawn("settings", follow_file(reactor, node, log, watched))
     reactor.scheduler.spawn("signals", until_told(reactor, node))
     reactor.run()
     return 0
 
 
+def follow_file(reactor: Reactor, node: Node, log: Log, watched: Watched) -> Step[None]:
+    """Look at the settings file now and then; what is faulty in it changes nothing."""
+    before = watched.stamp()
+    while True:
+        yield from reactor.scheduler.pause(LOOK_SECONDS)
+        found = watched.stamp()
+        if found == before:
+            continue
+        before = found
+        try:
+            node.follow(watched.read())
+            log.write(SETTINGS_FOLLOWED)
+        except EnvError as error:
+            log.write(SETTINGS_DECLINED, faults=error.faults)
+
+
 def until_told(reactor: Reactor, node: Node) -> Step[None]:
     """Wait for a signal to end, stop the node, and end the reactor."""
     while True:
