One edge of a zone keeps an object for all; a stopping edge lingers until callers know

An edge that lacks a copy now asks the object's owner in its zone (rendezvous over members that are ready), at the owner's age, with the number of purges it knows; an owner behind that uses no copy. A stopping edge closed its door after 0.5 s, before the platform's second poll. Weighed: an owner a region, owners told by the leader, pushing copies (packages/edge peers.py).

--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -20,6 +20,7 @@
 
 CLOCK_MARGIN = 1.05
 FAILED_KEPT = 1000
+LACKING_SECONDS = 0.1
 Node = tuple[str, str]
 
 
@@ -149,7 +150,7 @@
         self.waiting[id(box)] = box
         try:
             while not self.has_news(vector) and self.scheduler.now() < until:
-                soon = self.soon(wanted)
+                soon = min(self.soon(wanted), self.without_share(holding, until - hold))
                 if soon <= 0:
                     break
                 yield from box.take(min(soon, until - self.scheduler.now()))
@@ -189,6 +190,15 @@
                         services[name].rate, services[name].burst_seconds, edges)),
                    default=1e9)
 
+    def without_share(self, holding: dict[str, float], asked: float) -> float:
+        """Seconds until an edge that holds nothing of a limited service is answered."""
+        services, edges = self.register.configuration.services, len(self.edges())
+        if all(held > 0 or name not in services or not services[name].limited or is_narrow(
+                services[name].rate, services[name].burst_seconds, edges)
+               for name, held in holding.items()):
+            return 1e9
+        return asked + LACKING_SECONDS - self.scheduler.now()
+
     def has_news(self, vector: dict[str, int]) -> bool:
         listing = self.platform.believed(self.scheduler.now())
         return (vector.get("register", 0) < self.council.applied_word
--- a/packages/edge/ryelock/edge/orders.py
+++ b/packages/edge/ryelock/edge/orders.py
@@ -10,9 +10,9 @@
     """One order from its first byte to the end of its answer, and what was decided on it."""
 
     __slots__ = ("allowance", "body", "cache", "dispatches", "host", "identity", "klass",
-                 "method", "outcome", "path", "probe", "reason", "repeat", "route", "route_name",
-                 "seconds", "service", "started", "status", "target", "verdict", "version", "wall",
-                 "weighed")
+                 "method", "outcome", "path", "peer", "probe", "purged", "reason", "repeat",
+                 "route", "route_name", "seconds", "service", "started", "status",
+                 "target", "verdict", "version", "wall", "weighed")
 
     def __init__(self, identity: str, method: str, target: str, host: str, started: float,
                  wall: float) -> None:
@@ -25,6 +25,8 @@
         self.wall = wall
         self.body = b""
         self.probe = False
+        self.peer = False
+        self.purged = 0
         self.repeat = False
         self.route = -1
         self.route_name = ""
--- /dev/null
+++ b/packages/edge/ryelock/edge/peers.py
@@ -0,0 +1,93 @@
+"""Which edge of the zone keeps an object for the others, and the links to it.
+
+Each object has an owner among the zone's edges that are ready: the highest of their hashes with
+the object's key (rendezvous), so every edge finds the same one from the members it knows, and an
+edge that comes or goes moves only its own objects. An edge that misses a copy asks the owner, who
+joins all who ask into one fill. An owner that gave no answer is passed by for a moment: its
+objects are fetched directly until it answers or is no member any more.
+
+Weighed: one owner for a whole region (bytes between zones, and one edge carries a popular object
+for all), a list of owners told by the leader (a message more for what all can work out), copies
+pushed to all (bytes for objects nobody asks for there).
+"""
+
+import hashlib
+
+from ryelock.exchange import Reader
+from ryelock.loop import Link, Scheduler
+from ryelock.roster import Session
+
+DOUBT_SECONDS = 1.0
+KEPT_LINKS = 8
+IDLE_SECONDS = 4.0
+
+
+def owner_of(key: tuple[str, ...], names: list[str]) -> str:
+    """The owner of a key among names; the same wherever the same names are known."""
+    stem = hashlib.blake2b("\n".join(key).encode(), digest_size=8)
+
+    def weight(name: str) -> bytes:
+        mixed = stem.copy()
+        mixed.update(name.encode())
+        return mixed.digest()
+
+    return max(names, key=weight)
+
+
+class Peers:
+    """The edges of one zone as one of them sees them."""
+
+    __slots__ = ("doubted", "kept", "known", "name", "names", "scheduler", "sessions", "zone")
+
+    def __init__(self, scheduler: Scheduler, name: str, zone: str) -> None:
+        self.scheduler = scheduler
+        self.name = name
+        self.zone = zone
+        self.known: dict[str, Session] | None = None
+        self.sessions: dict[str, Session] = {}
+        self.names: list[str] = []
+        self.doubted: dict[str, float] = {}
+        self.kept: dict[str, list[tuple[Link, Reader, float]]] = {}
+
+    def follow(self, members: dict[str, Session]) -> None:
+        """Take the members as they are known now; the same table again costs nothing."""
+        if members is self.known:
+            return
+        self.known = members
+        self.sessions = {name: session for name, session in members.items()
+                         if session.role == "edge" and session.zone == self.zone
+                         and session.order and (session.ready or name == self.name)}
+        self.names = sorted({*self.sessions, self.name})
+        addresses = {session.order for session in self.sessions.values()}
+        for address in [address for address in self.kept if address not in addresses]:
+            for link, _, _ in self.kept.pop(address):
+                link.close()
+
+    def owner(self, key: tuple[str, ...]) -> Session | None:
+        """The other edge to be asked for an object; None where this one fetches it itself."""
+        if len(self.names) < 2:
+            return None
+        name = owner_of(key, self.names)
+        if name == self.name or self.doubted.get(name, 0.0) > self.scheduler.now():
+            return None
+        return self.sessions[name]
+
+    def doubt(self, session: Session) -> None:
+        self.doubted[session.name] = self.scheduler.now() + DOUBT_SECONDS
+
+    def kept_link(self, address: str) -> tuple[Link, Reader] | None:
+        kept = self.kept.get(address, [])
+        while kept:
+            link, reader, until = kept.pop()
+            if link.ended or link.inbox.items or reader.buffer or self.scheduler.now() > until:
+                link.close()
+                continue
+            return link, reader
+        return None
+
+    def keep_link(self, address: str, link: Link, reader: Reader) -> None:
+        kept = self.kept.setdefault(address, [])
+        if link.ended or reader.buffer or link.inbox.items or len(kept) >= KEPT_LINKS:
+            link.close()
+        else:
+            kept.append((link, reader, self.scheduler.now() + IDLE_SECONDS))
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -46,7 +46,8 @@
         self.session.machine = env.machine
         self.session.incarnation = f"{random.getrandbits(48):012x}"
         self.session.probes = role == "prober" or env.probe
-        self.session.mark = f"{random.getrandbits(64):016x}" if self.session.probes else ""
+        marked = self.session.probes or (role == "edge" and env.share_copies)
+        self.session.mark = f"{random.getrandbits(64):016x}" if marked else ""
         self.member = Member(scheduler, self.lines, log, self.register, self.session, env.seeds,
                              env.term_seconds, env.listing_term, env.hold_seconds,
                              env.serve_lapsed)
@@ -331,7 +332,11 @@
         self.session.ready = False
         self.log.write(STOPPING)
         if self.orders_door is not None:
-            yield from self.scheduler.pause(min(0.5, self.env.stop_seconds / 4))
+            linger = self.env.linger_seconds
+            if not self.env.serve_lapsed:
+                linger = min(linger, self.env.stop_seconds / 4)
+            self.orders_door.leaving = True
+            yield from self.scheduler.pause(linger)
             self.orders_door.stop_taking()
             yield from self.orders_door.finish(self.env.stop_seconds)
         if self.prober is not None:
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -17,6 +17,7 @@
 from ryelock.edge.gate import Gate
 from ryelock.edge.member import Member
 from ryelock.edge.orders import Caller, Failed, Keys, Order, Orders
+from ryelock.edge.peers import Peers
 from ryelock.edge.plan import Plan, has_dots, host_of, path_of
 from ryelock.edge.servers import Servers, ServerState
 from ryelock.env import Env
@@ -45,9 +46,13 @@
 ANSWERS_SKIPPED = 2
 ANSWER_MARGIN = 0.02
 TRY_PART = 0.6
+PATIENCE_PART = 0.2
 FULL_SECONDS = 0.15
 CLAIM_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
+OWNER_OPEN = 0.2
+CONDITIONS = frozenset([b"range", b"if-range", b"if-none-match", b"if-modified-since",
+                        b"if-match", b"if-unmodified-since"])
 CALLER_FIELDS = (b"user-agent", b"authorization", b"cookie")
 REPEAT_FIELDS = (b"x-retry-count", b"x-retry-attempt", b"retry-attempt")
 
@@ -86,7 +91,8 @@
     """All that an order needs on its way; one of it a process."""
 
     __slots__ = ("dialect", "env", "failed", "gates", "keys", "log", "member", "name", "network",
-                 "orders", "plan", "random", "scheduler", "sequence", "served", "servers", "store")
+                 "orders", "peers", "plan", "random", "scheduler", "sequence", "served", "servers",
+                 "store")
 
     def __init__(self, env: Env, scheduler: Scheduler, network: Network, log: Log, member: Member,
                  random: Random, dialect: Dialect) -> None:
@@ -104,6 +110,7 @@
         self.gates: dict[str, Gate] = {}
         self.orders = Orders(env.explain_orders)
         self.keys = Keys()
+        self.peers = Peers(scheduler, env.name, env.zone) if env.share_copies else None
         self.failed = Failed(REPEAT_SECONDS)
         self.sequence = 0
         self.served = 0
@@ -119,7 +126,7 @@
             if route is None:
                 yield from self.decline(exchange, order, Failure(404, "no route"))
                 return
-            self.served += not order.probe
+            self.served += not (order.probe or order.peer)
             order.body = yield from exchange.whole_body()
             if order.klass == "once":
                 yield from self.serve_once(exchange, order, route)
@@ -150,9 +157,19 @@
                       self.scheduler.clock.wall())
         order.path = path_of(order.target)
         order.probe = self.is_probe(field(head.fields, b"x-ryelock-probe"))
+        order.peer, order.purged = self.peer_of(field(head.fields, b"x-ryelock-peer"))
         order.verdict = self.member.verdicts()
         return order
 
+    def peer_of(self, said: bytes | None) -> tuple[bool, int]:
+        """Whether an order comes from an edge that is a member, and how many purges it knows of."""
+        parts = (said or b"").decode("latin-1").split(" ")
+        if len(parts) != 3 or not parts[2].isdigit():
+            return False, 0
+        session = self.member.members.get(parts[0])
+        fine = session is not None and session.mark != "" and session.mark == parts[1]
+        return fine, int(parts[2][:18]) if fine else 0
+
     def is_probe(self, said: bytes | None) -> bool:
         """Whether an order comes from a prober that is a member; others may say so in vain."""
         name, _, mark = (said or b"").decode("latin-1").partition(" ")
@@ -257,7 +274,8 @@
         """
         key = (order.route_name, order.host, order.target)
         head = exchange.head
-        copy = self.store.find(key, head.fields)
+        behind = order.peer and order.purged > self.store.purged
+        copy = None if behind else self.store.find(key, head.fields)
         if copy is not None and may_use(copy, route, head.fields, self.scheduler.now()):
             order.cache = "hit"
             yield from self.answer_copy(exchange, order, copy)
@@ -266,7 +284,7 @@
             yield from self.decline(exchange, order, Failure(504, "not in the cache"))
             return
         shared = (head.method == b"GET" and field(head.fields, b"authorization") is None
-                  and field(head.fields, b"cache-control") is None)
+                  and field(head.fields, b"cache-control") is None and not behind)
         fill = self.store.fills.get(key) if shared else None
         if fill is not None:
             order.cache = "waited for a fill"
@@ -276,17 +294,27 @@
                     and self.member.serving):
                 yield from self.answer_copy(exchange, order, waited)
                 return
-        failure = yield from self.enter(exchange, order, route, None)
-        if failure is not None:
-            yield from self.decline(exchange, order, failure)
-            return
-        gate, name = self.gates[order.service], order.route_name
+        gate, name, entered = self.gates.get(order.service), order.route_name, False
         fill = self.store.begin(key) if shared and key not in self.store.fills else Fill(key)
         purged = self.store.purged
         kept: Copy | None = None
         try:
-            order.cache = order.cache or "miss"
             known = copy if copy is not None and copy.etag is not None else None
+            if shared and not order.peer and self.peers is not None:
+                kept = yield from self.ask_owner(self.peers, exchange, order, route, key, known)
+                if kept is not None:
+                    order.cache = "from the owner"
+                    fine = not (fill.spoiled or self.store.purged_since(purged, key, kept))
+                    self.store.end(fill, kept if fine else None)
+                    yield from self.answer_copy(exchange, order, kept)
+                    return
+            failure = yield from self.enter(exchange, order, route, None)
+            if failure is not None or gate is None:
+                yield from self.decline(exchange, order, failure or Failure(
+                    503, "the service is not known here yet"))
+                return
+            entered = True
+            order.cache = order.cache or "miss"
             found = yield from self.dispatch(exchange, order, route, gate, True, known)
             if found.is_error():
                 yield from self.decline(exchange, order, found.error)
@@ -316,9 +344,87 @@
                 self.free_link(carried)
             yield from self.answer_copy(exchange, order, kept)
         finally:
-            gate.leave(name)
+            if entered and gate is not None:
+                gate.leave(name)
             self.store.end(fill, None)
 
+    def ask_owner(self, peers: Peers, exchange: Exchange, order: Order, route: Route,
+                  key: tuple[str, str, str], known: Copy | None) -> Step[Copy | None]:
+        """A copy from the edge that keeps this object for the zone, at the age it has there.
+
+        It is told how many purges are known here: one that knows of fewer uses no copy of its
+        own. Anything but a copy is none; then the object is fetched from a server.
+        """
+        peers.follow(self.member.members)
+        owner = peers.owner(key[1:])
+        if owner is None:
+            return None
+        now = self.scheduler.now()
+        until = now + TRY_PART * max(0.0, self.deadline(exchange, route) - now)
+        record: dict[str, object] = {"owner": owner.name, "sent": False}
+        kept = peers.kept_link(owner.order)
+        link, reader = kept if kept is not None else (self.network.connect(owner.order), None)
+        reader = reader or Reader(self.scheduler, link)
+        done = False
+        try:
+            if not link.opened and not (yield from link.open(OWNER_OPEN)):
+                peers.doubt(owner)
+                return None
+            sent = self.scheduler.now()
+            self.send_to_owner(exchange, order, link, until, known)
+            found = yield from read_answer(reader, b"GET", self.env.head_bytes, until)
+            if found.is_error():
+                peers.doubt(owner)
+                record["sent"] = True
+                return None
+            answer = found.ok
+            body, whole = yield from self.read_first(answer, until, True)
+            done = whole and answer.keep
+            age = age_of(field(answer.head.fields, b"x-ryelock-age"))
+            if not whole or age is None:
+                record["sent"] = answer.head.status not in (404, 429, 503)
+                return None
+            now = self.scheduler.now()
+            fields = [pair for pair in end_to_end(answer.head.fields)
+                      if pair[0].lower() not in (b"age", b"x-ryelock-age")]
+            head = AnswerHead(answer.head.status, answer.head.reason, 1, fields)
+            if head.status == 304 and known is not None:
+                copy: Copy | None = refreshed(known, head, sent, now)
+            else:
+                copy = copy_of(exchange.head, route, head, fields, body, sent, now)
+            if copy is not None:
+                copy.age_then = age + (now - sent)
+            return copy
+        except (Cut, Late, FramingError):
+            peers.doubt(owner)
+            record["sent"] = True
+            return None
+        finally:
+            if record["sent"]:
+                order.dispatches.append(record)
+            if done:
+                peers.keep_link(owner.order, link, reader)
+            else:
+                link.abort()
+
+    def send_to_owner(self, exchange: Exchange, order: Order, link: Link, until: float,
+                      known: Copy | None) -> None:
+        dialect = self.dialect
+        dropped = {*CONDITIONS, b"expect", b"x-ryelock-peer", dialect.deadline.lower()}
+        fields = [(name, value) for name, value in end_to_end(exchange.head.fields)
+                  if name.lower() not in dropped]
+        if dialect.identity and field(fields, dialect.identity.lower()) is None:
+            fields.append((dialect.identity, order.identity.encode("latin-1")))
+        if dialect.deadline:
+            left = until - self.scheduler.now()
+            fields.append((dialect.deadline, b"%d" % max(1, int(left * 1000))))
+        if known is not None and known.etag is not None:
+            fields.append((b"If-None-Match", known.etag))
+        session = self.member.session
+        fields.append((b"X-Ryelock-Peer", f"{session.name} {session.mark} "
+                       f"{self.store.purged}".encode()))
+        send_order(link, b"GET", exchange.head.target, fields, b"")
+
     def wait_for(self, fill: Fill, exchange: Exchange, route: Route) -> Step[Copy | None]:
         box: Mailbox[Copy | None] = Mailbox(self.scheduler)
         fill.waiting.append(box)
@@ -348,6 +454,8 @@
     def pass_gate(self, exchange: Exchange, order: Order, route: Route,
                   gate: Gate) -> Step[Failure | None]:
         patience = self.deadline(exchange, route) - self.scheduler.now()
+        if not self.dialect.own and route.target_seconds:
+            patience = min(patience, route.target_seconds * PATIENCE_PART)
         back = yield from gate.enter(order.route_name, route.share, patience,
                                      order.probe)
         if back:
@@ -579,10 +687,9 @@
              known: Copy | None) -> None:
         head = exchange.head
         fields: Fields = end_to_end(head.fields)
-        dropped = {b"expect"}
+        dropped = {b"expect", b"x-ryelock-peer"}
         if fill:
-            dropped |= {b"range", b"if-range", b"if-none-match", b"if-modified-since", b"if-match",
-                        b"if-unmodified-since"}
+            dropped |= CONDITIONS
         if not self.dialect.own:
             self.speak(order, fields, dropped)
         fields = [(name, value) for name, value in fields if name.lower() not in dropped]
@@ -716,6 +823,8 @@
         if self.dialect.identity:
             fields = [pair for pair in fields if pair[0].lower() != self.dialect.identity.lower()]
             fields.append((self.dialect.identity, order.identity.encode("latin-1")))
+        if order.peer:
+            fields = [*fields, (b"X-Ryelock-Age", b"%.3f" % copy.age(now))]
         order.status = status
         order.outcome = "answered"
         exchange.begin(status, reason, [*fields, *self.own_fields(order)],
@@ -766,6 +875,15 @@
         yield from exchange.answer(failure.status, fields, body)
 
 
+def age_of(value: bytes | None) -> float | None:
+    """The age that another edge says its copy has; None where it says none."""
+    try:
+        age = float(value or b"none")
+    except ValueError:
+        return None
+    return age if 0 <= age < 1e9 else None
+
+
 def idle_of(head: AnswerHead) -> float | None:
     """Seconds that a server says it keeps an idle link; None where it says nothing."""
     for part in tokens(head.fields, b"keep-alive"):
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Generic, TypeVar, overload
@@ -170,6 +169,8 @@
                           "list, by a duty with a successor, instead of each")
     spread_region = Setting(False, flag, "whether servers of the whole region are picked from, by "
                             "what they cost, instead of the own zone's first")
+    share_copies = Setting(False, flag, "whether an edge that lacks a copy asks the edge of its "
+                           "zone that keeps this object for all of them")
     link_idle_seconds = Setting(20.0, number(0.1, 3600), "how long an idle link to a server is "
                                 "kept where the server says nothing")
 
@@ -192,6 +193,9 @@
     answer_bytes = Setting(1_048_576, whole(1024, 1 << 30), "largest answer that is cached")
     cache_bytes = Setting(67_108_864, whole(0, 1 << 36), "room for cached copies")
     stop_seconds = Setting(10.0, number(0, 600), "how long a stop waits for open answers")
+    linger_seconds = Setting(0.5, number(0, 600), "how long a stopping edge that is not ready any "
+                             "more still takes new links, at most a quarter of stop_seconds or so "
+                             "long as this says where edges serve after a lapse")
     explain_orders = Setting(5000, whole(0, 1_000_000), "orders remembered for explain")
 
     probe_seconds = Setting(30.0, number(0.1, 3600), "cadence of probes of one target")
@@ -226,6 +230,8 @@
     faults: list[str] = []
     given: dict[str, object] = {}
     if file:
+        import tomllib
+
         try:
             plain = Path(file).read_bytes()
             found = json.loads(plain) if file.endswith(".json") else tomllib.loads(plain.decode())
--- a/packages/exchange/ryelock/exchange/door.py
+++ b/packages/exchange/ryelock/exchange/door.py
@@ -98,7 +98,7 @@
                 self.keep = False
         if not self.body.over:
             self.keep = False
-        if self.door.closing:
+        if self.door.closing or self.door.leaving:
             self.keep = False
         if not self.keep:
             lines.append(b"Connection: close")
@@ -140,8 +140,8 @@
 
 
 class HttpDoor:
-    __slots__ = ("address", "busy", "closing", "limits", "links", "log", "network", "scheduler",
-                 "serve")
+    __slots__ = ("address", "busy", "closing", "leaving", "limits", "links", "log", "network",
+                 "scheduler", "serve")
 
     def __init__(self, scheduler: Scheduler, network: Network, log: Log, address: str,
                  limits: Limits, serve: Serve) -> None:
@@ -153,6 +153,7 @@
         self.links: dict[Link, Running] = {}
         self.busy = 0
         self.closing = False
+        self.leaving = False
         self.address = network.listen(address, self.greet)
 
     def greet(self, link: Link) -> None:
--- a/packages/register/ryelock/register/configuration.py
+++ b/packages/register/ryelock/register/configuration.py
@@ -8,8 +8,6 @@
 from dataclasses import asdict, dataclass, field, fields
 
 import dacite
-import jsonpatch
-import jsonpointer
 from expression import Error, Ok, Result
 
 NAME_MOST = 100
@@ -281,7 +279,13 @@
 
 
 def patched(current: Configuration, patch: object) -> Result[Configuration, list[Fault]]:
-    """The configuration that a JSON Patch (RFC 6902) makes of the current one, or its faults."""
+    """The configuration that a JSON Patch (RFC 6902) makes of the current one, or its faults.
+
+    The library is loaded at the first patch: edges and most cores never see one.
+    """
+    import jsonpatch
+    import jsonpointer
+
     before = current.plain()
     if not isinstance(patch, list) or not patch:
         return Error([fault("patch", "not a list of operations")])
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,137 @@
+"""Objects kept by one edge of a zone for all of them: who owns what, and what purges, losses and
+lifetimes do to copies that come by way of another edge."""
+
+from unittest import mock
+
+import testtools
+
+from ryelock.edge.peers import Peers, owner_of
+from ryelock.edge.way import Way
+from ryelock.exchange import call, field
+from ryelock.proving.checks import Findings
+from ryelock.proving.scenario import Scenario
+
+HOST = "site"
+
+
+def owned_by(scenario: Scenario, asking: str, owner: str) -> str:
+    """An object that one edge keeps, as another edge finds it."""
+    way = scenario.node(asking).traffic.way
+    assert way is not None and way.peers is not None
+    way.peers.follow(way.member.members)
+    return next(f"/covers/{number}" for number in range(300)
+                if owner_of((HOST, f"/covers/{number}"), way.peers.names) == owner)
+
+
+def shared(seed: int, edges: int = 3, **settings: object) -> Scenario:
+    scenario = Scenario(seed, zones=1, edges=edges, probers=0,
+                        settings={"share_copies": True, "probe_seconds": 600.0, **settings})
+    scenario.set_up()
+    scenario.world.run_until(lambda: all(
+        len(scenario.node(name).traffic.member.members) == edges + 3
+        and all(session.ready for session in
+                scenario.node(name).traffic.member.members.values() if session.role == "edge")
+        for name in scenario.edges), 10)
+    scenario.world.run(2.0)
+    return scenario
+
+
+def fetch(scenario: Scenario, edge: str, target: str) -> tuple[int, bytes]:
+    """One order at one edge: status and the way its answer came."""
+    found = scenario.world.task(scenario.outside, call(
+        scenario.outside.scheduler, scenario.outside.network, f"{scenario.node(edge).host}:3",
+        b"GET", target.encode(), [(b"Host", HOST.encode())], b"", 5.0), 20)
+    head = found.ok[0]
+    return head.status, field(head.fields, b"x-ryelock-cache") or b""
+
+
+class OwnerTests(testtools.TestCase):
+    def test_an_edge_that_goes_moves_only_its_own_objects(self) -> None:
+        names = [f"edge{number}" for number in range(6)]
+        keys = [("host", f"/object/{number}") for number in range(600)]
+        before = {key: owner_of(key, names) for key in keys}
+        after = {key: owner_of(key, names[:-1]) for key in keys}
+        for key in keys:
+            if before[key] != names[-1]:
+                self.assertEqual(before[key], after[key])
+        for name in names:
+            self.assertGreater(sum(owner == name for owner in before.values()), 50)
+
+    def test_order_of_names_does_not_matter(self) -> None:
+        names = ["a", "b", "c", "d"]
+        for number in range(50):
+            key = ("h", str(number))
+            self.assertEqual(owner_of(key, names), owner_of(key, names[::-1]))
+
+
+class SharedCopiesTests(testtools.TestCase):
+    def arrivals(self, scenario: Scenario, target: str) -> int:
+        return sum(ran.target == target for ran in scenario.history)
+
+    def test_one_fetch_serves_all_edges_of_a_zone(self) -> None:
+        scenario = shared(1)
+        for edge in scenario.edges:
+            self.assertEqual(200, fetch(scenario, edge, "/covers/1")[0])
+        self.assertEqual(1, self.arrivals(scenario, "/covers/1"))
+
+    def test_without_sharing_each_edge_fetches(self) -> None:
+        scenario = shared(1, share_copies=False)
+        for edge in scenario.edges:
+            fetch(scenario, edge, "/covers/1")
+        self.assertEqual(len(scenario.edges), self.arrivals(scenario, "/covers/1"))
+
+    def test_an_owner_that_died_is_passed_by(self) -> None:
+        scenario = shared(2)
+        target = owned_by(scenario, scenario.edges[0], scenario.edges[1])
+        scenario.world.kill(scenario.edges[1], True)
+        status, cache = fetch(scenario, scenario.edges[0], target)
+        self.assertEqual((200, b"miss"), (status, cache))
+
+    def test_a_purge_reaches_copies_that_came_from_the_owner(self) -> None:
+        self.assertEqual([], self.purged_run(3).violations)
+
+    def test_an_owner_behind_a_purge_is_not_believed(self) -> None:
+        """Without the number of purges an edge takes back what it has just dropped."""
+        plain = Way.peer_of
+
+        def believing(way: Way, said: bytes | None) -> tuple[bool, int]:
+            return plain(way, said)[0], 0
+
+        with mock.patch.object(Way, "peer_of", believing):
+            found = [self.behind(seed) for seed in range(3)]
+        self.assertTrue(all(found), "an owner that is behind gave an old copy")
+        self.assertFalse(any(self.behind(seed) for seed in range(3)))
+
+    def behind(self, seed: int) -> bool:
+        """Whether an edge that knows a purge got the old object from an owner that does not."""
+        scenario = shared(10 + seed, edges=2)
+        way = scenario.node(scenario.edges[0]).traffic.way
+        assert way is not None
+        target = owned_by(scenario, scenario.edges[0], scenario.edges[1])
+        self.assertEqual(200, fetch(scenario, scenario.edges[0], target)[0])
+        way.store.copies.clear()
+        way.store.purged += 1
+        before = self.arrivals(scenario, target)
+        self.assertEqual(200, fetch(scenario, scenario.edges[0], target)[0])
+        return self.arrivals(scenario, target) == before
+
+    def purged_run(self, seed: int) -> Findings:
+        scenario = shared(seed)
+        scenario.start_callers(count=8)
+        scenario.operators.scheduler.spawn("operator", scenario.operate(1, 8.0))
+        scenario.world.run(6.0)
+        scenario.world.kill(scenario.edges[1], False)
+        scenario.world.run(2.0)
+        scenario.start(scenario.edges[1])
+        scenario.world.run(5.0)
+        scenario.callers_on = False
+        return scenario.findings()
+
+
+class PeersTests(testtools.TestCase):
+    def test_one_edge_alone_asks_nobody(self) -> None:
+        scenario = shared(4, edges=1)
+        way = scenario.node(scenario.edges[0]).traffic.way
+        assert way is not None and isinstance(way.peers, Peers)
+        way.peers.follow(way.member.members)
+        self.assertIsNone(way.peers.owner(("", "/covers/1")))
