--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -21,6 +21,8 @@
 CLOCK_MARGIN = 1.05
 FAILED_KEPT = 1000
 LACKING_SECONDS = 0.1
+CHANGES_KEPT = 1000
+HOLD_MOST = 5.0
 Node = tuple[str, str]
 
 
@@ -56,10 +58,9 @@
 
 
 class Renewals:
-    __slots__ = ("council", "divider", "env", "epoch", "failed", "failed_version", "fingerprint",
-                 "log",
-                 "members_version", "platform", "register", "roster", "scheduler", "source",
-                 "terms", "waiting")
+    __slots__ = ("council", "divider", "env", "epoch", "failed", "failed_version", "known",
+                 "known_lost", "log", "member_changes", "members_version", "platform",
+                 "register", "roster", "scheduler", "source", "terms", "waiting")
 
     def __init__(self, env: Env, scheduler: Scheduler, log: Log, council: Council,
                  register: Register, roster: Roster, platform: PlatformReader,
@@ -76,7 +77,9 @@
         self.terms = Terms()
         self.epoch = 0
         self.members_version = 0
-        self.fingerprint: tuple[object, ...] = ()
+        self.known: dict[str, tuple[object, ...]] = {}
+        self.known_lost: set[str] = set()
+        self.member_changes: deque[tuple[int, set[str]]] = deque(maxlen=CHANGES_KEPT)
         self.waiting: dict[int, Mailbox[bool]] = {}
         self.failed: deque[tuple[int, str, bytes]] = deque(maxlen=FAILED_KEPT)
         self.failed_version = 0
@@ -98,17 +101,37 @@
             self.terms = Terms()
 
     def note_members(self) -> int:
-        members = self.roster.members()
-        found: tuple[object, ...] = tuple(
-            (name, session.incarnation, session.zone, session.order, session.wire,
-             session.ready) for name, session in sorted(members.items()))
-        found += tuple(sorted(self.roster.lost()))
-        if found != self.fingerprint:
-            self.fingerprint = found
+        """The version of the members as they are now; what changed with it is kept for a while.
+
+        News of members wakes nobody: they come with the next answer, so that a crowd that joins
+        together costs each node a few answers, not one for each other node.
+        """
+        found: dict[str, tuple[object, ...]] = {
+            name: (session.incarnation, session.zone, session.order, session.wire, session.ready)
+            for name, session in self.roster.members().items()}
+        lost = set(self.roster.lost())
+        if found != self.known or lost != self.known_lost:
+            changed = {name for name in {*found, *self.known}
+                       if found.get(name) != self.known.get(name)}
+            self.known, self.known_lost = found, lost
             self.members_version += 1
-            self.tell()
+            self.member_changes.append((self.members_version, changed))
         return self.members_version
 
+    def members_since(self, version: int | None) -> Message:
+        """Members for a node: what changed since its version, or all of them."""
+        members = self.roster.members()
+        found: Message = {"source": self.source, "version": self.members_version,
+                          "gone": [lost.plain() for lost in self.roster.lost().values()]}
+        changes = [names for number, names in self.member_changes
+                   if version is not None and number > version]
+        if version is None or self.members_version - version != len(changes):
+            return {**found, "sessions": [member.plain() for member in members.values()]}
+        names = set().union(*changes)
+        return {**found, "since": version,
+                "sessions": [members[name].plain() for name in sorted(names) if name in members],
+                "removed": sorted(name for name in names if name not in members)}
+
     def renew(self, message: Message, reply: Reply) -> Step[None]:
         """One session's ask, held back a little while there is no news for it."""
         if not self.council.settled:
@@ -145,7 +168,7 @@
         self.divider.report(session.name, demand)
         for name in self.register.configuration.services:
             self.divider.want(name, session.name, wanted.get(name, 0), self.scheduler.now())
-        until = self.scheduler.now() + min(1.0, max(0.0, hold))
+        until = self.scheduler.now() + min(HOLD_MOST, max(0.0, hold))
         box: Mailbox[bool] = Mailbox(self.scheduler)
         self.waiting[id(box)] = box
         try:
@@ -202,7 +225,7 @@
     def has_news(self, vector: dict[str, int]) -> bool:
         listing = self.platform.believed(self.scheduler.now())
         return (vector.get("register", 0) < self.council.applied_word
-                or vector.get(self.source) != self.note_members()
+                or self.source not in vector
                 or (listing is not None and vector.get(self.platform.source) != listing.version))
 
     def renewal(self, session: Session, node: Node, vector: dict[str, int],
@@ -226,10 +249,7 @@
                         and number > vector.get(f"failed@{self.source}", self.failed_version)]}
         version = self.note_members()
         if vector.get(self.source) != version:
-            answer["members"] = {
-                "source": self.source, "version": version,
-                "sessions": [member.plain() for member in self.roster.members().values()],
-                "gone": [lost.plain() for lost in self.roster.lost().values()]}
+            answer["members"] = self.members_since(vector.get(self.source))
         return answer
 
     def words(self, vector: dict[str, int]) -> Message:
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -847,7 +847,7 @@
     # Founding and joining.
 
     def join(self) -> Step[None]:
-        """Until this disk is a voter that hears its leader: found with two other empty seeds, or
+        """Until this disk is a voter that hears its leader: found with the other empty seeds, or
         learn. A voter that was away may have been voted out, and nobody beats to it any more."""
         while True:
             if self.disk not in self.voters or not self.knows_leader():
@@ -860,10 +860,10 @@
                     if found.is_ok() and isinstance(found.ok.get("disk"), str):
                         answers[seed] = found.ok
                 if (self.empty and self.pace.may_found and self.address in self.seeds
-                        and len(answers) == len(self.seeds) == 3
+                        and len(answers) == len(self.seeds)
                         and all(answer.get("empty") is True for answer in answers.values())):
                     voters = {str(answer["disk"]): seed for seed, answer in answers.items()}
-                    if len(voters) == 3:
+                    if len(voters) == len(self.seeds):
                         self.commands.put(Command(lambda voters=voters:  # type: ignore[misc]
                                                   self.found(voters)))
                 else:
--- a/packages/edge/ryelock/edge/member.py
+++ b/packages/edge/ryelock/edge/member.py
@@ -18,6 +18,8 @@
 from ryelock.wire import Lines, Message
 
 HOLD_SECONDS = 0.15
+HOLD_EACH = 0.01
+HOLD_MOST = 1.0
 ANSWER_SECONDS = 0.4
 ROUND_SECONDS = 0.25
 FAILED_SECONDS = 0.5
@@ -188,8 +190,11 @@
         """One ask to the leader, and all that its answer brings."""
         asked = self.scheduler.now()
         self.unsure = False
-        message = {"kind": "renew", "hold": self.hold_seconds, **self.asking()}
-        found = yield from self.lines.ask(leader, message, self.hold_seconds + ANSWER_SECONDS)
+        hold = self.hold_seconds
+        if self.serve_lapsed:
+            hold = max(hold, min(HOLD_MOST, self.edges * HOLD_EACH))
+        message = {"kind": "renew", "hold": hold, **self.asking()}
+        found = yield from self.lines.ask(leader, message, hold + ANSWER_SECONDS)
         if found.is_error() or found.ok.get("ok") is not True:
             return False
         answer = found.ok
@@ -250,12 +255,26 @@
             self.take_listing(listing, asked)
         members = answer.get("members")
         if isinstance(members, dict):
-            self.members_version = (str(members["source"]), int(members["version"]))
-            found = [session_of(plain) for plain in members["sessions"]]
-            self.members = {session.name: session for session in found}
+            self.take_members(members)
             gone = [session_of(plain) for plain in members["gone"]]
             self.gone = {session.name: session for session in gone}
-            self.cores = [session.wire for session in found if session.role == "core"]
+            self.cores = [session.wire for session in self.members.values()
+                          if session.role == "core"]
+
+    def take_members(self, plain: Message) -> None:
+        """All members, or what changed since the version that is known here."""
+        source, version = str(plain["source"]), int(str(plain["version"]))
+        sessions, removed = plain["sessions"], plain.get("removed", [])
+        if not isinstance(sessions, list) or not isinstance(removed, list):
+            raise ValueError("members")
+        found = {session.name: session for session in map(session_of, sessions)}
+        if "since" in plain:
+            if (source, plain["since"]) != self.members_version:
+                return
+            found = {**{name: session for name, session in self.members.items()
+                        if name not in removed}, **found}
+        self.members_version = (source, version)
+        self.members = found
 
     def take_listing(self, plain: Message, asked: float) -> None:
         """Follow a listing; one of another source waits until it is certainly the later one."""
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -1,4 +1,7 @@
-"""An edge or a prober as a whole: what it holds for the life of the process, and its end."""
+"""An edge, a prober or a desk as a whole: what it holds for the life of the process, its end.
+
+A desk carries no orders of callers and probes nothing: it passes operators' orders on.
+"""
 
 from random import Random
 
@@ -23,7 +26,7 @@
 
 
 class TrafficNode:
-    """An edge (with or without probing) or a prober."""
+    """An edge (with or without probing), a prober or a desk."""
 
     __slots__ = ("desk", "door", "env", "lines", "log", "member", "network", "orders_door",
                  "prober", "register", "role", "running", "scheduler", "session", "stopping",
@@ -45,7 +48,7 @@
         self.session.zone = env.zone
         self.session.machine = env.machine
         self.session.incarnation = f"{random.getrandbits(48):012x}"
-        self.session.probes = role == "prober" or env.probe
+        self.session.probes = role == "prober" or (role == "edge" and env.probe)
         marked = self.session.probes or (role == "edge" and env.share_copies)
         self.session.mark = f"{random.getrandbits(64):016x}" if marked else ""
         self.member = Member(scheduler, self.lines, log, self.register, self.session, env.seeds,
@@ -223,7 +226,7 @@
         """Why this node should get no new callers; empty when it should."""
         if self.stopping:
             return "stopping"
-        if self.role == "prober":
+        if self.role != "edge":
             return "" if self.member.leader else "no leader is known"
         if not self.member.serving:
             return "no term"
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -107,14 +107,14 @@
     return "" if value == "" else address(value)
 
 
-def three_addresses(value: object) -> tuple[str, ...]:
+def seed_addresses(value: object) -> tuple[str, ...]:
     if isinstance(value, str):
         value = [part.strip() for part in value.split(",") if part.strip()]
-    if not isinstance(value, list | tuple) or len(value) != 3:
-        raise ValueError("not three addresses")
+    if not isinstance(value, list | tuple) or not 1 <= len(value) <= 3:
+        raise ValueError("not one to three addresses")
     found = tuple(address(part) for part in value)
-    if len(set(found)) != 3:
-        raise ValueError("the three addresses are not different")
+    if len(set(found)) != len(found):
+        raise ValueError("the addresses are not different")
     return found
 
 
@@ -146,7 +146,8 @@
                       "machine this process runs on; two probers of one machine count once "
                       "(left out: the process's own name)")
     seeds: Setting[tuple[str, ...]] = Setting(
-        (), three_addresses, "wire addresses of the three seeds, divided by commas")
+        (), seed_addresses, "wire addresses of the seeds, divided by commas: three, or all "
+        "control nodes where there are fewer")
     wire_address = Setting("", address, "where this process takes links from other processes")
     control_address = Setting("", address, "where operators and the platform reach this process")
     order_address = Setting("", optional_address, "where an edge takes orders from callers")
@@ -222,6 +223,7 @@
     "core": ("name", "zone", "seeds", "wire_address", "control_address", "data_folder"),
     "edge": ("name", "zone", "seeds", "wire_address", "control_address", "order_address"),
     "prober": ("name", "zone", "seeds", "wire_address", "control_address"),
+    "desk": ("name", "zone", "seeds", "wire_address", "control_address"),
 }
 
 
--- a/packages/register/ryelock/register/state.py
+++ b/packages/register/ryelock/register/state.py
@@ -199,7 +199,8 @@
         return cbor2.dumps({**self.shared(), "claims": list(self.claims.items())})
 
     def image_for_edges(self) -> bytes:
-        return cbor2.dumps(self.shared())
+        """What edges need of it: no outcomes of old words and no past decisions."""
+        return cbor2.dumps({**self.shared(), "outcomes": [], "decisions": []})
 
     def shared(self) -> Plain:
         return {
--- a/packages/roster/ryelock/roster/sessions.py
+++ b/packages/roster/ryelock/roster/sessions.py
@@ -50,7 +50,7 @@
         if not isinstance(value, str) or len(value) > 200:
             raise ValueError(f"session: {key}")
         setattr(session, key, value)
-    if not session.name or session.role not in ("core", "edge", "prober"):
+    if not session.name or session.role not in ("core", "edge", "prober", "desk"):
         raise ValueError("session: name or role")
     for key in ("served", "applied"):
         value = plain.get(key, 0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,11 +5,13 @@
 
 import testtools
 
+from ryelock.core.renewals import Renewals
 from ryelock.edge.peers import Peers, owner_of
 from ryelock.edge.way import Way
 from ryelock.exchange import call, field
 from ryelock.proving.checks import Findings
 from ryelock.proving.scenario import Scenario
+from ryelock.wire import Message
 
 HOST = "site"
 
@@ -135,3 +137,39 @@
         assert way is not None and isinstance(way.peers, Peers)
         way.peers.follow(way.member.members)
         self.assertIsNone(way.peers.owner(("", "/covers/1")))
+
+
+class MembersTests(testtools.TestCase):
+    def test_members_come_as_changes_and_come_to_the_same(self) -> None:
+        """Nodes that follow by changes know what one that was told all knows."""
+        scenario = shared(5, edges=4)
+        told: list[bool] = []
+        plain = Renewals.members_since
+
+        def noted(renewals: Renewals, version: int | None) -> Message:
+            found = plain(renewals, version)
+            told.append("since" in found)
+            return found
+
+        with mock.patch.object(Renewals, "members_since", noted):
+            scenario.world.kill(scenario.edges[0], True)
+            scenario.world.run(5.0)
+            scenario.start(scenario.edges[0])
+            scenario.world.run(3.0)
+        self.assertIn(True, told)
+        leader = scenario.node(scenario.leader()).core
+        expected = {name: session.incarnation
+                    for name, session in leader.roster.members().items()}
+        for name in scenario.edges:
+            members = scenario.node(name).traffic.member.members
+            self.assertEqual(expected, {other: session.incarnation
+                                        for other, session in members.items()})
+
+    def test_changes_that_do_not_follow_on_are_passed_over(self) -> None:
+        scenario = shared(6, edges=2)
+        member = scenario.node(scenario.edges[0]).traffic.member
+        before, version = member.members, member.members_version
+        member.take_members({"source": version[0], "version": version[1] + 5,
+                             "since": version[1] + 4, "sessions": [],
+                             "removed": list(before)})
+        self.assertEqual((before, version), (member.members, member.members_version))
