--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -84,8 +84,9 @@
     except (FolderError, NetworkError) as error:
         sys.stderr.write(f"ryelock {role}: {error}\n")
         return 1
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda number, _frame: reactor.signals.put(number))
     node.start()
-    signal.signal(signal.SIGHUP, lambda number, _frame: reactor.signals.put(number))
     if watched is not None:
         reactor.scheduler.spawn("settings", follow_file(reactor, node, log, watched))
     reactor.scheduler.spawn("signals", until_told(reactor, node))
--- /dev/null
+++ b/tests/test_lapse.py
@@ -0,0 +1,186 @@
+"""Serving after a term lapsed, both ways; coming back after all lost power; stopping; a SIGHUP."""
+
+import json
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import testtools
+
+from ryelock.allowance import Divider
+from ryelock.council import Council
+from ryelock.exchange import call
+from ryelock.proving.scenario import Scenario
+
+
+def lapsing(seed: int, **settings: object) -> Scenario:
+    scenario = Scenario(seed, zones=2, edges=2, probers=0, settings={
+        "serve_lapsed": True, "settle_seconds": 0.6, "probe_seconds": 600.0,
+        "reader_duty": True, **settings})
+    scenario.set_up()
+    scenario.world.run(3.0)
+    return scenario
+
+
+def status_of(scenario: Scenario, edge: str, target: str) -> int:
+    found = scenario.world.task(scenario.outside, call(
+        scenario.outside.scheduler, scenario.outside.network, f"{scenario.node(edge).host}:3",
+        b"GET", target.encode(), [(b"Host", b"site")], b"", 5.0), 20)
+    return found.ok[0].status if found.is_ok() else 0
+
+
+class LapseTests(testtools.TestCase):
+    def cut_off(self, scenario: Scenario, edge: str) -> None:
+        for core in scenario.cores:
+            scenario.world.cut(edge, core)
+        scenario.world.run(6.0)
+
+    def test_an_edge_that_is_cut_off_goes_on_where_that_is_set(self) -> None:
+        scenario = lapsing(1)
+        edge = scenario.edges[0]
+        self.cut_off(scenario, edge)
+        node = scenario.node(edge).traffic
+        self.assertLess(node.member.term_until, node.scheduler.now())
+        for number in range(5):
+            self.assertEqual(200, status_of(scenario, edge, f"/plain/{number}"))
+        self.assertTrue(node.ready)
+
+    def test_an_edge_that_is_cut_off_declines_by_default(self) -> None:
+        scenario = lapsing(1, serve_lapsed=False)
+        edge = scenario.edges[0]
+        self.cut_off(scenario, edge)
+        self.assertEqual(503, status_of(scenario, edge, "/plain/1"))
+        self.assertFalse(scenario.node(edge).traffic.ready)
+
+    def test_an_edge_that_knows_no_configuration_declines(self) -> None:
+        scenario = lapsing(2)
+        edge = scenario.edges[0]
+        scenario.world.kill(edge, True)
+        for core in scenario.cores:
+            scenario.world.cut(edge, core)
+        scenario.start(edge)
+        scenario.world.run(3.0)
+        self.assertEqual(503, status_of(scenario, edge, "/plain/1"))
+        self.assertFalse(scenario.node(edge).traffic.ready)
+
+    def test_one_that_comes_back_follows_what_it_missed(self) -> None:
+        scenario = lapsing(3)
+        edge = scenario.edges[0]
+        self.cut_off(scenario, edge)
+        changed = scenario.world.task(scenario.operators, scenario.add_route(
+            "later", 1, scenario.cores[0]), 20)
+        self.assertEqual(200, changed.status)
+        self.assertEqual(404, status_of(scenario, edge, "/later"))
+        scenario.world.heal()
+        scenario.world.run(2.0)
+        self.assertEqual(200, status_of(scenario, edge, "/later"))
+
+    def test_an_edge_that_is_cut_off_holds_no_change_up(self) -> None:
+        scenario = lapsing(4)
+        for core in scenario.cores:
+            scenario.world.cut(scenario.edges[0], core)
+        before = scenario.world.time
+        changed = scenario.world.task(scenario.operators, scenario.add_route(
+            "later", 1, scenario.cores[0]), 20)
+        self.assertEqual(200, changed.status)
+        self.assertLess(scenario.world.time - before, 1.0)
+
+
+class PowerTests(testtools.TestCase):
+    def lose_all(self, scenario: Scenario) -> float:
+        """All lose power and come back; how long until every edge serves again."""
+        for name in (*scenario.cores, *scenario.edges):
+            scenario.world.kill(name, True)
+        scenario.world.run(1.0)
+        for name in (*scenario.cores, *scenario.edges):
+            scenario.start(name)
+        started = scenario.world.time
+        back = scenario.world.run_until(lambda: all(
+            scenario.node(name).traffic.ready and scenario.node(name).traffic.way is not None
+            and scenario.node(name).traffic.holding().get("pages", 0.0) > 0
+            for name in scenario.edges), 20)
+        self.assertTrue(back)
+        return scenario.world.time - started
+
+    def test_all_are_back_before_an_election_of_the_usual_length_could_end(self) -> None:
+        found = [self.lose_all(lapsing(seed)) for seed in range(10, 16)]
+        self.assertLess(sorted(found)[len(found) // 2], 0.5, found)
+
+    def test_where_terms_bind_shares_wait_for_a_term(self) -> None:
+        found = [self.lose_all(lapsing(seed, serve_lapsed=False)) for seed in range(10, 13)]
+        self.assertGreater(min(found), 1.5, found)
+
+    def test_the_usual_wait_before_an_election_costs_it(self) -> None:
+        """Take-out: with the first election as late as later ones, the return is late too."""
+        plain = Council.put_off_election
+
+        def usual(council: Council) -> None:
+            heard = council.leader_heard
+            council.leader_heard = max(heard, -1e6)
+            plain(council)
+            council.leader_heard = heard
+
+        with mock.patch.object(Council, "put_off_election", usual):
+            found = [self.lose_all(lapsing(seed)) for seed in range(10, 16)]
+        self.assertGreater(sorted(found)[len(found) // 2], 0.7, found)
+
+
+class SpareShareTests(testtools.TestCase):
+    def test_a_spare_share_fits_beside_what_others_hold(self) -> None:
+        """100 a second, held by one edge; nine that hold nothing, for 0.6 s, within 5 s x 1.1."""
+        divider = Divider()
+        edges = [f"edge{number}" for number in range(10)]
+        divider.share("s", 100.0, 0.2, "edge0", edges, 100.0, 0.0, 1.5, False, True)
+        spare = sum(divider.share("s", 100.0, 0.2, name, edges, 0.0, 0.0, 1.5, False, True)
+                    for name in edges[1:])
+        self.assertGreater(spare, 0.0)
+        self.assertLessEqual(100.0 * 5 + spare * 0.6, 100.0 * 5 * 1.1)
+
+    def test_without_it_an_edge_that_holds_nothing_gets_nothing(self) -> None:
+        self.assertEqual(0.0, Divider().share("s", 100.0, 0.2, "a", ["a"], 0.0, 0.0, 1.5, False))
+
+
+class StopTests(testtools.TestCase):
+    def test_a_stopping_edge_takes_links_until_callers_know(self) -> None:
+        scenario = lapsing(5, linger_seconds=2.0, stop_seconds=5.0)
+        edge = scenario.edges[0]
+        node = scenario.node(edge)
+        node.scheduler.spawn("stop", node.traffic.stop())
+        scenario.world.run(1.0)
+        self.assertFalse(node.traffic.ready)
+        self.assertEqual(200, status_of(scenario, edge, "/plain/1"))
+        scenario.world.run(1.5)
+        self.assertEqual(0, status_of(scenario, edge, "/plain/2"))
+
+
+class SignalTests(testtools.TestCase):
+    def test_a_hangup_ends_no_process(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        file = folder / "core.json"
+        file.write_text(json.dumps({
+            "name": "core-1", "zone": "north", "seeds": ["127.0.0.1:1"],
+            "wire_address": "127.0.0.1:0", "control_address": "127.0.0.1:0",
+            "data_folder": str(folder / "data")}))
+        process = subprocess.Popen([sys.executable, "-W", "ignore", "-m", "ryelock.program",
+                                    "core", "--settings", str(file)], stderr=subprocess.PIPE)
+        try:
+            assert process.stderr is not None
+            self.assertIn(b"process started", self.line(process))
+            os.kill(process.pid, signal.SIGHUP)
+            os.kill(process.pid, signal.SIGTERM)
+            self.assertEqual(0, process.wait(30))
+        finally:
+            process.kill()
+            process.communicate()
+
+    def line(self, process: "subprocess.Popen[bytes]") -> bytes:
+        assert process.stderr is not None
+        with selectors.DefaultSelector() as selector:
+            selector.register(process.stderr, selectors.EVENT_READ)
+            self.assertTrue(selector.select(30), "no line from the process")
+        return process.stderr.readline()
