A probe tells nothing of a crowd, and is no order that a server runs unasked

Cause: where servers say they are full, every zone's probes fail alike, and one zone that is said to be down before the others would send its callers to them in the worst moment. And a probe that comes late, for a route that is not cached any more, would be run by a server though no caller sent it. Now: an edge tells a member's probe that it failed in a crowd, and no row comes of it; in a dialect only cached routes are probed and probes earn no room for repeats; a probe says its deadline, so that an edge tries a second server within it. Take-out: without the word of a crowd the same test has the zone down. Ruled out: passing over every 503 (an edge that reaches no server says 503 too).

--- a/packages/core/ryelock/core/leading.py
+++ b/packages/core/ryelock/core/leading.py
@@ -15,7 +15,7 @@
     Log,
 )
 from ryelock.loop import Scheduler, Step
-from ryelock.register import Register, encode_word, merge_change, plan_of
+from ryelock.register import Register, encode_word, merge_change, places_of, plan_of
 from ryelock.roster import Roster
 from ryelock.wire import Message
 
@@ -214,6 +214,7 @@
         register = self.register
         return {"index": register.index, "version": register.version,
                 "verdict": register.verdict, "drains": register.drains,
+                "derived": places_of(register.derived),
                 "duties": {name: duty.plain() for name, duty in register.duties.items()},
                 "decisions": register.decisions[-100:], "members": self.shown_members(),
                 "voters": self.council.voters, "leader": self.council.name,
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -89,8 +89,7 @@
             self.prober = Prober(scheduler, network, env.name, self.session.mark, env.machine,
                                  env.zone,
                                  env.probe_seconds, env.probe_timeout, env.probe_flight,
-                                 env.verdict_span, self.targets,
-                                 dialect.seal if dialect is not None else b"")
+                                 env.verdict_span, self.targets, dialect)
         self.running: list[Running] = []
 
     def start(self) -> None:
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -128,6 +128,9 @@
             if route is None:
                 yield from self.decline(exchange, order, Failure(404, "no route"))
                 return
+            if order.probe and not route.cached and not self.dialect.own:
+                yield from self.decline(exchange, order, Failure(404, "not an object to probe"))
+                return
             self.served += not (order.probe or order.peer)
             order.body = yield from exchange.whole_body()
             if order.klass == "once":
@@ -557,6 +560,12 @@
             return 1.0
         return route.target_seconds * (0.05 + 0.15 * self.random.random())
 
+    def crowded(self, order: Order) -> bool:
+        """Whether an order failed since the service is at its rate or its servers are full."""
+        now = self.scheduler.now()
+        return order.allowance.startswith("declined") or any(
+            now < state.full_until for state in self.servers.by_service.get(order.service, ()))
+
     def sealed(self, head: AnswerHead) -> bool:
         """Whether a success bears its server's mark, where servers make one."""
         return (not self.dialect.seal or not 200 <= head.status < 300
@@ -673,7 +682,8 @@
         if gate is None or any(record["sent"] for record in order.dispatches):
             return gate is not None
         if not order.repeat:
-            gate.budget.first()
+            if self.dialect.own or not order.probe:
+                gate.budget.first()
             return True
         if not gate.budget.repeat():
             order.allowance = "over the budget of repeats"
@@ -886,6 +896,8 @@
                 fields.append((b"Retry-After", b"%.3f" % back if self.dialect.fractions
                                else b"%d" % math.ceil(back)))
             fields.append((self.dialect.identity, order.identity.encode("latin-1")))
+            if order.probe and self.crowded(order):
+                fields.append((b"X-Ryelock-Outcome", b"crowded"))
         elif failure.status in (429, 502, 503, 504) and (not failure.unknown or keyed):
             back = math.ceil(failure.back + self.random.random() * 2)
             fields.append((b"Retry-After", b"%d" % back))
--- a/packages/watch/ryelock/watch/probe.py
+++ b/packages/watch/ryelock/watch/probe.py
@@ -14,7 +14,15 @@
 import hashlib
 from collections.abc import Callable
 
-from ryelock.exchange import Fields, Reader, field, parse_http_date, read_answer, send_order
+from ryelock.exchange import (
+    Dialect,
+    Fields,
+    Reader,
+    field,
+    parse_http_date,
+    read_answer,
+    send_order,
+)
 from ryelock.exchange.heads import FramingError
 from ryelock.exchange.reading import Cut, Late
 from ryelock.loop import Network, Scheduler, Step
@@ -25,6 +33,7 @@
 BODY_MOST = 16_777_216
 GONE = tuple(f"manifest status {status}" for status in (401, 403, 404, 410))
 UNSEALED = "no server's seal"
+CROWD, CROWDED = b"crowded", "declined in a crowd"
 
 
 def watch_mark(watch: Watch) -> str:
@@ -138,11 +147,12 @@
 class Probe:
     """Fetches through one edge for one watch."""
 
-    __slots__ = ("address", "network", "prober", "scheduler", "seal", "timeout", "watch")
+    __slots__ = ("address", "dialect", "network", "prober", "scheduler", "timeout",
+                 "watch")
 
     def __init__(self, scheduler: Scheduler, network: Network, address: str, watch: Watch,
-                 timeout: float, prober: str, seal: bytes = b"") -> None:
-        self.seal = seal.lower()
+                 timeout: float, prober: str, dialect: Dialect) -> None:
+        self.dialect = dialect
         self.scheduler = scheduler
         self.network = network
         self.address = address
@@ -166,7 +176,8 @@
             row.manifest_valid = True
             served = yield from self.fetch(self.watch.object, [(b"Range", RANGE)], until)
             if served.status not in (200, 206):
-                row.error = f"object status {served.status}"
+                crowded = field(served.fields, b"x-ryelock-outcome") == CROWD
+                row.error = CROWDED if crowded else f"object status {served.status}"
                 return
             if not self.sealed(served):
                 row.error = UNSEALED
@@ -178,7 +189,8 @@
 
     def manifest_fault(self, manifest: Fetched) -> str:
         if manifest.status != 200:
-            return f"manifest status {manifest.status}"
+            crowded = field(manifest.fields, b"x-ryelock-outcome") == CROWD
+            return CROWDED if crowded else f"manifest status {manifest.status}"
         if not self.sealed(manifest):
             return UNSEALED
         if self.watch.marker:
@@ -189,7 +201,8 @@
         return ""
 
     def sealed(self, fetched: Fetched) -> bool:
-        return not self.seal or field(fetched.fields, self.seal) is not None
+        seal = self.dialect.seal.lower()
+        return not seal or field(fetched.fields, seal) is not None
 
     def age_of(self, manifest: Fetched, served: Fetched, dater: Dater) -> float | None:
         """How old the served object is by the server's clock; None where unknown."""
@@ -220,6 +233,9 @@
             if not (yield from link.open(max(0.0, until - self.scheduler.now()))):
                 raise ProbeFailed("timeout" if self.scheduler.now() >= until else "no link")
             host = self.watch.host or self.address
+            if self.dialect.deadline:
+                left = max(1, int((until - self.scheduler.now()) * 1000))
+                fields = [*fields, (self.dialect.deadline, b"%d" % left)]
             send_order(link, b"GET", target.encode(), [
                 (b"Host", host.encode()), (b"X-Ryelock-Probe", self.prober.encode()),
                 *fields, (b"Connection", b"close")], b"")
--- a/packages/watch/ryelock/watch/prober.py
+++ b/packages/watch/ryelock/watch/prober.py
@@ -3,15 +3,17 @@
 Which edges there are comes from the control plane's members, which watches from the current
 configuration. A row or two a round goes to an edge of another zone: it tells a prober whose
 own network is broken from one that sees a broken zone. Rows wait in a bounded store until the
-present aggregator has said it has them, and go to a new aggregator from the start.
+present aggregator has said it has them, and go to a new aggregator from the start. A probe that
+was declined because servers are full tells of the crowd, not of the edge: no row comes of it.
 """
 
 from collections import deque
 from collections.abc import Callable
 
+from ryelock.exchange import Dialect
 from ryelock.loop import Mailbox, Network, Running, Scheduler, Step
 from ryelock.register import Watch
-from ryelock.watch.probe import Dater, Probe, Row, watch_mark
+from ryelock.watch.probe import CROWDED, Dater, Probe, Row, watch_mark
 
 ROWS_KEPT = 4000
 
@@ -37,15 +39,15 @@
 
 
 class Prober:
-    __slots__ = ("cadence", "daters", "due", "flight", "machine", "name", "network",
-                 "room", "rows", "says", "scheduler", "seal", "sequence", "span", "targets",
+    __slots__ = ("cadence", "daters", "dialect", "due", "flight", "machine", "name", "network",
+                 "room", "rows", "says", "scheduler", "sequence", "span", "targets",
                  "tasks", "timeout", "turn", "zone")
 
     def __init__(self, scheduler: Scheduler, network: Network, name: str, mark: str,
                  machine: str, zone: str,
                  cadence: float, timeout: float, flight: int, span: float,
-                 targets: Callable[[], list[Target]], seal: bytes = b"") -> None:
-        self.seal = seal
+                 targets: Callable[[], list[Target]], dialect: Dialect | None = None) -> None:
+        self.dialect = dialect or Dialect()
         self.scheduler = scheduler
         self.network = network
         self.name = name
@@ -106,11 +108,13 @@
                   target.watch_name, target.outside, self.scheduler.clock.wall(), target.mark)
         dater = self.daters.setdefault(target.key, Dater())
         probe = Probe(self.scheduler, self.network, target.address, target.watch, self.timeout,
-                      self.says, self.seal)
+                      self.says, self.dialect)
         try:
             yield from probe.run(row, dater)
         finally:
             self.room.put(True)
+        if row.error == CROWDED:
+            return
         self.rows.append(row)
         while self.rows and self.scheduler.now() - self.rows[0].taken > self.span:
             self.rows.popleft()
--- a/tests/test_derived.py
+++ b/tests/test_derived.py
@@ -9,6 +9,7 @@
 
 from ryelock.edge.process import TrafficNode, probers_of
 from ryelock.edge.servers import Servers
+from ryelock.edge.way import Way
 from ryelock.env import read_env
 from ryelock.events import WATCH_DERIVED, WATCH_ENDED
 from ryelock.exchange import Dialect, Exchange, Fields, field
@@ -19,7 +20,7 @@
 from ryelock.register import Register, Watch, encode_word
 from ryelock.roster import Listing, Server, Session
 from ryelock.verdict import History, Rules, gone_watches, judge
-from ryelock.watch import Row, watch_mark
+from ryelock.watch import Row, Target, watch_mark
 
 DIALECT = Dialect(identity=b"X-Order-Identity", deadline=b"Deadline-Remaining",
                   seal=b"Server-Seal", expected=b"Expected-Instance", not_run=b"Not-Executed",
@@ -202,7 +203,7 @@
         for name in fleet.scenario.edges:
             prober = fleet.scenario.node(name).traffic.prober
             assert prober is not None
-            prober.seal = b"Another-Seal"
+            prober.dialect = Dialect(seal=b"Another-Seal")
         fleet.scenario.world.run(6)
         late = [row for name, row in fleet.rows()
                 if row.taken - fleet.scenario.node(name).clock.zero > since + 1]
@@ -210,6 +211,42 @@
         self.assertEqual({(True, False, "no server's seal")},
                          {(row.reachable, row.manifest_valid, row.error) for row in late})
 
+    def test_a_crowd_at_the_servers_makes_no_zone_down(self) -> None:
+        def serve(server: ServerStandIn, exchange: Exchange) -> Step[None]:
+            if server.manner != "full":
+                yield from plain_serve(server, exchange)
+                return
+            identity = field(exchange.head.fields, b"x-order-identity") or b""
+            yield from exchange.answer(503, [(b"X-Order-Identity", identity),
+                                             (b"Not-Executed", b"1")], b"")
+
+        for tells, wanted in ((True, "healthy"), (False, "down")):
+            with (mock.patch.object(ServerStandIn, "serve", serve),
+                  mock.patch.object(Way, "crowded", Way.crowded if tells
+                                    else lambda *_arguments: False)):
+                fleet = Derived(8)
+                fleet.scenario.world.run(12)
+                self.assertEqual("healthy", fleet.word("zone0"))
+                for server in fleet.scenario.servers.values():
+                    server.manner = "full"
+                fleet.scenario.world.run(20)
+                self.assertEqual(wanted, fleet.word("zone0"))
+
+    def test_what_is_not_cached_is_not_probed_in_the_servers_words(self) -> None:
+        fleet = Derived(9)
+        self.assertTrue(fleet.until(lambda: fleet.word("zone0") == "healthy", 20))
+        for name in fleet.scenario.edges:
+            prober = fleet.scenario.node(name).traffic.prober
+            assert prober is not None
+            prober.targets = lambda name=name: [  # type: ignore[misc]
+                Target("zone0", edge, fleet.scenario.node(edge).traffic.session.order, "lookups",
+                       Watch("lookups", "/lookups/77777"), False)
+                for edge in fleet.scenario.edges if edge != name]
+        fleet.scenario.world.run(5)
+        self.assertTrue([row for _, row in fleet.rows() if row.watch == "lookups"])
+        self.assertEqual([], [ran for ran in fleet.scenario.history
+                              if ran.target == "/lookups/77777"])
+
     def test_a_copy_that_is_never_renewed_is_found_to_be_stale(self) -> None:
         def never_ends(_copy: object, _route: object, fields: Fields, _now: float) -> bool:
             return field(fields, b"cache-control") is None
