The tests of derived watches share copies, as the platform does

Cause: share_copies came to the platform meanwhile; a probe's fetch of a copy may then ask another edge. Conclusion: the same tests hold with it.

--- a/tests/test_derived.py
+++ b/tests/test_derived.py
@@ -27,7 +27,8 @@
                   labels=b"Object-Labels", fractions=True)
 PLATFORM: dict[str, object] = {
     "probe": True, "probers_chosen": 2, "derive_watches": True, "serve_lapsed": True,
-    "reader_duty": True, "spread_region": True, "regions": "zone0=r,zone1=r",
+    "reader_duty": True, "spread_region": True, "share_copies": True,
+    "regions": "zone0=r,zone1=r",
     "probe_seconds": 2.0, "probe_timeout": 0.8, "verdict_quorum": 3, "verdict_rows": 5,
     "hold_seconds": 0.3, "settle_seconds": 0.6, "term_seconds": 1.5}
 SERVICES = CONFIGURATION["services"]
