Who probes an edge is found from the machines by zone, not by a walk over all members

Cause: every node went through all members for each edge once a second; that grows with the square of the fleet, and processor time is priced. Now members are sorted once, and each edge looks at the first few machines of its zone; a node that probes nothing makes no targets.

--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -3,6 +3,7 @@
 A desk carries no orders of callers and probes nothing: it passes operators' orders on.
 """
 
+from itertools import islice
 from random import Random
 
 from ryelock.allowance import is_narrow, reserve
@@ -276,18 +277,17 @@
     def chosen_targets(self, edges: dict[str, Session],
                        watches: list[tuple[str, Watch]]) -> list[Target]:
         """Edges that this node is one of the few probers of; others it only compares with."""
-        probing = sorted((session for session in self.member.members.values() if session.probes),
-                         key=lambda session: (not session.ready, session.name))
-        found = [Target(session.zone, name, session.order, watch_name, watch,
-                        self.env.name not in probers_of(session, probing,
-                                                        self.env.probers_chosen))
-                 for name, session in sorted(edges.items())
-                 if session.role == "edge" and session.order and name != self.env.name
-                 for watch_name, watch in watches]
-        if all(target.outside for target in found):
+        most = self.env.probers_chosen
+        probing = Probing(list(self.member.members.values()))
+        found = {name: session for name, session in sorted(edges.items())
+                 if session.role == "edge" and session.order and name != self.env.name}
+        inside = {name for name, session in found.items()
+                  if self.env.name in probing.of(session, most)}
+        if not inside:
             return []
-        return [target for target in found
-                if not target.outside or target.zone != self.env.zone]
+        return [Target(session.zone, name, session.order, watch_name, watch, name not in inside)
+                for name, session in found.items() for watch_name, watch in watches
+                if name in inside or session.zone != self.env.zone]
 
     def covered_zones(self, zones: set[str]) -> set[str]:
         """The own zone, and zones that are left with too few probing machines of their own.
@@ -370,19 +370,36 @@
         self.log.write(STOPPED)
 
 
-def probers_of(edge: Session, probing: list[Session], most: int) -> list[str]:
-    """Who probes an edge: so many of its zone, each on a machine of its own and none on the edge's.
+class Probing:
+    """Machines that can probe, by zone and in the order in which they are taken.
 
-    `probing` has those that are ready first, by name, so that every node comes to the same and
-    the next takes over where one goes; one that is not ready probes where no other can, else a
-    zone that is down would never be found to serve again. Where fewer than two machines of the
-    zone are left, two of other zones stand in.
+    Those that are ready come first, by name, so that every node comes to the same and the next
+    takes over where one goes; one that is not ready probes where no other can, else a zone that is
+    down would never be found to serve again.
     """
-    inside: dict[str, str] = {}
-    outside: dict[str, str] = {}
-    for session in probing:
-        if session.machine != edge.machine:
-            (inside if session.zone == edge.zone else outside).setdefault(session.machine,
-                                                                          session.name)
-    chosen = list(inside.values())[:most]
-    return chosen + list(outside.values())[:STAND_INS] if len(inside) < STAND_INS else chosen
+
+    __slots__ = ("machines", "zones")
+
+    def __init__(self, sessions: list[Session]) -> None:
+        self.machines: list[Session] = []
+        self.zones: dict[str, dict[str, str]] = {}
+        for session in sorted((session for session in sessions if session.probes),
+                              key=lambda session: (not session.ready, session.name)):
+            machines = self.zones.setdefault(session.zone, {})
+            if session.machine not in machines:
+                machines[session.machine] = session.name
+                self.machines.append(session)
+
+    def of(self, edge: Session, most: int) -> list[str]:
+        """Who probes an edge: so many of its zone, on machines of their own, none on the edge's.
+
+        Where fewer than two machines of the zone are left, two of other zones stand in.
+        """
+        inside = [name for machine, name in islice(self.zones.get(edge.zone, {}).items(),
+                                                   max(most, STAND_INS) + 1)
+                  if machine != edge.machine]
+        if len(inside) >= STAND_INS:
+            return inside[:most]
+        others = (session.name for session in self.machines
+                  if session.zone != edge.zone and session.machine != edge.machine)
+        return inside[:most] + list(islice(others, STAND_INS))
