--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -3,6 +3,7 @@
 A desk carries no orders of callers and probes nothing: it passes operators' orders on.
 """
 
+from itertools import islice
 from random import Random
 
 from ryelock.allowance import is_narrow, reserve
@@ -16,7 +17,7 @@
 from ryelock.events import STARTED, STOPPED, STOPPING, Log
 from ryelock.exchange import Dialect, HttpDoor, Limits
 from ryelock.loop import Network, Running, Scheduler, Step
-from ryelock.register import CallerLimits, Register
+from ryelock.register import CallerLimits, Register, Watch
 from ryelock.roster import Listing, Session
 from ryelock.watch import Prober, Target
 from ryelock.wire import Door, Lines, Message, Reply
@@ -75,6 +76,7 @@
             self.member.shares = self.on_shares
             self.member.grants = self.on_grants
             self.member.failures = self.way.failed.take_fresh
+            self.member.objects = self.way.lately_served
             self.member.hear_failed = self.on_failed
             limits = Limits(env.head_bytes, env.body_bytes, env.links_most, env.idle_seconds,
                             env.order_seconds)
@@ -88,7 +90,7 @@
             self.prober = Prober(scheduler, network, env.name, self.session.mark, env.machine,
                                  env.zone,
                                  env.probe_seconds, env.probe_timeout, env.probe_flight,
-                                 env.verdict_span, self.targets)
+                                 env.verdict_span, self.targets, dialect)
         self.running: list[Running] = []
 
     def start(self) -> None:
@@ -260,15 +262,33 @@
     def targets(self) -> list[Target]:
         found: list[Target] = []
         edges = {**self.member.gone, **self.member.members}
+        watches = sorted(self.register.watches.items())
+        if self.env.probers_chosen:
+            return self.chosen_targets(edges, watches)
         covered = self.covered_zones({session.zone for session in edges.values()})
         for name, session in sorted(edges.items()):
             if session.role != "edge" or not session.order or name == self.env.name:
                 continue
-            for watch_name, watch in sorted(self.register.configuration.watches.items()):
+            for watch_name, watch in watches:
                 found.append(Target(session.zone, name, session.order, watch_name, watch,
                                     session.zone not in covered))
         return found
 
+    def chosen_targets(self, edges: dict[str, Session],
+                       watches: list[tuple[str, Watch]]) -> list[Target]:
+        """Edges that this node is one of the few probers of; others it only compares with."""
+        most = self.env.probers_chosen
+        probing = Probing(list(self.member.members.values()))
+        found = {name: session for name, session in sorted(edges.items())
+                 if session.role == "edge" and session.order and name != self.env.name}
+        inside = {name for name, session in found.items()
+                  if self.env.name in probing.of(session, most)}
+        if not inside:
+            return []
+        return [Target(session.zone, name, session.order, watch_name, watch, name not in inside)
+                for name, session in found.items() for watch_name, watch in watches
+                if name in inside or session.zone != self.env.zone]
+
     def covered_zones(self, zones: set[str]) -> set[str]:
         """The own zone, and zones that are left with too few probing machines of their own.
 
@@ -348,3 +368,38 @@
         for running in self.running:
             running.cancel()
         self.log.write(STOPPED)
+
+
+class Probing:
+    """Machines that can probe, by zone and in the order in which they are taken.
+
+    Those that are ready come first, by name, so that every node comes to the same and the next
+    takes over where one goes; one that is not ready probes where no other can, else a zone that is
+    down would never be found to serve again.
+    """
+
+    __slots__ = ("machines", "zones")
+
+    def __init__(self, sessions: list[Session]) -> None:
+        self.machines: list[Session] = []
+        self.zones: dict[str, dict[str, str]] = {}
+        for session in sorted((session for session in sessions if session.probes),
+                              key=lambda session: (not session.ready, session.name)):
+            machines = self.zones.setdefault(session.zone, {})
+            if session.machine not in machines:
+                machines[session.machine] = session.name
+                self.machines.append(session)
+
+    def of(self, edge: Session, most: int) -> list[str]:
+        """Who probes an edge: so many of its zone, on machines of their own, none on the edge's.
+
+        Where fewer than two machines of the zone are left, two of other zones stand in.
+        """
+        inside = [name for machine, name in islice(self.zones.get(edge.zone, {}).items(),
+                                                   max(most, STAND_INS) + 1)
+                  if machine != edge.machine]
+        if len(inside) >= STAND_INS:
+            return inside[:most]
+        others = (session.name for session in self.machines
+                  if session.zone != edge.zone and session.machine != edge.machine)
+        return inside[:most] + list(islice(others, STAND_INS))
