--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -227,6 +227,12 @@
 )
 
 
+# Where a change of what else a run does left none of the first three seeds that shows the rule
+# broken, three others stand; of twelve, eight break before and after (4 to 9, 11, 12).
+SEEDS: dict[tuple[str, Callable[[], list[Patch]]], tuple[int, int, int]] = {
+    ("repeated-keys", claims_of_one_disk): (4, 5, 6)}
+
+
 class RuleTests(testtools.TestCase):
     """Each case with its mechanism in place, and with it taken out; one test each."""
 
@@ -244,7 +250,7 @@
            rule: str) -> Callable[[RuleTests], None]:
     def test(case: RuleTests) -> None:
         broken: set[str] = set()
-        for seed in (1, 2, 3):
+        for seed in SEEDS.get((name, taken_out), (1, 2, 3)):
             with ExitStack() as stack:
                 for patch in taken_out():
                     stack.enter_context(patch)
