--- a/packages/edge/ryelock/edge/orders.py
+++ b/packages/edge/ryelock/edge/orders.py
@@ -9,7 +9,7 @@
 class Order:
     """One order from its first byte to the end of its answer, and what was decided on it."""
 
-    __slots__ = ("allowance", "body", "cache", "dispatches", "host", "identity", "klass",
+    __slots__ = ("allowance", "body", "cache", "dispatches", "host", "identity", "klass", "known",
                  "method", "outcome", "path", "peer", "probe", "purged", "reason", "repeat",
                  "route", "route_name", "seconds", "service", "started", "status",
                  "target", "verdict", "version", "wall", "weighed")
@@ -27,6 +27,7 @@
         self.probe = False
         self.peer = False
         self.purged = 0
+        self.known = 0
         self.repeat = False
         self.route = -1
         self.route_name = ""
--- a/packages/edge/ryelock/edge/peers.py
+++ b/packages/edge/ryelock/edge/peers.py
@@ -18,6 +18,7 @@
 from ryelock.roster import Session
 
 DOUBT_SECONDS = 1.0
+DOUBT_MOST = 8.0
 KEPT_LINKS = 8
 IDLE_SECONDS = 4.0
 
@@ -37,7 +38,8 @@
 class Peers:
     """The edges of one zone as one of them sees them."""
 
-    __slots__ = ("doubted", "kept", "known", "name", "names", "scheduler", "sessions", "zone")
+    __slots__ = ("doubted", "kept", "known", "name", "names", "scheduler", "sessions",
+                 "waits", "zone")
 
     def __init__(self, scheduler: Scheduler, name: str, zone: str) -> None:
         self.scheduler = scheduler
@@ -47,6 +49,7 @@
         self.sessions: dict[str, Session] = {}
         self.names: list[str] = []
         self.doubted: dict[str, float] = {}
+        self.waits: dict[str, float] = {}
         self.kept: dict[str, list[tuple[Link, Reader, float]]] = {}
 
     def follow(self, members: dict[str, Session]) -> None:
@@ -73,7 +76,15 @@
         return self.sessions[name]
 
     def doubt(self, session: Session) -> None:
-        self.doubted[session.name] = self.scheduler.now() + DOUBT_SECONDS
+        """Pass an edge by for a while that doubles until it answers or starts anew."""
+        before = self.waits.get(session.identity, DOUBT_SECONDS / 2)
+        self.waits = {key: wait for key, wait in self.waits.items()
+                      if key.partition("/")[0] != session.name}
+        self.waits[session.identity] = min(DOUBT_MOST, 2 * before)
+        self.doubted[session.name] = self.scheduler.now() + self.waits[session.identity]
+
+    def trust(self, session: Session) -> None:
+        self.waits.pop(session.identity, None)
 
     def kept_link(self, address: str) -> tuple[Link, Reader] | None:
         kept = self.kept.get(address, [])
--- a/packages/edge/ryelock/edge/plan.py
+++ b/packages/edge/ryelock/edge/plan.py
@@ -1,7 +1,7 @@
 """One version of the configuration, laid out for orders: names are indices from here on.
 
 A plan lives as long as its version. Routes are found by host and by the longest path prefix
-that ends at a '/' or at the end of the path.
+that ends at a '/' or, where the prefix itself has none, at the end of the path.
 """
 
 from ryelock.register import Configuration, Route, Service
@@ -20,9 +20,17 @@
         self.route_names = sorted(configuration.routes)
         self.routes: list[Route] = [configuration.routes[name] for name in self.route_names]
         self.route_services = [self.service_indices[route.service] for route in self.routes]
-        self.table: dict[str, dict[str, int]] = {}
+        self.table: dict[str, dict[str, list[int]]] = {}
         for index, route in enumerate(self.routes):
-            self.table.setdefault(route.host, {})[route.path.rstrip("/")] = index
+            paths = self.table.setdefault(route.host, {})
+            paths.setdefault(route.path.rstrip("/"), []).append(index)
+        for paths in self.table.values():
+            for found in paths.values():
+                found.sort(key=lambda index: len(self.routes[index].path), reverse=True)
+
+    def begins(self, prefix: str, path: str) -> bool:
+        """Whether a route's path begins an order's; one with a slash at its end needs that too."""
+        return not prefix.endswith("/") or path.startswith(prefix)
 
     def resolve(self, host: str, path: str) -> int:
         """The index of an order's route, or -1."""
@@ -31,9 +39,9 @@
                 continue
             place = path.rstrip("/")
             while True:
-                found = paths.get(place)
-                if found is not None:
-                    return found
+                for index in paths.get(place, ()):
+                    if self.begins(self.routes[index].path, path):
+                        return index
                 if not place:
                     break
                 place = place[:place.rfind("/")]
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -134,9 +134,8 @@
             for name, service in configuration.services.items():
                 gate = way.gates.get(name)
                 if gate is None:
-                    way.gates[name] = Gate(self.scheduler, name, service)
-                else:
-                    gate.resize(service, self.member.edges)
+                    gate = way.gates[name] = Gate(self.scheduler, name, service)
+                gate.resize(service, self.member.edges)
             for name in [name for name in way.gates if name not in configuration.services]:
                 way.gates.pop(name).running.cancel()
         way.store.take_purges(self.register.purges, self.register.purge_number)
@@ -210,7 +209,8 @@
             gate = self.way.gates.get(name)
             if gate is not None:
                 gate.bucket.give(share, until, now)
-                gate.resize(gate.service, edges)
+        for gate in self.way.gates.values():
+            gate.resize(gate.service, edges)
 
     def tend(self) -> Step[None]:
         """Keep what the session says of this node up to date."""
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -41,6 +41,7 @@
 from ryelock.loop import Link, Mailbox, Network, Scheduler, Step
 from ryelock.register import DERIVED_MOST, Route
 
+UNBLAMED = ("the caller left", "the term or the route changed", "the server is leaving or gone")
 SAFE = (b"GET", b"HEAD", b"OPTIONS", b"TRACE")
 HELD_ANSWER = 65_536
 ANSWERS_SKIPPED = 2
@@ -51,6 +52,9 @@
 CLAIM_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
 OWNER_OPEN = 0.2
+OWNER_PART = 0.5
+HASTY_SECONDS = 0.25
+HASTY_TIMES = 3.0
 CONDITIONS = frozenset([b"range", b"if-range", b"if-none-match", b"if-modified-since",
                         b"if-match", b"if-unmodified-since"])
 OBJECT_MOST = 300
@@ -162,18 +166,26 @@
                       self.scheduler.clock.wall())
         order.path = path_of(order.target)
         order.probe = self.is_probe(field(head.fields, b"x-ryelock-probe"))
-        order.peer, order.purged = self.peer_of(field(head.fields, b"x-ryelock-peer"))
+        order.peer, order.purged, order.known = self.peer_of(
+            field(head.fields, b"x-ryelock-peer"))
+        if order.peer:
+            order.identity = f"{self.name}-{self.member.session.incarnation}-{self.sequence}"
         order.verdict = self.member.verdicts()
         return order
 
-    def peer_of(self, said: bytes | None) -> tuple[bool, int]:
-        """Whether an order comes from an edge that is a member, and how many purges it knows of."""
+    def peer_of(self, said: bytes | None) -> tuple[bool, int, int]:
+        """Whether an order comes from an edge that is a member; the purges and version it knows.
+
+        What is fetched for another edge is read on this edge's own account, under a name of its
+        own: the caller's name stays free for a fetch of the other's.
+        """
         parts = (said or b"").decode("latin-1").split(" ")
-        if len(parts) != 3 or not parts[2].isdigit():
-            return False, 0
+        if len(parts) != 4 or not all(part.isascii() and part.isdigit() and len(part) < 19
+                                      for part in parts[2:]):
+            return False, 0, 0
         session = self.member.members.get(parts[0])
         fine = session is not None and session.mark != "" and session.mark == parts[1]
-        return fine, int(parts[2][:18]) if fine else 0
+        return (True, int(parts[2]), int(parts[3])) if fine else (False, 0, 0)
 
     def is_probe(self, said: bytes | None) -> bool:
         """Whether an order comes from a prober that is a member; others may say so in vain."""
@@ -279,7 +291,8 @@
         """
         key = (order.route_name, order.host, order.target)
         head = exchange.head
-        behind = order.peer and order.purged > self.store.purged
+        behind = order.peer and (order.purged > self.store.purged
+                                 or order.known > self.plan.version)
         copy = None if behind else self.store.find(key, head.fields)
         if copy is not None and may_use(copy, route, head.fields, self.scheduler.now()):
             order.cache = "hit"
@@ -365,8 +378,7 @@
         if owner is None:
             return None
         now = self.scheduler.now()
-        until = now + TRY_PART * max(0.0, self.deadline(exchange, route) - now)
-        record: dict[str, object] = {"owner": owner.name, "sent": False}
+        until = now + OWNER_PART * max(0.0, self.deadline(exchange, route) - now)
         kept = peers.kept_link(owner.order)
         link, reader = kept if kept is not None else (self.network.connect(owner.order), None)
         reader = reader or Reader(self.scheduler, link)
@@ -380,15 +392,14 @@
             found = yield from read_answer(reader, b"GET", self.env.head_bytes, until)
             if found.is_error():
                 peers.doubt(owner)
-                record["sent"] = True
                 return None
             answer = found.ok
             body, whole = yield from self.read_first(answer, until, True)
             done = whole and answer.keep
             age = age_of(field(answer.head.fields, b"x-ryelock-age"))
             if not whole or age is None:
-                record["sent"] = answer.head.status not in (404, 429, 503)
                 return None
+            peers.trust(owner)
             now = self.scheduler.now()
             fields = [pair for pair in end_to_end(answer.head.fields)
                       if pair[0].lower() not in (b"age", b"x-ryelock-age")]
@@ -402,11 +413,8 @@
             return copy
         except (Cut, Late, FramingError):
             peers.doubt(owner)
-            record["sent"] = True
             return None
         finally:
-            if record["sent"]:
-                order.dispatches.append(record)
             if done:
                 peers.keep_link(owner.order, link, reader)
             else:
@@ -427,7 +435,7 @@
             fields.append((b"If-None-Match", known.etag))
         session = self.member.session
         fields.append((b"X-Ryelock-Peer", f"{session.name} {session.mark} "
-                       f"{self.store.purged}".encode()))
+                       f"{self.store.purged} {self.plan.version}".encode()))
         send_order(link, b"GET", exchange.head.target, fields, b"")
 
     def wait_for(self, fill: Fill, exchange: Exchange, route: Route) -> Step[Copy | None]:
@@ -489,6 +497,11 @@
                 return Error(Failure(503, "the term or the route changed; not sent"))
             if exchange.left:
                 return Error(Failure(499, "the caller left"))
+            if any(record["sent"] for record in order.dispatches):
+                patience = until - self.scheduler.now()
+                if not (yield from gate.again(patience)):
+                    order.allowance += "; no room to repeat"
+                    return self.last_of(answered, failure)
             weighed: list[dict[str, object]] = []
             state = self.servers.pick(order.service, used, order.verdict, weighed,
                                       self.member.edges, gate.service.links)
@@ -496,12 +509,6 @@
                 order.weighed = weighed
             if state is None:
                 return self.last_of(answered, failure)
-            sent_before = any(record["sent"] for record in order.dispatches)
-            if sent_before:
-                patience = until - self.scheduler.now()
-                if not (yield from gate.again(patience)):
-                    order.allowance += "; no room to repeat"
-                    return self.last_of(answered, failure)
             if answered is not None:
                 answered.link.abort()
                 answered = None
@@ -539,7 +546,10 @@
             if error.reason == "over the budget of repeats":
                 state.trying = False
                 return Error(Failure(429, "too many repeats of orders to this service", back=2.0))
-            self.servers.fared(state, False, taken)
+            if self.blames(error, state, taken):
+                self.servers.fared(state, False, taken)
+            else:
+                state.trying = False
             if error.sent and order.klass == "once":
                 late = error.reason == "no answer in time"
                 return Error(Failure(504 if late else 502,
@@ -550,6 +560,17 @@
                 return Error(failure)
         return self.last_of(answered, failure)
 
+    def blames(self, error: CallError, state: ServerState, taken: float) -> bool:
+        """Whether a failure tells of the server: not where the order had no time left for it.
+
+        Nor where nothing was sent for reasons of the caller, the route or the listing.
+        """
+        if error.reason in UNBLAMED:
+            return False
+        hasty = taken < max(HASTY_SECONDS, HASTY_TIMES * state.latency)
+        return not (hasty and error.reason in ("no answer in time", "no link to the server")
+                    and not state.server.leaving and taken < self.env.connect_seconds)
+
     def last_of(self, answered: Carried | None, failure: Failure) -> Result[Carried, Failure]:
         """A server's own failure goes to the caller where no other server could be tried."""
         return Ok(answered) if answered is not None else Error(failure)
@@ -682,7 +703,7 @@
         if gate is None or any(record["sent"] for record in order.dispatches):
             return gate is not None
         if not order.repeat:
-            if self.dialect.own or not order.probe:
+            if self.dialect.own or not (order.probe or order.peer):
                 gate.budget.first()
             return True
         if not gate.budget.repeat():
@@ -728,7 +749,8 @@
         """Fields that are said anew to a server; an order without a name gets one."""
         dialect = self.dialect
         dropped |= {dialect.deadline.lower(), dialect.expected.lower(), b"x-ryelock-probe"}
-        if field(fields, dialect.identity.lower()) is None:
+        if order.peer or field(fields, dialect.identity.lower()) is None:
+            fields[:] = [pair for pair in fields if pair[0].lower() != dialect.identity.lower()]
             fields.append((dialect.identity, order.identity.encode("latin-1")))
 
     def read_first(self, answer: Answer, until: float, fill: bool) -> Step[tuple[bytes, bool]]:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -96,8 +96,8 @@
         """Without the number of purges an edge takes back what it has just dropped."""
         plain = Way.peer_of
 
-        def believing(way: Way, said: bytes | None) -> tuple[bool, int]:
-            return plain(way, said)[0], 0
+        def believing(way: Way, said: bytes | None) -> tuple[bool, int, int]:
+            return plain(way, said)[0], 0, 0
 
         with mock.patch.object(Way, "peer_of", believing):
             found = [self.behind(seed) for seed in range(3)]
