--- /dev/null
+++ b/packages/proving/ryelock/proving/landlord.py
@@ -0,0 +1,451 @@
+"""A platform that lets out servers: its list of them, and the servers, in words of its own.
+
+Which bytes stand for what is told by whoever builds it (`Words`), so that a platform's page can
+be spelled out beside the tests that hold an edge to it. A server does as that page has it: it
+works on so many orders at once, queues a few, declines what it cannot take and says so, and by
+manners it loses, cuts, doubles or garbles answers. Whatever reaches a server stands in one
+history, with whether it was run; checkers believe nothing else.
+"""
+
+import hashlib
+import json
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from urllib.parse import parse_qs
+
+from ryelock.events import Log
+from ryelock.exchange import Dialect, Exchange, Fields, HttpDoor, Limits, field
+from ryelock.exchange.reading import Cut, Late
+from ryelock.loop import Link, Mailbox, Network, Scheduler, Step
+from ryelock.proving.standins import Objects, body_for
+
+(WHOLE, FULL, LIMITED, LOST, HANGING, CUT, BEHIND, TWIN, UNSEALED, WRONG, FAILING, VAGUE,
+ CLOSING) = (
+    "whole", "full", "limited", "lost", "hanging", "cut", "behind", "twin", "unsealed", "wrong",
+    "failing", "vague", "closing")
+MANNERS = (WHOLE, FULL, LIMITED, LOST, HANGING, CUT, BEHIND, TWIN, UNSEALED, WRONG, FAILING,
+           VAGUE, CLOSING)
+TAIL = b"HTTP/1.1 200 OK\r\nbytes that belong to nothing"
+COLD_FACTOR = 4.0
+FOREVER = 3600.0
+Plain = dict[str, object]
+Describe = Callable[["ServerLife", bool, float], Plain]
+Table = Callable[[dict[str, Plain], str | None], Plain]
+
+
+class Words:
+    """How this platform spells things: in heads, and in its list.
+
+    `life` is the field by which a server says which life it is; `listing` the list's path and
+    `page` the name of a page's token in its query; `describe` writes a list entry of a server,
+    its leaving and the milliseconds it stays slow, `table` a page of such entries.
+    """
+
+    __slots__ = ("describe", "dialect", "life", "listing", "page", "table")
+
+    def __init__(self, dialect: Dialect, life: bytes, listing: str, page: str,
+                 describe: Describe, table: Table) -> None:
+        self.dialect = dialect
+        self.life = life
+        self.listing = listing
+        self.page = page
+        self.describe = describe
+        self.table = table
+
+
+class ServiceStandIn:
+    """What all servers of a service have in common."""
+
+    __slots__ = ("fitness_path", "hangs", "idle_seconds", "links_most", "name", "objects",
+                 "queue", "rate", "slots", "taken", "work_seconds")
+
+    def __init__(self, name: str, rate: float = 1e9, slots: int = 8, queue: int = 4,
+                 hangs: bool = False, work_seconds: float = 0.02, size: int = 600) -> None:
+        self.name = name
+        self.rate = rate
+        self.slots = slots
+        self.queue = queue
+        self.hangs = hangs
+        self.work_seconds = work_seconds
+        self.links_most = 110
+        self.idle_seconds = 5
+        self.fitness_path = "/health"
+        self.objects = Objects(size)
+        self.taken: deque[float] = deque()
+
+    def over_rate(self, now: float) -> bool:
+        """Count one more order of this second; those above the rate are counted as well."""
+        while self.taken and self.taken[0] <= now - 1.0:
+            self.taken.popleft()
+        self.taken.append(now)
+        return len(self.taken) > self.rate
+
+    def body(self, target: str, revision: int) -> bytes:
+        return body_for(self.name, target, revision, self.objects.size)
+
+    def seal(self, target: str, revision: int) -> bytes:
+        """The mark of an object, the same for the whole and for its parts."""
+        told = f"seal {self.name} {target} {revision}".encode()
+        return b"%d." % revision + hashlib.sha256(told).hexdigest()[:24].encode()
+
+
+class Arrival:
+    """One order as it reached a server, and whether the server ran it."""
+
+    __slots__ = ("at", "body", "deadline", "expected", "host", "identifier", "identity", "link",
+                 "method", "ran", "service", "status", "target")
+
+    def __init__(self, at: float, life: "ServerLife", exchange: Exchange, body: bytes) -> None:
+        head = exchange.head
+        dialect = life.words.dialect
+        self.at = at
+        self.service = life.service.name
+        self.identifier = life.identifier
+        self.method = head.method.decode("latin-1")
+        self.target = head.target.decode("latin-1")
+        self.host = (field(head.fields, b"host") or b"").decode("latin-1")
+        self.identity = (field(head.fields, dialect.identity.lower()) or b"").decode("latin-1")
+        self.expected = (field(head.fields, dialect.expected.lower()) or b"").decode("latin-1")
+        said = field(head.fields, dialect.deadline.lower()) or b""
+        self.deadline = int(said) / 1000 if said.isdigit() else FOREVER
+        self.body = body
+        self.link = exchange.link.peer
+        self.ran = False
+        self.status = 0
+
+
+class ServerDoor(HttpDoor):
+    """Links above the most are reset, not answered."""
+
+    __slots__ = ()
+
+    def greet(self, link: Link) -> None:
+        if len(self.links) >= self.limits.links_most:
+            link.abort()
+            return
+        super().greet(link)
+
+
+class ServerLife:
+    """One life of a server at an address."""
+
+    __slots__ = ("address", "cold_until", "door", "draining", "ended", "history", "identifier",
+                 "late", "manner", "manners", "random", "scheduler", "service", "speed", "version",
+                 "waiting", "words", "working", "zone")
+
+    def __init__(self, scheduler: Scheduler, network: Network, log: Log, words: Words,
+                 service: ServiceStandIn, zone: str, identifier: str, address: str,
+                 history: list[Arrival], cold_seconds: float = 0.0) -> None:
+        self.scheduler = scheduler
+        self.words = words
+        self.service = service
+        self.zone = zone
+        self.identifier = identifier
+        self.address = address
+        self.history = history
+        self.version = "v1"
+        self.random = Random(f"server {identifier}")
+        self.manner = WHOLE
+        self.manners: deque[str] = deque()
+        self.speed = 1.0
+        self.cold_until = scheduler.now() + cold_seconds
+        self.draining = False
+        self.ended = False
+        self.working = 0
+        self.waiting: deque[Mailbox[bool]] = deque()
+        self.late: dict[Link, bytes] = {}
+        self.door = ServerDoor(scheduler, network, log, address, Limits(
+            body_bytes=1 << 26, links_most=service.links_most,
+            idle_seconds=float(service.idle_seconds), order_seconds=60.0), self.serve)
+
+    def close(self) -> None:
+        """Gone at once: every link is reset where it is."""
+        self.ended = True
+        self.door.stop_taking()
+        for link, running in list(self.door.links.items()):
+            running.cancel()
+            link.abort()
+
+    # One order.
+
+    def serve(self, exchange: Exchange) -> Step[None]:
+        try:
+            body = yield from exchange.whole_body()
+        except (Cut, Late):
+            return
+        late = self.late.pop(exchange.link, None)
+        if late is not None:
+            exchange.link.write(late)
+        arrival = Arrival(self.scheduler.now(), self, exchange, body)
+        until = self.scheduler.now() + arrival.deadline
+        if arrival.method == "GET" and arrival.target == self.service.fitness_path:
+            yield from self.tell_fitness(exchange, until)
+            return
+        self.history.append(arrival)
+        manner = self.manners.popleft() if self.manners else self.manner
+        status = self.declines(arrival, manner)
+        if status:
+            yield from self.decline(exchange, arrival, status)
+            return
+        why = "hanging" if manner == HANGING else (yield from self.enter(until))
+        if why == "hanging" or (why == "full" and self.service.hangs):
+            yield from self.scheduler.pause(FOREVER)
+            return
+        if why:
+            yield from self.decline(exchange, arrival, 503)
+            return
+        try:
+            yield from self.run(exchange, arrival, manner, until)
+        finally:
+            self.leave()
+
+    def declines(self, arrival: Arrival, manner: str) -> int:
+        """The status with which an order is turned away unrun, or 0."""
+        if arrival.expected and arrival.expected != self.identifier:
+            return 421
+        if not arrival.identity and arrival.method != "GET":
+            return 400
+        if manner == LIMITED or self.service.over_rate(self.scheduler.now()):
+            return 429
+        return 503 if manner == FULL else 0
+
+    def decline(self, exchange: Exchange, arrival: Arrival, status: int) -> Step[None]:
+        dialect = self.words.dialect
+        arrival.status = status
+        fields = self.named(arrival)
+        fields.append((dialect.not_run, b"1"))
+        if status == 421:
+            fields.append((self.words.life, self.identifier.encode()))
+        if status in (429, 503):
+            fields.append((b"Retry-After", b"0.05"))
+        if self.draining:
+            exchange.keep = False
+        yield from exchange.answer(status, fields, b"")
+
+    def named(self, arrival: Arrival) -> Fields:
+        """Fields of every answer: whose it is, and how long the link is kept."""
+        fields: Fields = [(b"Keep-Alive", b"timeout=%d" % self.service.idle_seconds)]
+        if arrival.identity:
+            fields.append((self.words.dialect.identity, arrival.identity.encode("latin-1")))
+        return fields
+
+    def tell_fitness(self, exchange: Exchange, until: float) -> Step[None]:
+        why = yield from self.enter(min(until, self.scheduler.now() + 1.0))
+        if not why:
+            self.leave()
+        fine = not why and not self.draining
+        yield from exchange.answer(200 if fine else 503, [
+            (self.words.life, self.identifier.encode())], b"")
+
+    # Slots.
+
+    def enter(self, until: float) -> Step[str]:
+        """Empty once a slot is had; else why none was."""
+        if self.working < self.service.slots:
+            self.working += 1
+            return ""
+        if len(self.waiting) >= self.service.queue:
+            return "full"
+        box: Mailbox[bool] = Mailbox(self.scheduler)
+        self.waiting.append(box)
+        try:
+            found = yield from box.take(max(0.0, until - self.scheduler.now()))
+        finally:
+            if box in self.waiting:
+                self.waiting.remove(box)
+        return "" if found else "late"
+
+    def leave(self) -> None:
+        if self.waiting:
+            self.waiting.popleft().put(True)
+        else:
+            self.working -= 1
+
+    # Running.
+
+    def run(self, exchange: Exchange, arrival: Arrival, manner: str, until: float) -> Step[None]:
+        arrival.ran = True
+        now = self.scheduler.now()
+        cold = COLD_FACTOR if now < self.cold_until else 1.0
+        end = now + self.service.work_seconds * self.speed * cold * (
+            0.7 + 0.6 * self.random.random())
+        while self.scheduler.now() < end:
+            yield from self.scheduler.pause(min(0.05, end - self.scheduler.now() + 1e-6))
+            if exchange.left:
+                return
+            if self.scheduler.now() >= until:
+                arrival.status = 504
+                yield from exchange.answer(504, self.named(arrival), b"too late\n")
+                return
+        if manner == LOST:
+            exchange.cut()
+            return
+        if manner == WRONG:
+            exchange.link.write(b"\x16\x03\x01 not an answer\r\n\r\n")
+            yield from exchange.link.drain(0, 5.0)
+            exchange.cut()
+            return
+        if manner in (FAILING, VAGUE):
+            arrival.status = 500 if manner == FAILING else 503
+            yield from exchange.answer(arrival.status, self.named(arrival), b"broken\n")
+            return
+        yield from self.give(exchange, arrival, manner)
+
+    def give(self, exchange: Exchange, arrival: Arrival, manner: str) -> Step[None]:
+        """The object, as it now is."""
+        status, fields, body = self.object_for(exchange, arrival)
+        if manner != UNSEALED:
+            revision = self.service.objects.revision(arrival.target)
+            fields.append((self.words.dialect.seal, self.service.seal(arrival.target, revision)))
+        arrival.status = status
+        if manner == CLOSING or self.draining:
+            exchange.keep = False
+        if manner == TWIN:
+            self.late[exchange.link] = raw_answer(status, fields, body)
+        exchange.begin(status, b"", fields, None if status == 304 else len(body))
+        sent = body[:len(body) // 2] if manner == CUT else body
+        if manner == BEHIND:
+            sent += TAIL
+        yield from exchange.send(sent, 30.0)
+        if manner == CUT:
+            yield from exchange.link.drain(0, 5.0)
+            exchange.cut()
+        else:
+            exchange.finish()
+
+    def object_for(self, exchange: Exchange, arrival: Arrival) -> tuple[int, Fields, bytes]:
+        """Status, fields and body of an object: whole, one range of it, or not changed."""
+        revision = self.service.objects.revision(arrival.target)
+        body = self.service.body(arrival.target, revision)
+        tag = b'"r%d"' % revision
+        fields = [*self.named(arrival), (b"ETag", tag),
+                  (self.words.dialect.labels, labels_of(arrival.target).encode())]
+        given = exchange.head.fields
+        if field(given, b"if-none-match") == tag:
+            return 304, fields, b""
+        asked = field(given, b"range") or b""
+        first, dash, last = asked.removeprefix(b"bytes=").partition(b"-")
+        if not asked.startswith(b"bytes=") or not dash or not first.isdigit():
+            return 200, fields, body
+        start = int(first)
+        if start >= len(body):
+            return 416, [*fields, (b"Content-Range", b"bytes */%d" % len(body))], b""
+        end = min(len(body), int(last) + 1) if last.isdigit() else len(body)
+        fields.append((b"Content-Range", b"bytes %d-%d/%d" % (start, end - 1, len(body))))
+        return 206, fields, body[start:end]
+
+
+def labels_of(target: str) -> str:
+    """The labels of an object: its shelf, which several share, and its own."""
+    parts = target.partition("?")[0].split("/")
+    return f"shelf-{parts[1] if len(parts) > 1 else ''} own{target.replace('/', '-')}"
+
+
+def raw_answer(status: int, fields: Fields, body: bytes) -> bytes:
+    lines = [b"HTTP/1.1 %d OK" % status, *(name + b": " + value for name, value in fields),
+             b"Content-Length: %d" % len(body)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Landlord:
+    """The platform's list: pages, a rate for all who call together, and a lag."""
+
+    __slots__ = ("address", "calls", "cut_pages", "declined", "door", "lag", "lives", "page_size",
+                 "rate", "raw", "scheduler", "shown", "silent", "taken", "words")
+
+    def __init__(self, scheduler: Scheduler, network: Network, log: Log, words: Words,
+                 address: str, lag: float = 0.8, rate: float = 50.0, page_size: int = 50) -> None:
+        self.scheduler = scheduler
+        self.words = words
+        self.lag = lag
+        self.rate = rate
+        self.page_size = page_size
+        self.lives: dict[str, ServerLife] = {}
+        self.shown: list[tuple[float, str, str]] = []
+        self.taken: deque[float] = deque()
+        self.calls = 0
+        self.declined = 0
+        self.silent = False
+        self.cut_pages: set[int] = set()
+        self.raw: bytes | None = None
+        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000),
+                             self.serve)
+        self.address = self.door.address
+
+    # What happens to servers; the list shows it later.
+
+    def show(self, life: ServerLife) -> None:
+        self.lives[life.identifier] = life
+        self.shown.append((self.scheduler.now(), life.identifier, "ready"))
+
+    def drain(self, life: ServerLife) -> None:
+        """A server is told to leave; it goes on serving what comes."""
+        life.draining = True
+        self.shown.append((self.scheduler.now(), life.identifier, "draining"))
+
+    def end(self, life: ServerLife) -> None:
+        """A server ends in order."""
+        life.close()
+        self.shown.append((self.scheduler.now(), life.identifier, ""))
+
+    def crash(self, life: ServerLife, listed_seconds: float = 3.0) -> None:
+        """A server ends of itself and stays on the list for a while."""
+        life.close()
+        self.shown.append((self.scheduler.now() + listed_seconds, life.identifier, ""))
+
+    # What is shown.
+
+    def states(self) -> dict[str, str]:
+        """The state of each server as the list has it now, which is as it was a while ago."""
+        then = self.scheduler.now() - self.lag
+        found: dict[str, str] = {}
+        for when, identifier, state in sorted(self.shown, key=lambda change: change[0]):
+            if when <= then:
+                found.pop(identifier, None)
+                if state:
+                    found[identifier] = state
+        return found
+
+    def over_rate(self) -> bool:
+        now = self.scheduler.now()
+        while self.taken and self.taken[0] <= now - 1.0:
+            self.taken.popleft()
+        self.taken.append(now)
+        return len(self.taken) > self.rate
+
+    def serve(self, exchange: Exchange) -> Step[None]:
+        self.calls += 1
+        if self.silent:
+            yield from self.scheduler.pause(FOREVER)
+            return
+        path, _, query = exchange.head.target.decode("latin-1").partition("?")
+        if path != self.words.listing:
+            yield from exchange.answer(404, [], b"")
+            return
+        if self.over_rate():
+            self.declined += 1
+            yield from exchange.answer(429, [(b"Retry-After", b"0.5")], b"")
+            return
+        asked = parse_qs(query)
+        token = asked.get(self.words.page, [""])[0]
+        start = int(token.removeprefix("p-")) if token else 0
+        if start // self.page_size in self.cut_pages:
+            exchange.cut()
+            return
+        body = self.raw if self.raw is not None else self.page(start, asked.get("zone", [""])[0])
+        yield from exchange.answer(200, [(b"Content-Type", b"application/json")], body)
+
+    def page(self, start: int, zone: str) -> bytes:
+        now = self.scheduler.now()
+        states = {identifier: state for identifier, state in sorted(self.states().items())
+                  if not zone or self.lives[identifier].zone == zone}
+        names = list(states)[start:start + self.page_size]
+        entries: dict[str, Plain] = {}
+        for identifier in names:
+            life = self.lives[identifier]
+            cold = max(0.0, life.cold_until - now) * 1000
+            entries[identifier] = self.words.describe(life, states[identifier] != "ready", cold)
+        following = start + self.page_size
+        token = f"p-{following}" if following < len(states) else None
+        return json.dumps(self.words.table(entries, token)).encode()
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -234,6 +234,7 @@
 
 
 Act = Callable[[], None]
+Build = Callable[[], ControlNode | TrafficNode]
 
 
 class World:
@@ -267,11 +268,15 @@
         return node
 
     def start_daemon(self, node: SimNode, role: str, plain: dict[str, object]) -> None:
-        """Start a role on a node, as the program does; a crash while starting ends it."""
-        node.begin()
+        """Start a role on a node, as the program does."""
         env = read_env(role, "", plain)
+        self.start_built(node, lambda: self.build(node, role, env))
+
+    def start_built(self, node: SimNode, build: Build) -> None:
+        """Start whatever `build` makes on a fresh node; a crash while starting ends it."""
+        node.begin()
         try:
-            node.inner = self.build(node, role, env)
+            node.inner = build()
             node.inner.start()
         except Crash:
             self.kill(node.name)
@@ -279,6 +284,10 @@
     def build(self, node: SimNode, role: str, env: Env) -> ControlNode | TrafficNode:
         if role != "core":
             return TrafficNode(role, env, node.scheduler, node.network, node.log, node.random)
+        return self.open_control(node, env)
+
+    def open_control(self, node: SimNode, env: Env) -> ControlNode:
+        """A control node on the disk of its machine."""
         if node.folder is None:
             node.folder = SimFolder()
         node.folder.node = node
--- /dev/null
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -0,0 +1,313 @@
+"""Who calls at a platform's edges: callers by their rules, the entrance that sends them, operators.
+
+Every try of a caller has an identity of its own and stands in its notes with all that came
+back. `broken` holds notes and servers' histories against each other; nothing of the system's
+own word is asked.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from ryelock.exchange import Fields, Reader, call, field, read_answer, send_order
+from ryelock.exchange.heads import FramingError
+from ryelock.exchange.reading import Cut, Late
+from ryelock.loop import Link, Network, Scheduler, Step
+from ryelock.proving.landlord import Arrival, ServiceStandIn, Words
+
+SAFE, UNSAFE, CACHEABLE = "safe", "unsafe", "cacheable"
+PROMISES = (408, 421, 429, 503)
+FINAL = (400, 401, 404, 413, 431)
+OPERATOR_FINAL = (200, 400, 409, 412, 413, 422)
+TRIES_MOST = 4
+MISSED_MOST = 2
+
+
+class Note:
+    """One try of a caller and what it was told."""
+
+    __slots__ = ("at", "body", "deadline", "edge", "end", "fields", "host", "identity", "kind",
+                 "method", "order", "said", "seconds", "status", "target", "whole")
+
+    def __init__(self, at: float, edge: str, kind: str, method: str, host: str, target: str,
+                 identity: str, body: bytes, deadline: float) -> None:
+        self.at = at
+        self.edge = edge
+        self.kind = kind
+        self.method = method
+        self.host = host
+        self.target = target
+        self.identity = identity
+        self.order = identity.rpartition("-")[0]
+        self.body = body
+        self.deadline = deadline
+        self.status = 0
+        self.fields: Fields = []
+        self.said = b""
+        self.whole = False
+        self.end = ""
+        self.seconds = 0.0
+
+    @property
+    def served(self) -> bool:
+        return self.whole and 200 <= self.status < 300
+
+    def field(self, name: bytes) -> bytes | None:
+        return field(self.fields, name.lower())
+
+
+class Entrance:
+    """Asks nodes every second whether they are ready, and hands callers to those that are."""
+
+    __slots__ = ("asked", "fronts", "missed", "network", "readiness", "scheduler", "zones")
+
+    def __init__(self, scheduler: Scheduler, network: Network) -> None:
+        self.scheduler = scheduler
+        self.network = network
+        self.fronts: dict[str, str] = {}
+        self.readiness: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
+        self.missed: dict[str, int] = {}
+        self.asked = 0
+
+    def add(self, name: str, zone: str, front: str, readiness: str) -> None:
+        self.fronts[name], self.readiness[name], self.zones[name] = front, readiness, zone
+        self.missed[name] = MISSED_MOST
+
+    def work(self) -> Step[None]:
+        while True:
+            for name in self.fronts:
+                self.scheduler.spawn(f"asks {name}", self.ask(name))
+            yield from self.scheduler.pause(1.0)
+
+    def ask(self, name: str) -> Step[None]:
+        found = yield from call(self.scheduler, self.network, self.readiness[name], b"GET",
+                                b"/readiness", [], b"", 0.9)
+        self.asked += 1
+        ready = found.is_ok() and found.ok[0].status == 200
+        self.missed[name] = 0 if ready else self.missed[name] + 1
+
+    def taken(self, zone: str) -> list[str]:
+        """The nodes that get a zone's callers: the ready ones, all where too few are."""
+        mine = [name for name, other in self.zones.items() if other == zone]
+        ready = [name for name in mine if self.missed[name] < MISSED_MOST]
+        if not ready:
+            return [name for name in self.zones if self.missed[name] < MISSED_MOST] or mine
+        return ready if len(ready) * 2 >= len(mine) else mine
+
+
+class Client:
+    """One caller; its first try may go over a kept link, each other over a new one."""
+
+    __slots__ = ("count", "entrance", "link", "name", "network", "notes", "random", "reader",
+                 "scheduler", "words", "zone")
+
+    def __init__(self, scheduler: Scheduler, network: Network, words: Words, entrance: Entrance,
+                 name: str, zone: str, notes: list[Note], seed: int = 0) -> None:
+        self.scheduler = scheduler
+        self.network = network
+        self.words = words
+        self.entrance = entrance
+        self.name = name
+        self.zone = zone
+        self.notes = notes
+        self.random = Random(f"client {seed} {name}")
+        self.count = 0
+        self.link: Link | None = None
+        self.reader: Reader | None = None
+
+    def close(self) -> None:
+        if self.link is not None:
+            self.link.close()
+            self.link = None
+
+    def order(self, kind: str, method: str, host: str, target: str, body: bytes = b"",
+              deadline: float = 1.0, fields: Fields | None = None, tries: int = TRIES_MOST,
+              edge: str = "") -> Step[Note]:
+        """One order and its further tries by the rules; the last try's note."""
+        self.count += 1
+        order = f"{self.name}.{self.count}"
+        until = self.scheduler.now() + deadline
+        number = 0
+        while True:
+            number += 1
+            now = self.scheduler.now()
+            name = edge or self.random.choice(self.entrance.taken(self.zone))
+            note = Note(now, name, kind, method, host, target, f"{order}-{number}", body,
+                        until - now)
+            self.notes.append(note)
+            yield from self.one_try(note, until, fields or [])
+            note.seconds = self.scheduler.now() - now
+            left = until - self.scheduler.now()
+            if number >= tries or left <= 0.01 or not self.may_try_again(note):
+                return note
+            back = float(note.field(b"retry-after") or b"0.01")
+            yield from self.scheduler.pause(min(back, left / 3))
+
+    def may_try_again(self, note: Note) -> bool:
+        if note.whole and (200 <= note.status < 400 or note.status in FINAL):
+            return False
+        if note.kind == UNSAFE:
+            return (note.whole and note.status in PROMISES) or note.end == "no link"
+        return True
+
+    def one_try(self, note: Note, until: float, given: Fields) -> Step[None]:
+        front = self.entrance.fronts[note.edge]
+        link, reader = self.link, self.reader
+        if link is None or reader is None or link.ended or link.peer != front:
+            self.close()
+            link = self.link = self.network.connect(front)
+            reader = self.reader = Reader(self.scheduler, link)
+            if not (yield from link.open(min(1.0, max(0.0, until - self.scheduler.now())))):
+                note.end = "no link"
+                self.close()
+                return
+        dialect = self.words.dialect
+        left = max(1, int((until - self.scheduler.now()) * 1000))
+        send_order(link, note.method.encode(), note.target.encode(), [
+            (b"Host", note.host.encode()), (dialect.identity, note.identity.encode()),
+            (dialect.deadline, b"%d" % left), *given], note.body)
+        try:
+            found = yield from read_answer(reader, note.method.encode(), 65_536, until)
+            if found.is_error():
+                note.end = found.error.reason
+                self.close()
+                return
+            answer = found.ok
+            note.status, note.fields = answer.head.status, answer.head.fields
+            note.said = yield from answer.body.whole(1 << 24, until)
+            note.whole = True
+            note.end = "whole"
+            if not answer.keep or not 200 <= note.status < 300:
+                self.close()
+        except (Cut, Late, FramingError) as error:
+            note.end = type(error).__name__
+            self.close()
+
+
+class OperatorCaller:
+    """Sends what it sends unchanged, to any node, until it gets a clear answer."""
+
+    __slots__ = ("network", "nodes", "random", "scheduler")
+
+    def __init__(self, scheduler: Scheduler, network: Network, seed: int = 0) -> None:
+        self.scheduler = scheduler
+        self.network = network
+        self.nodes: list[str] = []
+        self.random = Random(f"operator {seed}")
+
+    def once(self, node: str, method: bytes, place: bytes, fields: Fields,
+             body: bytes) -> Step[tuple[int, bytes]]:
+        found = yield from call(self.scheduler, self.network, node, method, place, fields, body,
+                                5.0)
+        return (found.ok[0].status, found.ok[1]) if found.is_ok() else (0, b"")
+
+    def send(self, method: bytes, place: bytes, fields: Fields, body: bytes = b"",
+             seconds: float = 20.0) -> Step[tuple[int, bytes]]:
+        until = self.scheduler.now() + seconds
+        pause = 0.1
+        status, said = 0, b""
+        while self.scheduler.now() < until:
+            node = self.random.choice(self.nodes)
+            status, said = yield from self.once(node, method, place, fields, body)
+            if status in OPERATOR_FINAL:
+                break
+            yield from self.scheduler.pause(pause)
+            pause = min(1.0, pause * 2)
+        return status, said
+
+
+Allowed = Callable[[Note], set[str]]
+
+
+def broken(notes: list[Note], arrivals: list[Arrival], services: dict[str, ServiceStandIn],
+           words: Words, allowed: Allowed) -> list[str]:
+    """What of the rules on orders and answers is broken; empty where all held."""
+    found: list[str] = []
+    sent = {note.identity: note for note in notes}
+    runs: dict[str, int] = {}
+    for arrival in arrivals:
+        if not arrival.ran:
+            continue
+        note = sent.get(arrival.identity)
+        if note is None:
+            if arrival.method != "GET":
+                found.append(f"unasked: {arrival.identity!r} was run and nobody sent it")
+            continue
+        runs[note.identity] = runs.get(note.identity, 0) + 1
+        if (arrival.method, arrival.target, arrival.body) != (note.method, note.target, note.body):
+            found.append(f"unasked: {note.identity} was changed on its way")
+        if arrival.service not in allowed(note):
+            found.append(f"route: {note.identity} was run by {arrival.service}")
+        if note.kind == UNSAFE and arrival.at - 1.0 > note.at + note.deadline:
+            found.append(f"late: {note.identity} was run long after its caller left")
+    for note in notes:
+        if note.kind == UNSAFE and runs.get(note.identity, 0) > 1:
+            found.append(f"twice: {note.identity} ran {runs[note.identity]} times")
+        if note.kind == UNSAFE and note.status in PROMISES and runs.get(note.identity):
+            found.append(f"promised: {note.identity} was told {note.status} and has run")
+        if note.served:
+            found += mixed(note, services, words, allowed(note))
+    return found
+
+
+def mixed(note: Note, services: dict[str, ServiceStandIn], words: Words,
+          allowed: set[str]) -> list[str]:
+    """Faults of one success: whose it is, its mark, and every byte of it."""
+    if note.field(words.dialect.identity) != note.identity.encode():
+        return [f"mixed: {note.identity} got an answer of another order"]
+    seal = note.field(words.dialect.seal)
+    if seal is None:
+        return [f"mixed: {note.identity} got a success without its mark"]
+    if note.field(b"content-encoding") is not None:
+        return [f"mixed: {note.identity} got bytes that are encoded"]
+    revision = seal.partition(b".")[0]
+    if not revision.isdigit():
+        return [f"mixed: {note.identity} got a mark of nobody's"]
+    for name in sorted(allowed):
+        service = services[name]
+        if service.seal(note.target, int(revision)) == seal:
+            body = service.body(note.target, int(revision))
+            place = (note.field(b"content-range") or b"").removeprefix(b"bytes ")
+            first, _, rest = place.partition(b"-")
+            if note.status == 206:
+                body = body[int(first):int(rest.partition(b"/")[0]) + 1]
+            return [] if body == note.said else [f"mixed: {note.identity} got other bytes"]
+    return [f"mixed: {note.identity} got another service's answer"]
+
+
+def over_ceiling(arrivals: list[Arrival], service: str, rate: float, seconds: float = 5.0,
+                 overshoot: float = 1.1) -> list[str]:
+    """Spans in which a service got more orders than its rate allows."""
+    times = sorted(arrival.at for arrival in arrivals if arrival.service == service)
+    most = rate * seconds * overshoot + 5
+    found: list[str] = []
+    first = 0
+    for number, at in enumerate(times):
+        while times[first] <= at - seconds:
+            first += 1
+        if number - first + 1 > most:
+            found.append(f"ceiling: {number - first + 1} orders to {service} until {at:.2f}")
+    return found[:3]
+
+
+def over_budget(notes: list[Note], arrivals: list[Arrival], service: str,
+                routed: Callable[[Note], set[str]], ratio: float = 0.2, slack: float = 68,
+                seconds: float = 10.0) -> list[str]:
+    """Spans in which a service got more repeats than a part of its callers' orders allows."""
+    seen: set[str] = set()
+    repeats: list[float] = []
+    for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
+        if arrival.service != service:
+            continue
+        if arrival.identity in seen:
+            repeats.append(arrival.at)
+        seen.add(arrival.identity)
+    sent = sorted(note.at for note in notes if service in routed(note))
+    found: list[str] = []
+    for until in repeats:
+        count = sum(until - seconds < at <= until for at in repeats)
+        orders = max(sum(until - seconds - back < at <= until - back for at in sent)
+                     for back in (0.0, seconds / 2, seconds))
+        if count > ratio * orders + slack:
+            found.append(f"budget: {count} repeats to {service} until {until:.2f}, {orders} orders")
+    return found[:3]
