--- /dev/null
+++ b/tests/test_platform_configuration.py
@@ -0,0 +1,350 @@
+"""What the platform's operators send is read back as it was sent, once it was taken, or not at all.
+
+Everything goes over simulated links to the addresses that operators call, on one deployment of
+three zones.
+"""
+
+import json
+from collections.abc import Callable
+from copy import deepcopy
+from typing import Any
+
+import testtools
+
+from premises import LIMITS, Premises, first_configuration, route, service_item
+from ryelock.loop import Step
+from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE
+
+
+def whole(version: Any, **more: Any) -> dict[str, Any]:
+    """A proper configuration under a version."""
+    plain: dict[str, Any] = first_configuration(["pages", "desks"])
+    return {**deepcopy(plain), "version": version, **more}
+
+
+def with_route(version: str, **changed: Any) -> dict[str, Any]:
+    plain = whole(version)
+    plain["routes"][0] = {**plain["routes"][0], **changed}
+    return plain
+
+
+def without(version: str, part: str, key: str) -> dict[str, Any]:
+    plain = whole(version)
+    del plain[part][0][key]
+    return plain
+
+
+SPLIT = [{"service": "pages", "weight": 90}, {"service": "desks", "weight": 10}]
+INVALID: dict[str, object] = {
+    "cut_short": json.dumps(whole("r9")).encode()[:-20],
+    "empty": b"",
+    "a_list": [whole("r9")],
+    "a_text": b'"r9"',
+    "no_text_at_all": b"\xff\xfe\x00{",
+    "unknown_service": with_route("r9", service="nobody"),
+    "unknown_service_in_a_split": with_route("r9", weighted_split=[
+        {"service": "pages", "weight": 1}, {"service": "nobody", "weight": 1}]),
+    "unknown_service_of_no_weight": with_route("r9", weighted_split=[
+        {"service": "pages", "weight": 1}, {"service": "nobody", "weight": 0}]),
+    "weight_below_0": with_route("r9", weighted_split=[
+        {"service": "pages", "weight": 3}, {"service": "desks", "weight": -1}]),
+    "weight_below_0_of_one_service_twice": with_route("r9", weighted_split=[
+        {"service": "pages", "weight": 3}, {"service": "pages", "weight": -1}]),
+    "weights_of_0": with_route("r9", weighted_split=[
+        {"service": "pages", "weight": 0}, {"service": "desks", "weight": 0}]),
+    "no_weights": with_route("r9", weighted_split=[]),
+    "weight_that_is_text": with_route("r9", weighted_split=[{"service": "pages", "weight": "1"}]),
+    "prefix_without_slash": with_route("r9", path_prefix="plain/"),
+    "empty_prefix": with_route("r9", path_prefix=""),
+    "kind_that_is_none": with_route("r9", kind="perhaps"),
+    "time_out_that_is_text": with_route("r9", timeout_ms="800"),
+    "no_kind": without("r9", "routes", "kind"),
+    "no_service": without("r9", "routes", "service"),
+    "no_name": without("r9", "services", "name"),
+    "old_version": whole("r4"),
+    "same_version": whole("r5"),
+    "version_without_r": whole("9"),
+    "version_without_number": whole("r"),
+    "version_of_letters": whole("rnine"),
+    "version_below_0": whole("r-9"),
+    "version_that_is_a_number": whole(9),
+    "version_that_is_null": whole(None),
+    "no_version": {key: value for key, value in whole("r9").items() if key != "version"},
+    "twin_routes": whole("r9", routes=[route("one", "/one/"), route("one", "/two/")]),
+    "twin_services": whole("r9", services=[
+        service_item("pages"), service_item("desks"), service_item("pages")]),
+    "twin_keys": json.dumps(whole("r9")).encode().replace(
+        b'"version": "r9"', b'"version": "r9", "version": "r9"'),
+    "twin_keys_of_an_item": json.dumps(whole("r9")).encode().replace(
+        b'"kind": "safe"', b'"kind": "safe", "kind": "unsafe"'),
+    "routes_that_are_no_list": whole("r9", routes={}),
+    "an_item_that_is_no_object": whole("r9", routes=["plain"]),
+    "limits_that_are_no_object": whole("r9", limits=[1]),
+    "deep": b'{"version":"r9","routes":' + b"[" * 100_000,
+    "number_that_is_none": json.dumps(whole("r9")).encode().replace(b"1500", b"NaN"),
+    "number_without_end": json.dumps(whole("r9")).encode().replace(b"1500", b"1e999"),
+    "number_that_is_none_in_an_unknown_field": json.dumps(whole("r9", later=1)).encode().replace(
+        b'"later": 1', b'"later": NaN'),
+    "version_of_raised_digits": whole("r\u00b2"),
+    "version_of_too_many_digits": whole("r" + "9" * 5000),
+}
+
+
+class ConfigurationTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.premises = Premises(11, edges=1).set_up()
+
+    def assert_read(self, expected: object) -> None:
+        """What is read is what was sent: the same numbers, in the same order, written alike."""
+        self.assertEqual(json.dumps(expected, indent=1), json.dumps(self.premises.read(), indent=1))
+
+    def served(self, target: str, kind: str = SAFE) -> int:
+        return self.premises.ask(kind, "GET", target).status
+
+    def test_the_first_configuration_is_read_back_as_sent_from_every_node(self) -> None:
+        sent = self.premises.configuration
+        nodes = list(self.premises.operator.nodes)
+        self.assertEqual(3, len(nodes))
+        for node in nodes:
+            self.premises.operator.nodes = [node]
+            found = self.premises.read()
+            self.assertEqual(sent, found)
+
+    def test_numbers_orders_and_unknown_fields_come_back_as_sent(self) -> None:
+        sent = {
+            "limits": {**LIMITS, "body_bytes": 1048576, "later": [1, {"b": 1, "a": 2.50}]},
+            "services": [service_item("zeta", rate_per_s=1400.0, later={"z": None, "a": True}),
+                         service_item("pages", rate_per_s=2, tls=True), service_item("alpha")],
+            "later": {"two": 2, "one": 1.0},
+            "routes": [
+                route("z", "/z/", CACHEABLE, cache_lifetime_s=20, later="\u00e4\u20ac\"\\/"),
+                route("m", "/m/", weighted_split=[{"service": "zeta", "weight": 1, "later": 0},
+                                                  {"service": "alpha", "weight": 2.5}]),
+                route("a", "/", UNSAFE, "zeta", timeout_ms=800.5, target_ms=100.0, tags=[3, 2, 1]),
+            ],
+            "version": "r1000007"}
+        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
+        found = self.premises.read()
+        self.assertEqual(sent, found)
+        for part in ("routes", "services", "limits", "later"):
+            self.assertEqual(json.dumps(sent[part]), json.dumps(found[part]), part)
+
+    def test_whole_and_broken_numbers_are_told_apart_when_read(self) -> None:
+        sent = with_route("r6", timeout_ms=800, target_ms=100.0)
+        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
+        found: Any = self.premises.read()
+        self.assertEqual("[800, 100.0]", json.dumps([found["routes"][0]["timeout_ms"],
+                                                     found["routes"][0]["target_ms"]]))
+
+    def test_an_amendment_changes_the_named_items_and_no_others(self) -> None:
+        added = route("new", "/new/", service="desks", later=[1.0])
+        changed = route("plain", "/plain/", CACHEABLE, "desks", cache_lifetime_s=3)
+        self.assertEqual(200, self.premises.amend({
+            "version": "r40", "upsert": {"routes": [changed, added],
+                                         "services": [service_item("extra", rate_per_s=5.0)]},
+            "remove": {"routes": ["covers"]}}, "r5")[0])
+        found: Any = self.premises.read()
+        self.assertEqual("r40", found["version"])
+        self.assertEqual(LIMITS, found["limits"])
+        before: Any = self.premises.configuration
+        kept = {item["name"]: item for item in before["routes"]}
+        expected = {"plain": changed, "orders": kept["orders"], "new": added}
+        self.assertEqual(expected, {item["name"]: item for item in found["routes"]})
+        self.assertEqual({"pages", "desks", "extra"}, {item["name"] for item in found["services"]})
+        self.assertEqual(len(found["routes"]), 3)
+        self.assertEqual(len(found["services"]), 3)
+
+    def test_a_removed_route_and_its_service_go_in_one_amendment(self) -> None:
+        self.assertEqual(200, self.premises.amend({
+            "version": "r6", "remove": {"routes": ["orders"], "services": ["desks"]}}, "r5")[0])
+        self.premises.world.run(1)
+        self.assertEqual(404, self.premises.ask(UNSAFE, "POST", "/orders/1").status)
+        self.assertEqual(200, self.served("/plain/1"))
+
+    def test_an_amendment_that_leaves_a_route_without_service_is_invalid(self) -> None:
+        status, _ = self.premises.amend({"version": "r6", "remove": {"services": ["pages"]}}, "r5")
+        self.assertEqual(400, status)
+        self.assert_read(self.premises.configuration)
+
+    def test_an_amendment_of_limits_is_read_back(self) -> None:
+        limits = {**LIMITS, "idle_timeout_ms": 9000, "later": 1}
+        self.assertEqual(200, self.premises.amend({
+            "version": "r6", "upsert": {"limits": limits}}, "r5")[0])
+        self.assertEqual(limits, self.premises.read()["limits"])
+
+    def test_versions_rise_with_gaps(self) -> None:
+        base = "r5"
+        for version in ("r6", "r9", "r1000", "r1000000000001"):
+            self.assertEqual(200, self.premises.replace(whole(version), base)[0], version)
+            self.assertEqual(version, self.premises.read()["version"])
+            base = version
+
+    def test_another_base_is_told_412_and_moves_nothing(self) -> None:
+        for base in ("0", "r0", "r4", "r6", "r100"):
+            status, _ = self.premises.replace(whole("r200", later=base), base)
+            self.assertEqual(412, status, base)
+            status, _ = self.premises.amend({"version": "r201", "remove": {"routes": ["plain"]}},
+                                            base)
+            self.assertEqual(412, status, base)
+        self.assert_read(self.premises.configuration)
+
+    def test_the_same_bytes_again_are_told_200_from_any_node_also_later(self) -> None:
+        first, second = whole("r7"), {"version": "r9", "remove": {"routes": ["covers"]}}
+        self.assertEqual(200, self.premises.replace(first, "r5")[0])
+        for node in self.premises.operator.nodes:
+            body = json.dumps(first).encode()
+            fields = [(b"Based-On-Version", b"r5")]
+            found = self.premises.world.task(self.premises.operator_node,
+                                             self.premises.operator.once(
+                node, b"POST", b"/configuration/replace", fields, body), 30)
+            self.assertEqual(200, found[0], node)
+        self.assertEqual(200, self.premises.amend(second, "r7")[0])
+        self.assertEqual(200, self.premises.replace(first, "r5")[0])
+        self.assertEqual(200, self.premises.amend(second, "r7")[0])
+        self.assertEqual("r9", self.premises.read()["version"])
+
+    def test_the_same_number_with_other_bytes_is_not_taken_for_the_same(self) -> None:
+        self.assertEqual(200, self.premises.replace(whole("r7"), "r5")[0])
+        status, _ = self.premises.replace(whole("r7", later=1), "r5")
+        self.assertIn(status, (400, 412))
+        self.assertEqual(whole("r7"), self.premises.read())
+
+    def test_a_taken_change_outlives_all_processes(self) -> None:
+        sent = with_route("r8", timeout_ms=777)
+        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
+        for name in self.premises.cores + self.premises.edges:
+            self.premises.kill(name, True)
+        self.premises.world.run(1)
+        for name in self.premises.cores + self.premises.edges:
+            self.premises.start(name)
+        self.premises.world.run(6)
+        self.assertEqual(sent, self.premises.read())
+        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
+        self.assertEqual(412, self.premises.replace(whole("r9"), "r5")[0])
+        self.assertEqual(200, self.served("/plain/1"))
+
+    def test_a_missing_base_is_declined(self) -> None:
+        for base in ("", "r", "x5", "5.0", "-5", "r5 r5"):
+            status, _ = self.premises.replace(whole("r9"), base)
+            self.assertEqual(400, status, base)
+        self.assert_read(self.premises.configuration)
+
+    def test_a_base_of_raised_digits_is_declined(self) -> None:
+        fields = [(b"Based-On-Version", b"\xb2")]
+        found = self.premises.world.task(self.premises.operator_node, self.premises.operator.once(
+            self.premises.operator.nodes[0], b"POST", b"/configuration/replace", fields,
+            json.dumps(whole("r9")).encode()), 30)
+        self.assertEqual(400, found[0])
+        self.assertEqual([], self.premises.world.faults)
+
+    def test_purges_that_name_nothing_are_declined(self) -> None:
+        for body in (b"", b"{}", b"[]", b'{"host":"a"}', b'{"path":"/a"}', b'{"label":""}',
+                     b'{"label":3}', b'{"host":"a","path":"b"}', b'{"host":3,"path":"/b"}'):
+            status, _ = self.premises.operate(b"POST", b"/purges", [], body)
+            self.assertEqual(400, status, str(body))
+
+    def test_what_is_no_place_is_404(self) -> None:
+        for method, place in ((b"GET", b"/configuration"), (b"POST", b"/configuration/read"),
+                              (b"GET", b"/purges"), (b"POST", b"/")):
+            found = self.premises.world.task(self.premises.operator_node,
+                                             self.premises.operator.once(
+                self.premises.operator.nodes[0], method, place, [], b""), 30)
+            self.assertEqual(404, found[0], str(place))
+
+    def test_a_change_is_in_force_at_every_edge_once_it_is_acknowledged(self) -> None:
+        self.assertEqual(200, self.premises.amend({
+            "version": "r6", "upsert": {"routes": [route("new", "/new/")]},
+            "remove": {"routes": ["plain"]}}, "r5")[0])
+        self.premises.configuration = self.premises.read()
+        for edge in self.premises.edges:
+            self.assertEqual(200, self.premises.ask(SAFE, "GET", "/new/1", edge=edge).status)
+            self.assertEqual(404, self.premises.ask(SAFE, "GET", "/plain/1", edge=edge).status)
+        self.assertEqual([], self.premises.broken())
+
+
+class InvalidTests(testtools.TestCase):
+    """One test for each body that is no configuration."""
+
+
+def declined(name: str, sent: object) -> Callable[[InvalidTests], None]:
+    def test(case: InvalidTests) -> None:
+        premises = Premises(12, edges=1, servers=1).set_up()
+        status, _ = premises.replace(sent, "r5", 6.0)
+        case.assertEqual(400, status)
+        case.assertEqual(premises.configuration, premises.read())
+        case.assertEqual(200, premises.ask(SAFE, "GET", "/plain/1").status)
+        case.assertEqual([], premises.world.faults)
+        case.assertEqual(200, premises.replace(whole("r9"), "r5")[0])
+
+    return test
+
+
+for name, sent in INVALID.items():
+    setattr(InvalidTests, f"test_{name}_is_declined", declined(name, sent))
+
+
+class RaceTests(testtools.TestCase):
+    def race(self, seed: int, place: bytes, bodies: tuple[bytes, bytes]) -> tuple[int, Premises]:
+        """Two operators at once on one base; the one that was told 200."""
+        premises = Premises(seed, edges=1, servers=1).set_up()
+        told: list[int] = [0, 0]
+
+        def send(number: int) -> Step[None]:
+            told[number], _ = yield from premises.operator.send(
+                b"POST", place, [(b"Based-On-Version", b"r5")], bodies[number])
+
+        for number in (0, 1):
+            premises.operator_node.scheduler.spawn("operator", send(number))
+        premises.world.run(12)
+        self.assertEqual([200, 412], sorted(told), f"seed {seed}")
+        return told.index(200), premises
+
+    def test_of_two_replacements_on_one_base_exactly_one_is_taken(self) -> None:
+        plains = (whole("r8", later=0), with_route("r7", path_prefix="/other/"))
+        bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
+        for seed in range(21, 25):
+            winner, premises = self.race(seed, b"/configuration/replace", bodies)
+            self.assertEqual(plains[winner], premises.read())
+            status = premises.ask(SAFE, "GET", "/other/1").status
+            self.assertEqual(200 if winner else 404, status)
+
+    def test_of_two_amendments_on_one_base_exactly_one_is_taken(self) -> None:
+        plains = tuple({"version": f"r{8 + number}", "upsert": {
+            "routes": [route(f"new{number}", f"/new{number}/")]}} for number in (0, 1))
+        bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
+        for seed in range(31, 35):
+            winner, premises = self.race(seed, b"/configuration/amend", bodies)
+            found: Any = premises.read()
+            self.assertEqual(f"r{8 + winner}", found["version"])
+            names = {item["name"] for item in found["routes"]}
+            self.assertEqual({f"new{winner}"}, names & {"new0", "new1"})
+
+    def test_of_two_with_one_number_exactly_one_is_taken(self) -> None:
+        plains = (whole("r8", later=0), whole("r8", later=1))
+        bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
+        winner, premises = self.race(41, b"/configuration/replace", bodies)
+        self.assertEqual(plains[winner], premises.read())
+
+    def test_while_the_first_processes_are_killed_what_was_told_200_stays(self) -> None:
+        for seed in (51, 52, 53):
+            premises = Premises(seed, edges=1, servers=1).set_up()
+            sent = whole("r8", later=seed)
+            told: list[int] = []
+
+            def send(premises: Premises = premises, body: bytes = json.dumps(sent).encode(),
+                     told: list[int] = told) -> Step[None]:
+                status, _ = yield from premises.operator.send(
+                    b"POST", b"/configuration/replace", [(b"Based-On-Version", b"r5")], body, 30)
+                told.append(status)
+
+            premises.operator_node.scheduler.spawn("operator", send())
+            premises.world.run(0.01 * (seed - 50))
+            leader = next(name for name in premises.cores
+                          if premises.node(name).core.council.settled)
+            premises.kill(leader)
+            premises.world.run(1)
+            premises.start(leader)
+            premises.world.run(20)
+            self.assertEqual([200], told, f"seed {seed}")
+            self.assertEqual(sent, premises.read())
--- /dev/null
+++ b/tests/test_platform_listing.py
@@ -0,0 +1,214 @@
+"""The platform's list as the daemons read it: pages, rates, faults, lives of one address."""
+
+import json
+from typing import Any
+
+import testtools
+
+from premises import Premises
+from ryelock.core.platform import Listed
+from ryelock.proving.tenants import SAFE, UNSAFE
+from servers import Instances
+
+
+def entry(service: object = "pages", address: str = "10.128.0.1:8080", state: str = "ready",
+          **more: object) -> dict[str, object]:
+    return {"service": service, "address": address, "zone": "a", "version": "v1",
+            "slot_count": 8, "state": state, "cold_remaining_ms": 0, **more}
+
+
+def page(entries: object, token: object = None) -> bytes:
+    return json.dumps({"instances": entries, "next_token": token}).encode()
+
+
+class ReadingTests(testtools.TestCase):
+    """One reading of the list, page by page."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.premises = Premises(1, page_size=3)
+        self.premises.world.run(2)
+
+    def read(self, raw: bytes | None = None) -> Listed:
+        premises = self.premises
+        premises.landlord.raw = raw
+        node = premises.operator_node
+        return premises.world.task(node, Instances(
+            node.scheduler, node.network, premises.landlord.address).read(), 60)
+
+    def test_all_pages_make_one_listing(self) -> None:
+        found = self.read().ok
+        self.assertEqual(12, len(found))
+        self.assertEqual(4, self.premises.landlord.calls)
+        self.assertEqual(sorted((life.service.name, life.address, life.zone, name)
+                                for name, life in self.premises.servers.items()),
+                         sorted((server.service, server.address, server.zone, server.incarnation)
+                                for server in found))
+        self.assertEqual({8}, {server.slots for server in found})
+
+    def test_leaving_and_cold_servers_are_told(self) -> None:
+        lives = list(self.premises.servers.values())
+        self.premises.landlord.drain(lives[0])
+        lives[1].cold_until = self.premises.world.time + 10
+        self.premises.world.run(0.5)
+        self.assertFalse(any(server.leaving for server in self.read().ok))
+        self.premises.world.run(0.5)
+        found = {server.incarnation: server for server in self.read().ok}
+        self.assertTrue(found[lives[0].identifier].leaving)
+        self.assertTrue(found[lives[1].identifier].cold)
+        self.assertEqual(1, sum(server.leaving for server in found.values()))
+        self.assertEqual(1, sum(server.cold for server in found.values()))
+
+    def test_over_the_rate_nothing_is_learnt(self) -> None:
+        self.premises.landlord.rate = 2
+        found = self.read()
+        self.assertTrue(found.is_error())
+        self.assertTrue(found.error.missed)
+
+    def test_a_page_that_fails_fails_the_whole(self) -> None:
+        for number in range(4):
+            self.premises.landlord.cut_pages = {number}
+            found = self.read()
+            self.assertTrue(found.is_error(), number)
+            self.assertTrue(found.error.missed)
+        self.premises.landlord.cut_pages = {4}
+        self.assertTrue(self.read().is_ok())
+
+    def test_a_list_that_says_nothing_is_given_up_on(self) -> None:
+        self.premises.landlord.silent = True
+        before = self.premises.world.time
+        self.assertTrue(self.read().is_error())
+        self.assertLess(self.premises.world.time - before, 3)
+
+    def test_pages_without_an_end_are_given_up_on(self) -> None:
+        self.premises.landlord.rate = 1e9
+        self.assertTrue(self.read(page({}, "p-0")).is_error())
+
+    def test_an_empty_table_is_a_listing_without_servers(self) -> None:
+        self.assertEqual([], self.read(page({})).ok)
+
+    def test_unknown_fields_of_the_list_are_passed_over(self) -> None:
+        plain = {"instances": {"i-1": entry(moon="full")}, "next_token": None, "later": 1}
+        self.assertEqual(1, len(self.read(json.dumps(plain).encode()).ok))
+
+    def test_broken_pages_are_declined_whole(self) -> None:
+        good = entry(address="10.128.0.2:8080")
+        broken: list[Any] = [
+            3, None, [], entry(service=3), entry(service=""), entry(address="host:80"),
+            entry(address="10.128.0.1"), entry(address="10.128.0.1:99999"), entry(zone=None),
+            entry(slot_count=-1), entry(slot_count="8"), entry(slot_count=True),
+            entry(cold_remaining_ms="soon"), entry(cold_remaining_ms=None)]
+        for bad in broken:
+            found = self.read(page({"i-1": good, "i-2": bad}))
+            self.assertTrue(found.is_error(), repr(bad))
+            self.assertFalse(found.error.missed, repr(bad))
+        for raw in (b"", b"{", b"[]", b"3", b"\xff", page([]), page(None), page({}, 3),
+                    b'{"next_token":null}'):
+            found = self.read(raw)
+            self.assertTrue(found.is_error(), raw)
+
+    def test_of_two_lives_of_an_address_the_one_that_is_ready_counts(self) -> None:
+        for states, kept in ((("draining", "ready"), "i-2"), (("ready", "draining"), "i-1"),
+                             (("draining", "draining"), "i-2")):
+            found = self.read(page({"i-1": entry(state=states[0]),
+                                    "i-2": entry("desks", state=states[1])})).ok
+            self.assertEqual([kept], [server.incarnation for server in found], str(states))
+
+    def test_of_two_lives_that_are_ready_one_counts(self) -> None:
+        found = self.read(page({"i-1": entry(), "i-2": entry("desks")})).ok
+        self.assertEqual(1, len(found))
+
+
+class FollowingTests(testtools.TestCase):
+    """A fleet that follows the list."""
+
+    def servers_known(self, premises: Premises, edge: str) -> dict[str, bool]:
+        way = premises.node(edge).traffic.way
+        assert way is not None
+        return {state.server.incarnation: state.server.leaving
+                for states in way.servers.by_service.values() for state in states}
+
+    def test_all_nodes_together_keep_far_below_the_lists_rate(self) -> None:
+        premises = Premises(2, page_size=5).set_up()
+        before = premises.landlord.calls
+        premises.world.run(20)
+        calls = (premises.landlord.calls - before) / 20
+        self.assertGreater(calls, 1)
+        self.assertLess(calls, 15)
+        self.assertEqual(0, premises.landlord.declined)
+
+    def test_a_new_server_is_known_at_every_edge(self) -> None:
+        premises = Premises(3).set_up()
+        life = premises.add_server("pages", "b")
+        premises.world.run(premises.landlord.lag + 2.0)
+        for edge in premises.edges:
+            self.assertIn(life.identifier, self.servers_known(premises, edge))
+
+    def test_a_draining_server_gets_nothing_soon_after_the_list_shows_it(self) -> None:
+        premises = Premises(4).set_up()
+        premises.crowd(12, 8.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
+        premises.world.run(3)
+        life = premises.of_service("pages")[0]
+        self.assertTrue(any(arrival.identifier == life.identifier for arrival in premises.history))
+        premises.landlord.drain(life)
+        shown = premises.world.time + premises.landlord.lag
+        premises.world.run(8)
+        late = [arrival for arrival in premises.history
+                if arrival.identifier == life.identifier and arrival.at > shown + 2.5]
+        self.assertEqual(0, len(late))
+        self.assertEqual([], premises.broken())
+
+    def test_a_list_that_is_silent_or_over_its_rate_costs_nobody_an_answer(self) -> None:
+        premises = Premises(5).set_up()
+        for rate, silent in ((0.0, False), (52.0, True)):
+            premises.landlord.rate, premises.landlord.silent = rate, silent
+            premises.world.run(10)
+            for edge in premises.edges:
+                self.assertEqual(200, premises.ask(SAFE, "GET", "/plain/1", edge=edge).status)
+        self.assertEqual([], premises.broken())
+
+    def test_a_broken_list_changes_nothing(self) -> None:
+        premises = Premises(6).set_up()
+        known = self.servers_known(premises, premises.edges[0])
+        premises.landlord.raw = page({"i-1": entry(), "i-2": entry(address="nowhere")})
+        premises.world.run(6)
+        for edge in premises.edges:
+            self.assertEqual(known, self.servers_known(premises, edge))
+        self.assertEqual([], premises.world.faults)
+
+    def test_when_the_reader_dies_another_reads(self) -> None:
+        premises = Premises(7).set_up()
+        for name in list(premises.cores):
+            premises.kill(name)
+            before = premises.landlord.calls
+            premises.world.run(6)
+            self.assertGreater(premises.landlord.calls - before, 2, name)
+            premises.start(name)
+            premises.world.run(6)
+        life = premises.add_server("pages", "a")
+        premises.world.run(4)
+        for edge in premises.edges:
+            self.assertIn(life.identifier, self.servers_known(premises, edge))
+
+    def test_an_address_that_gets_another_service_is_never_sent_the_first_ones_orders(self) -> None:
+        for seed in (8, 9, 10):
+            premises = Premises(seed, servers=1).set_up()
+            premises.crowd(12, 10.0, lambda number: (
+                (SAFE, "GET", f"/plain/{number}") if number % 2 else
+                (UNSAFE, "POST", f"/orders/{number}")))
+            premises.world.run(2)
+            life = premises.of_service("pages")[0]
+            other = premises.of_service("desks")[0]
+            for gone in (life, other):
+                premises.landlord.crash(gone)
+            premises.world.run(0.3)
+            premises.add_server("desks", "a", life.address)
+            premises.add_server("pages", "a", other.address)
+            premises.world.run(6)
+            premises.callers_on = False
+            premises.world.run(3)
+            self.assertTrue(any(arrival.status == 421 for arrival in premises.history))
+            self.assertEqual([], premises.broken())
+            last = {note.order: note for note in premises.notes}
+            served = sum(note.served for note in last.values()) / len(last)
+            self.assertGreater(served, 0.95, f"seed {seed}")
