--- /dev/null
+++ b/tests/test_platform_schedules.py
@@ -0,0 +1,252 @@
+"""Random schedules of faults on a deployment in the platform's words; every rule is held after.
+
+Servers crash, leave, come up at others' addresses and misbehave; the list falls silent; processes
+are killed and started, machines lose power and are cut off; operators change, amend and purge.
+"""
+
+import json
+from collections.abc import Callable
+from copy import deepcopy
+from random import Random
+from typing import Any
+
+import testtools
+
+from premises import HOST, Premises, route, service_item
+from ryelock.loop import Step
+from ryelock.proving.landlord import MANNERS, WHOLE, ServerLife
+from ryelock.proving.tenants import (
+    CACHEABLE,
+    SAFE,
+    UNSAFE,
+    Note,
+    over_budget,
+    over_ceiling,
+)
+
+RATE = 60.0
+FAULTS = 12
+
+
+def mix(number: int) -> tuple[str, str, str]:
+    part = number % 4
+    if part == 0:
+        return UNSAFE, "POST", f"/orders/{number}"
+    if part == 1:
+        return SAFE, "GET", f"/plain/{number}"
+    if part == 2:
+        return SAFE, "GET", f"/lookups/{number}"
+    return CACHEABLE, "GET", f"/covers/{number % 30}"
+
+
+class Schedule:
+    """One run: its deployment, what happens to it, and what operators were told."""
+
+    __slots__ = ("acknowledged", "base", "ever", "happened", "number", "premises", "random",
+                 "told")
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(f"schedule {seed}")
+        zones = self.random.choice(({"a": "north", "b": "north", "c": "north"},
+                                    {"a": "north", "b": "south", "c": "west"},
+                                    {"a": "north", "b": "north", "c": "south", "d": "south",
+                                     "e": "west"}))
+        premises = self.premises = Premises(seed, zones, page_size=self.random.choice((5, 50)))
+        plain: Any = premises.configuration
+        plain["routes"].append(route("lookups", "/lookups/", SAFE, "desks"))
+        plain["services"][1] = service_item("desks", rate_per_s=RATE)
+        premises.services["desks"].rate = RATE
+        premises.set_up()
+        self.happened: list[str] = []
+        self.base = "r5"
+        self.number = 5
+        self.acknowledged: Any = plain
+        self.ever: list[Any] = [plain]
+        self.told: list[tuple[str, int]] = []
+
+    # What callers may be served by, whatever version was in force.
+
+    def allowed(self, note: Note) -> set[str]:
+        found: set[str] = set()
+        for plain in self.ever:
+            self.premises.configuration = plain
+            found |= self.premises.allowed(note)
+        return found
+
+    # Operators.
+
+    def operate(self) -> Step[None]:
+        """Changes one after another, each on what was last acknowledged."""
+        premises = self.premises
+        scheduler = premises.operator_node.scheduler
+        while True:
+            yield from scheduler.pause(0.5 + 1.5 * self.random.random())
+            self.number += self.random.randrange(1, 4)
+            plain = deepcopy(self.acknowledged)
+            plain["version"] = f"r{self.number}"
+            service = self.random.choice(("pages", "desks"))
+            plain["routes"][0] = route("plain", "/plain/", SAFE, service)
+            if self.random.random() < 0.3:
+                plain["routes"][0] = route("plain", "/plain/", SAFE, weighted_split=[
+                    {"service": "pages", "weight": 3}, {"service": "desks", "weight": 1}])
+            self.ever.append(plain)
+            place, body = b"/configuration/replace", plain
+            if self.random.random() < 0.5:
+                place = b"/configuration/amend"
+                body = {"version": plain["version"], "upsert": {"routes": [plain["routes"][0]]}}
+            status, _ = yield from premises.operator.send(
+                b"POST", place, [(b"Based-On-Version", self.base.encode())],
+                json.dumps(body).encode(), 60.0)
+            self.told.append((plain["version"], status))
+            if status == 200:
+                self.acknowledged, self.base = plain, plain["version"]
+            target = f"/covers/{self.random.randrange(30)}"
+            premises.services["pages"].objects.change(target, premises.world.time)
+            yield from premises.operator.send(b"POST", b"/purges", [], json.dumps(
+                {"host": HOST, "path": target}).encode(), 10.0)
+
+    # Faults.
+
+    def live(self) -> list[ServerLife]:
+        return [life for life in self.premises.servers.values()
+                if not life.ended and not life.draining]
+
+    def crash_server(self) -> None:
+        life = self.random.choice(self.live())
+        self.premises.landlord.crash(life)
+        self.premises.add_server(life.service.name, life.zone)
+
+    def hand_address(self) -> None:
+        """Two servers are gone, and each one's address is the other service's."""
+        lives = [self.random.choice([life for life in self.live() if life.service.name == name])
+                 for name in self.premises.services]
+        for life in lives:
+            self.premises.landlord.crash(life)
+        self.premises.world.run(2)
+        for life, other in zip(lives, reversed(lives), strict=True):
+            self.premises.add_server(life.service.name, life.zone, other.address)
+
+    def drain_server(self) -> None:
+        life = self.random.choice(self.live())
+        self.premises.landlord.drain(life)
+        self.premises.add_server(life.service.name, life.zone)
+        self.premises.world.at(self.premises.world.time + 4.0,
+                               lambda: self.premises.landlord.end(life))
+
+    def misbehave(self) -> None:
+        life = self.random.choice(self.live())
+        life.manner = self.random.choice(MANNERS)
+
+    def misbehave_all(self) -> None:
+        name = self.random.choice(list(self.premises.services))
+        manner = self.random.choice(MANNERS)
+        self.happened.append(f"  {name}: {manner}")
+        for life in self.premises.of_service(name):
+            life.manner = manner
+        self.premises.world.run(3)
+        self.behave()
+
+    def behave(self) -> None:
+        for life in self.premises.servers.values():
+            life.manner = WHOLE
+
+    def silent_list(self) -> None:
+        self.premises.landlord.silent = not self.premises.landlord.silent
+
+    def list_over_rate(self) -> None:
+        self.premises.landlord.rate = 0.0 if self.premises.landlord.rate else 52.0
+
+    def kill_process(self, power: bool = False) -> None:
+        name = self.random.choice(self.premises.cores + self.premises.edges)
+        self.premises.kill(name, power)
+        self.premises.world.run(0.5 + self.random.random())
+        self.premises.start(name)
+
+    def lose_power(self) -> None:
+        self.kill_process(True)
+
+    def kill_all_cores(self) -> None:
+        for name in self.premises.cores:
+            self.premises.kill(name)
+        self.premises.world.run(0.8)
+        for name in self.premises.cores:
+            self.premises.start(name)
+
+    def cut_machine(self) -> None:
+        machine = self.random.choice(self.premises.edges).rpartition(".")[0]
+        self.premises.world.isolate(machine)
+        self.premises.world.run(1 + 3 * self.random.random())
+        self.premises.world.heal()
+
+    def cut_zones(self) -> None:
+        one, other = self.random.sample(sorted(self.premises.zones), 2)
+        machines = sorted(self.premises.lines)
+        for first in machines:
+            for second in machines:
+                if first.startswith(f"edge-{one}-") and second.startswith(f"edge-{other}-"):
+                    self.premises.world.cut(first, second)
+        self.premises.world.run(1 + 3 * self.random.random())
+        self.premises.world.heal()
+
+    def freeze(self) -> None:
+        name = self.random.choice(self.premises.edges)
+        self.premises.world.freeze(name, True)
+        self.premises.world.run(1 + 2 * self.random.random())
+        self.premises.world.freeze(name, False)
+
+    def run(self) -> None:
+        premises = self.premises
+        premises.crowd(15, 4.0, mix)
+        premises.operator_node.scheduler.spawn("operates", self.operate())
+        faults: list[Callable[[], None]] = [
+            self.crash_server, self.hand_address, self.drain_server, self.misbehave,
+            self.misbehave_all, self.behave, self.silent_list, self.list_over_rate,
+            self.kill_process, self.lose_power, self.kill_all_cores, self.cut_machine,
+            self.cut_zones, self.freeze]
+        for _ in range(FAULTS):
+            fault = self.random.choice(faults)
+            self.happened.append(f"{premises.world.time:.2f} {fault.__name__}")
+            fault()
+            premises.world.run(0.3 + 2 * self.random.random())
+        premises.landlord.silent, premises.landlord.rate = False, 52.0
+        self.behave()
+        premises.world.run(15)
+
+
+class ScheduleTests(testtools.TestCase):
+    def hold(self, seed: int) -> None:
+        schedule = Schedule(seed)
+        schedule.run()
+        premises = schedule.premises
+        since = premises.world.time
+        premises.world.run(4)
+        premises.callers_on = False
+        premises.world.run(3)
+        told = f"seed {seed}: {schedule.happened}"
+        last = {note.order: note for note in premises.notes if since < note.at < since + 4}
+        self.assertEqual([], premises.broken(schedule.allowed), told)
+        for name in premises.services:
+            self.assertEqual([], over_budget(premises.notes, premises.history, name,
+                                             schedule.allowed), told)
+        self.assertEqual([], over_ceiling(premises.history, "desks", RATE), told)
+        self.assertNotIn(412, [status for _, status in schedule.told], told)
+        self.assertNotIn(400, [status for _, status in schedule.told], told)
+        found: Any = premises.read()
+        self.assertGreaterEqual(int(found["version"][1:]), int(schedule.base[1:]), told)
+        sent = {plain["version"]: plain for plain in schedule.ever}
+        expected = sent[found["version"]]
+        for part in ("routes", "services"):
+            self.assertEqual({item["name"]: item for item in expected[part]},
+                             {item["name"]: item for item in found[part]}, told)
+        self.assertGreater(sum(note.served for note in last.values()), 0.9 * len(last), told)
+
+
+def schedule_holds(seed: int) -> Callable[[ScheduleTests], None]:
+    def test(case: ScheduleTests) -> None:
+        case.hold(seed)
+
+    return test
+
+
+for seed in range(1, 7):
+    setattr(ScheduleTests, f"test_schedule_{seed}_holds", schedule_holds(seed))
