Take-outs in the platform's words: without its mechanism each run breaks its rule

Eight mechanisms (answers' names, seals, lives, once, what is said not to have run, purges, budgets, rates), each run as it is and with the mechanism removed, so that no check passes by seeing nothing.

--- a/tests/test_platform_repository.py
+++ b/tests/test_platform_repository.py
@@ -97,7 +97,8 @@
             for part in plain["roles"].values():
                 flags = {"-S", *(word for word in part["run"].split()[1:] if word[0] == "-")}
                 ended = subprocess.run(
-                    [sys.executable, *sorted(flags), "-c", "import sys; sys.path.insert(0, 'platform')\n"
+                    [sys.executable, *sorted(flags), "-c",
+                     "import sys; sys.path.insert(0, 'platform')\n"
                      "import control, traffic, jsonpatch\nprint(control.__file__)"],
                     cwd=ROOT, capture_output=True, text=True, timeout=60, check=False,
                     env={"PYTHONPATH": os.pathsep.join(path), "PATH": os.environ["PATH"]})
--- /dev/null
+++ b/tests/test_platform_takeouts.py
@@ -0,0 +1,138 @@
+"""What holds a rule in the platform's words is taken out, and the same run must then break it."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from premises import HOST, Premises
+from ryelock.allowance import Bucket, RepeatBudget
+from ryelock.cache import Store
+from ryelock.edge.way import Way
+from ryelock.exchange import CallError
+from ryelock.proving.landlord import LOST, TWIN, UNSEALED, VAGUE, WHOLE
+from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE, over_budget, over_ceiling
+from words import DIALECT
+
+Run = Callable[[], list[str]]
+ONE_ZONE = {"a": "north"}
+
+
+def broken_by(manner: str, kind: str, method: str, target: str) -> Run:
+    """Orders at servers of one manner, whatever rule that breaks."""
+    def run() -> list[str]:
+        premises = Premises(1, ONE_ZONE, edges=3, cores=3).set_up()
+        for number in range(8):
+            for life in premises.servers.values():
+                life.manner = manner
+            premises.ask(kind, method, f"{target}{number}", b"body" if method == "POST" else b"",
+                         tries=1)
+            premises.ask(kind, method, f"{target}more-{number}", tries=1)
+        premises.world.run(2)
+        return premises.broken()
+
+    return run
+
+
+def handed_addresses() -> list[str]:
+    premises = Premises(8, servers=1).set_up()
+    premises.crowd(12, 10.0, lambda number: (
+        (SAFE, "GET", f"/plain/{number}") if number % 2 else
+        (UNSAFE, "POST", f"/orders/{number}")))
+    premises.world.run(2)
+    lives = [premises.of_service(name)[0] for name in ("pages", "desks")]
+    for life in lives:
+        premises.landlord.crash(life)
+    premises.world.run(0.3)
+    premises.add_server("desks", "a", lives[0].address)
+    premises.add_server("pages", "a", lives[1].address)
+    premises.world.run(6)
+    return premises.broken()
+
+
+def purged() -> list[str]:
+    premises = Premises(2).set_up()
+    premises.ask(CACHEABLE, "GET", "/covers/1")
+    premises.services["pages"].objects.change("/covers/1", 0.0)
+    premises.purge(host=HOST, path="/covers/1")
+    premises.world.run(2)
+    note = premises.ask(CACHEABLE, "GET", "/covers/1")
+    seal = note.field(b"Server-Seal") or b""
+    return [*premises.broken(), *(["stale"] if seal.startswith(b"0.") else [])]
+
+
+def failing() -> list[str]:
+    premises = Premises(84).set_up()
+    premises.crowd(24, 10.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
+    premises.world.run(3)
+    every_second = deque((LOST, WHOLE) * 2500)
+    for life in premises.of_service("pages"):
+        life.manners = every_second
+    premises.world.run(8)
+    return over_budget(premises.notes, premises.history, "pages", premises.allowed)
+
+
+def limited() -> list[str]:
+    premises = Premises(81)
+    services: Any = premises.configuration["services"]
+    services[1] = {**services[1], "rate_per_s": 40.0}
+    premises.set_up()
+    premises.crowd(24, 10.0, lambda number: (UNSAFE, "POST", f"/orders/{number}"))
+    premises.world.run(8)
+    return over_ceiling(premises.history, "desks", 40.0)
+
+
+def as_repeatable(self: Any, order: Any) -> Any:
+    route = ROUTE_OF(self, order)
+    order.klass = "repeatable"
+    return route
+
+
+def any_503(self: Any, order: Any, head: Any) -> CallError | None:
+    if head.status == 503:
+        return CallError("believed", False, 503)
+    error = UNFIT(self, order, head)
+    return error if error is None or isinstance(error, CallError) else None
+
+
+ROUTE_OF = Way.find_route
+UNFIT = Way.unfit
+TAKEOUTS: dict[str, tuple[Run, Any, str, Any]] = {
+    "answers_names": (broken_by(TWIN, SAFE, "GET", "/plain/"), Way, "answers",
+                      lambda _self, _order, _head: True),
+    "seals": (broken_by(UNSEALED, SAFE, "GET", "/plain/"), Way, "sealed",
+              lambda _self, _head: True),
+    "lives": (handed_addresses, DIALECT, "expected", b"X-Nothing"),
+    "once": (broken_by(LOST, UNSAFE, "POST", "/orders/"), Way, "find_route", as_repeatable),
+    "only_what_is_said_not_to_have_run": (broken_by(VAGUE, UNSAFE, "POST", "/orders/"), Way,
+                                          "unfit", any_503),
+    "purges": (purged, Store, "take_purges", lambda _self, _purges, _number: None),
+    "budgets": (failing, RepeatBudget, "repeat", lambda _self: True),
+    "rates": (limited, Bucket, "allow", lambda _self, _now: True),
+}
+
+
+class TakeoutTests(testtools.TestCase):
+    """Two tests for each: the run holds, and without its mechanism it does not."""
+
+
+def holds(run: Run) -> Callable[[TakeoutTests], None]:
+    def test(case: TakeoutTests) -> None:
+        case.assertEqual([], run())
+
+    return test
+
+
+def breaks(run: Run, place: Any, name: str, other: Any) -> Callable[[TakeoutTests], None]:
+    def test(case: TakeoutTests) -> None:
+        with mock.patch.object(place, name, other):
+            case.assertNotEqual([], run())
+
+    return test
+
+
+for named, (run, place, name, other) in TAKEOUTS.items():
+    setattr(TakeoutTests, f"test_{named}_hold", holds(run))
+    setattr(TakeoutTests, f"test_without_{named}_it_breaks", breaks(run, place, name, other))
