--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -11,7 +11,7 @@
 
 import testtools
 
-from premises import LIMITS, Premises, first_configuration, route, service_item
+from premises import HOST, LIMITS, Premises, first_configuration, route, service_item
 from ryelock.loop import Step
 from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE
 
@@ -348,3 +348,77 @@
             premises.world.run(20)
             self.assertEqual([200], told, f"seed {seed}")
             self.assertEqual(sent, premises.read())
+
+
+class SpeedTests(testtools.TestCase):
+    """How soon a proper word is acknowledged, and how large it may be."""
+
+    def told_in(self, premises: Premises, version: str, base: str) -> float:
+        before = premises.world.time
+        status, _ = premises.amend({"version": version, "upsert": {
+            "routes": [route(version, f"/{version}/")]}}, base)
+        self.assertEqual(200, status)
+        between = premises.world.time
+        self.assertEqual(200, premises.purge(host=HOST, path="/covers/1"))
+        return max(between - before, premises.world.time - between)
+
+    def test_in_calm_times_it_is_acknowledged_at_once(self) -> None:
+        premises = Premises(61, edges=4).set_up()
+        base = "r5"
+        for number in range(6, 12):
+            self.assertLess(self.told_in(premises, f"r{number}", base), 1.5)
+            base = f"r{number}"
+
+    def test_with_one_machine_gone_it_is_acknowledged_in_time(self) -> None:
+        for seed, trouble in enumerate(("frozen", "killed", "without power", "cut", "core"), 62):
+            premises = Premises(seed).set_up()
+            edge = next(name for name in premises.edges if name.endswith("-1.edge"))
+            if trouble == "frozen":
+                premises.world.freeze(edge, True)
+            elif trouble == "killed":
+                premises.kill(edge)
+            elif trouble == "without power":
+                premises.kill(edge, True)
+            elif trouble == "cut":
+                premises.world.isolate(edge.rpartition(".")[0])
+                premises.world.cuts = {pair for pair in premises.world.cuts
+                                       if "operator" not in pair}
+            else:
+                premises.kill(premises.cores[0])
+                premises.operator.nodes.pop(0)
+            self.assertLess(self.told_in(premises, "r6", "r5"), 5.0, trouble)
+            self.assertLess(self.told_in(premises, "r7", "r6"), 5.0, trouble)
+
+    def test_a_configuration_of_many_routes_and_services_is_taken_and_read_back(self) -> None:
+        premises = Premises(71, edges=1, servers=1).set_up()
+        names = [f"service{number}" for number in range(60)]
+        sent = whole("r6", services=[*(service_item(name) for name in names),
+                                     service_item("pages")],
+                     routes=[route(f"route-{number}", f"/many/{number}/", service="pages")
+                             for number in range(3000)])
+        self.assertGreater(len(json.dumps(sent)), 500_000)
+        self.assertEqual(200, premises.replace(sent, "r5")[0])
+        premises.configuration = sent
+        for edge in premises.edges:
+            self.assertTrue(premises.ask(SAFE, "GET", "/many/2999/x", edge=edge).served)
+        self.assertEqual(sent, premises.read())
+        self.assertEqual([], premises.broken())
+        for name in premises.cores:
+            premises.kill(name, True)
+        premises.world.run(1)
+        for name in premises.cores:
+            premises.start(name)
+        premises.world.run(8)
+        self.assertEqual(sent, premises.read())
+
+    def test_callers_are_held_to_the_limits(self) -> None:
+        premises = Premises(72, edges=1, servers=1).set_up()
+        limits = {**LIMITS, "header_bytes": 2000, "body_bytes": 5000}
+        self.assertEqual(200, premises.replace(whole("r6", limits=limits), "r5")[0])
+        fine = premises.ask(UNSAFE, "POST", "/orders/1", bytes(5000))
+        self.assertEqual(200, fine.status)
+        self.assertEqual(413, premises.ask(UNSAFE, "POST", "/orders/2", bytes(5001)).status)
+        wide = premises.ask(SAFE, "GET", "/plain/1", fields=[(b"X-Wide", b"a" * 2100)])
+        self.assertEqual(431, wide.status)
+        self.assertEqual(1, len([arrival for arrival in premises.history
+                                 if arrival.service == "desks"]))
--- a/tests/test_platform_listing.py
+++ b/tests/test_platform_listing.py
@@ -212,3 +212,12 @@
             last = {note.order: note for note in premises.notes}
             served = sum(note.served for note in last.values()) / len(last)
             self.assertGreater(served, 0.95, f"seed {seed}")
+
+    def test_several_hundred_servers_are_known_at_every_edge(self) -> None:
+        premises = Premises(11, edges=1, servers=70)
+        self.assertEqual(420, len(premises.servers))
+        premises.set_up()
+        premises.world.run(3)
+        for edge in premises.edges:
+            self.assertEqual(set(premises.servers), set(self.servers_known(premises, edge)))
+        self.assertEqual(0, premises.landlord.declined)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -744,6 +744,60 @@
             fresh = [note for note in premises.notes if note.at > since]
             self.assertGreater(sum(note.served for note in fresh), 0.95 * len(fresh), f"{seed}")
 
+    def test_under_twice_its_load_a_service_still_does_most_of_what_it_can(self) -> None:
+        for seed, kind, method, path, name in ((96, SAFE, "GET", "/plain/", "pages"),
+                                               (97, UNSAFE, "POST", "/orders/", "desks")):
+            premises = Premises(seed).set_up()
+            service = premises.services[name]
+            service.work_seconds, service.slots, service.queue = 0.2, 2, 1
+            most = len(premises.of_service(name)) * service.slots / service.work_seconds
+
+            def order(number: int, kind: str = kind, method: str = method,
+                      path: str = path) -> tuple[str, str, str]:
+                return kind, method, f"{path}{number}"
+
+            premises.crowd(60, 2 * most / 60, order)
+            premises.world.run(3)
+            since = premises.world.time
+            premises.world.run(8)
+            last = {note.order: note for note in premises.notes if note.at > since}
+            self.assertGreater(sum(note.served for note in last.values()) / 8, 0.75 * most)
+            self.assertEqual([], over_budget(premises.notes, premises.history, name,
+                                             premises.allowed))
+            self.assertEqual([], premises.broken())
+
+    def test_orders_with_little_time_left_do_not_set_sound_servers_aside(self) -> None:
+        premises = Premises(94).set_up()
+        for service in premises.services.values():
+            service.work_seconds = 0.1
+        for number in range(40):
+            self.get(premises, f"/plain/short-{number}", deadline=0.06)
+            self.post(premises, number, deadline=0.06)
+        for number in range(5):
+            self.assertTrue(self.get(premises, f"/plain/{number}").served)
+            self.assertTrue(self.post(premises, 100 + number).served)
+        self.assertEqual([], premises.broken())
+
+    def test_callers_who_leave_at_once_do_not_set_sound_servers_aside(self) -> None:
+        premises = Premises(95).set_up()
+        outside, front = premises.outside, premises.entrance.fronts[premises.edges[0]]
+
+        def leave(number: int) -> Step[None]:
+            link = outside.network.connect(front)
+            yield from link.open(1.0)
+            link.write(b"GET /plain/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: left-%d\r\n"
+                       b"Deadline-Remaining: 800\r\n\r\n" % (number, HOST.encode(), number))
+            yield from outside.scheduler.pause(0.0001 * (number % 40))
+            link.abort()
+
+        for number in range(200):
+            outside.scheduler.spawn("leaves", leave(number))
+            if number % 20 == 19:
+                premises.world.run(0.01)
+        premises.world.run(0.05)
+        for number in range(5):
+            self.assertTrue(self.get(premises, f"/plain/stays-{number}").served)
+
     def test_an_edge_that_is_told_to_stop_loses_no_answer(self) -> None:
         premises = Premises(88).set_up()
         premises.services["desks"].work_seconds = 0.2
