Neighbours that keep objects for others: hanging, without news of a move or of a purge

A purge reaches past a neighbour without news; a move of a route does not, and a neighbour that hangs costs callers their answer.

--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -651,6 +651,54 @@
             note = premises.ask(CACHEABLE, "GET", "/covers/1", edge=edge)
             self.assertTrue(note.said.startswith(b"OBJECT desks "))
 
+    def cut_off(self, premises: Premises, seconds: float) -> str:
+        """An edge that reaches its neighbours and servers, but for a while no control node."""
+        machines = {name.rpartition(".")[0] for name in premises.cores}
+        edge = next(name for name in premises.edges if name.rpartition(".")[0] not in machines)
+        for machine in machines:
+            premises.world.cut(edge.rpartition(".")[0], machine)
+        premises.world.run(seconds)
+        return edge
+
+    def test_a_neighbour_without_news_gives_nobody_the_old_services_copies(self) -> None:
+        for seed, seconds in ((77, 0.0), (770, 0.5), (771, 1.5), (772, 3.0)):
+            premises = Premises(seed, edges=4).set_up()
+            targets = [f"/covers/{number}" for number in range(12)]
+            self.warm(premises, *targets)
+            lapsed = self.cut_off(premises, seconds)
+            moved = route("covers", "/covers/", CACHEABLE, "desks")
+            self.assertEqual(200, premises.amend({"version": "r6", "upsert": {
+                "routes": [moved]}}, "r5")[0])
+            for target in targets:
+                for edge in premises.edges:
+                    if edge != lapsed:
+                        note = premises.ask(CACHEABLE, "GET", target, edge=edge)
+                        self.assertTrue(note.said.startswith(b"OBJECT desks "),
+                                        f"{seconds} s: {edge} {note.said[:40]!r}")
+
+    def test_a_neighbour_without_news_gives_nobody_purged_copies(self) -> None:
+        for seed, seconds in ((78, 0.0), (780, 0.5), (781, 1.5), (782, 3.0)):
+            premises = Premises(seed, edges=4).set_up()
+            targets = [f"/covers/{number}" for number in range(12)]
+            self.warm(premises, *targets)
+            lapsed = self.cut_off(premises, seconds)
+            self.change(premises, *targets)
+            self.assertEqual(200, premises.purge(label="shelf-covers"))
+            for target in targets:
+                for edge in premises.edges:
+                    if edge != lapsed:
+                        note = premises.ask(CACHEABLE, "GET", target, edge=edge)
+                        self.assertEqual(1, self.revision(note), f"{seconds} s: {edge}")
+
+    def test_a_neighbour_that_hangs_costs_nobody_his_answer(self) -> None:
+        premises = Premises(79, edges=3).set_up()
+        premises.world.freeze(premises.edges[1], True)
+        for number in range(12):
+            for edge in (premises.edges[0], premises.edges[2]):
+                self.assertTrue(premises.ask(CACHEABLE, "GET", f"/covers/{number}", edge=edge,
+                                             deadline=0.8).served)
+        self.assertEqual([], premises.broken())
+
     def test_many_who_ask_at_once_are_one_order_to_the_servers(self) -> None:
         premises = one_server(74)
         premises.services["pages"].work_seconds = 0.2
