A scale run: real cores and an edge beside hollow nodes, costs by size

Cause: the target is 2,400 nodes, and nothing told what a role costs by the number of nodes. `python -m ryelock.proving scale` starts three cores and an edge anew for each size, lets hollow nodes join (the edge's own Member, Register and Lines, many to a process), and reads the kernel's accounts of processor, memory, disk and sockets: at rest, under changes, purges, changed listings and restarts, and while all sessions are lost.

--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -12,6 +12,7 @@
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
 from ryelock.proving.run import run_fleet  # noqa: E402
+from ryelock.proving.scale import Size, run_scale, table  # noqa: E402
 from ryelock.proving.schedules import run_schedule  # noqa: E402
 
 
@@ -144,8 +145,49 @@
     return 0
 
 
+def whole_numbers(text: str) -> list[int]:
+    return [int(part) for part in text.split(",")]
+
+
+def scale(*, nodes: str = "20,60,180", zones: str = "4", servers: str = "12", routes: str = "4",
+          runs: int = 3, processes: int = 1, seconds: float = 4.0, changes: int = 5,
+          restarts: int = 3, flood: float = 42.0, probe_seconds: float = 30.0,
+          joins: float = 20.0, losses: bool = True, write: str = "", plots: str = "") -> int:
+    """Bring up real cores and an edge beside hollow nodes, at each size, and print the costs.
+
+    One of the four sizes may be a list, divided by commas: the figures stand against it.
+
+    :param nodes: hollow nodes
+    :param zones: zones that they stand in
+    :param servers: servers that the platform lists
+    :param routes: routes of the configuration
+    :param runs: bring-ups of each size
+    :param processes: processes that share the hollow nodes
+    :param seconds: length of the window at rest
+    :param changes: changes, and purges, one after another
+    :param restarts: nodes restarted, and listings changed, one after another
+    :param flood: purges a second in the flood; 0: none
+    :param probe_seconds: cadence of the rows that hollow nodes tell; 0: none
+    :param joins: nodes that join a second
+    :param losses: also kill the leader, and last all cores
+    :param write: file for all figures of all runs, JSON
+    :param plots: folder for a plot of each figure
+    """
+    sizes = {"nodes": whole_numbers(nodes), "zones": whole_numbers(zones),
+             "servers": whole_numbers(servers), "routes": whole_numbers(routes)}
+    fixed = Size(1, 1, 1, 1, processes=processes, seconds=seconds, changes=changes,
+                 restarts=restarts, flood=flood, probe_seconds=probe_seconds, joins=joins,
+                 losses=losses)
+    by = next((name for name, counts in sizes.items() if len(counts) > 1), "nodes")
+    points = run_scale(sizes, fixed, runs, write, plots)
+    sys.stdout.write(table(points, by))
+    for point in points:
+        sys.stdout.writelines(f"{point.label}: {fault}\n" for fault in point.faults)
+    return 0
+
+
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures], short={}))
+    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale], short={}))
 
 
 main()
--- /dev/null
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -0,0 +1,329 @@
+"""Hollow nodes: many to a process, each with a real session over links of its own.
+
+A hollow node is an edge's `Member`, `Register` and `Lines` without the edge: it renews, follows
+words and images, says a demand, holds its shares, acknowledges by its vector, and tells rows of
+probes that it only made up. It takes no orders. The process answers the runner's asks over the
+wire: what its nodes have reached and when (the machine's monotonic clock, which all processes
+share), and how many asks they sent.
+"""
+
+import json
+import sys
+import time
+from collections import Counter, deque
+from pathlib import Path
+from random import Random
+
+import cbor2
+from expression import Result
+
+from ryelock.edge.member import Member
+from ryelock.events import TERM_LAPSED, Event, QuietLog
+from ryelock.loop import Network, Scheduler, Step
+from ryelock.loop.reactor import Reactor
+from ryelock.register import Register
+from ryelock.roster import Listing, Session
+from ryelock.watch import Row
+from ryelock.watch.probe import watch_mark
+from ryelock.wire import Door, Lines, Message, Reply, WireError
+
+REACHED_KEPT = 4000
+ROWS_MOST = 200
+ROWS_SECONDS = 0.5
+DEMAND = 10.0
+
+
+class Counts:
+    """What the nodes of one process sent and took in, for the life of the process."""
+
+    __slots__ = ("answers", "asks", "image_bytes", "image_seconds", "images", "lapsed", "rows")
+
+    def __init__(self) -> None:
+        self.asks: Counter[str] = Counter()
+        self.answers: Counter[str] = Counter()
+        self.images = 0
+        self.image_bytes = 0
+        self.image_seconds = 0.0
+        self.lapsed = 0
+        self.rows = 0
+
+
+class CountedLog(QuietLog):
+    """Counts lapsed terms and keeps nothing."""
+
+    __slots__ = ("counts",)
+
+    def __init__(self, node: str, counts: Counts) -> None:
+        super().__init__(node)
+        self.counts = counts
+
+    def write(self, event: Event, **fields: object) -> None:
+        self.counts.lapsed += event is TERM_LAPSED
+
+
+class CountedLines(Lines):
+    __slots__ = ("counts",)
+
+    def __init__(self, scheduler: Scheduler, network: Network, log: QuietLog,
+                 counts: Counts) -> None:
+        super().__init__(scheduler, network, log)
+        self.counts = counts
+
+    def ask(self, address: str, message: Message,
+            seconds: float) -> Step[Result[Message, WireError]]:
+        kind = str(message.get("kind"))
+        self.counts.asks[kind] += 1
+        found = yield from super().ask(address, message, seconds)
+        self.counts.answers[kind] += found.is_ok()
+        return found
+
+
+class CountedRegister(Register):
+    """A register that counts the images it was restored from."""
+
+    __slots__ = ("counts",)
+
+    def __init__(self, counts: Counts) -> None:
+        super().__init__()
+        self.counts = counts
+
+    def restore(self, data: bytes) -> None:
+        started = time.process_time()
+        super().restore(data)
+        self.counts.images += 1
+        self.counts.image_bytes += len(data)
+        self.counts.image_seconds += time.process_time() - started
+
+
+class HollowNode:
+    """One node: its session, and when it reached what."""
+
+    __slots__ = ("back", "held", "known", "lines", "listed", "member", "owed", "reached",
+                 "register", "rows", "scheduler", "sequence", "session", "targets", "without")
+
+    def __init__(self, process: "HollowProcess", name: str, zone: str) -> None:
+        self.scheduler = process.scheduler
+        self.register = CountedRegister(process.counts)
+        self.lines = CountedLines(process.scheduler, process.network, process.log, process.counts)
+        self.session = Session()
+        self.session.name = self.session.machine = name
+        self.session.role = "edge"
+        self.session.zone = zone
+        self.session.probes = True
+        self.session.wire = self.session.control = self.session.order = process.door.address
+        self.session.incarnation = f"{process.random.getrandbits(48):012x}"
+        self.session.mark = f"{process.random.getrandbits(64):016x}"
+        self.member = Member(process.scheduler, self.lines, process.log, self.register,
+                             self.session, process.seeds, process.term_seconds,
+                             process.listing_term)
+        self.member.changed = self.on_change
+        self.member.shares = self.on_shares
+        self.member.listing_news = self.on_listing
+        self.member.demand = self.demand
+        self.member.holding = self.holding
+        self.held: dict[str, float] = {}
+        self.reached: deque[tuple[int, float]] = deque(maxlen=REACHED_KEPT)
+        self.listed = 0.0
+        self.without = ""
+        self.back = 0.0
+        self.known: tuple[object, ...] = ()
+        self.targets: list[tuple[str, str, str]] = []
+        self.owed = process.random.random()
+        self.rows: list[Row] = []
+        self.sequence = process.random.randrange(1000)
+
+    def on_change(self) -> None:
+        self.reached.append((self.register.index, self.scheduler.now()))
+
+    def on_listing(self, _: Listing) -> None:
+        self.listed = self.scheduler.now()
+
+    def on_shares(self, shares: dict[str, float], until: float, edges: int) -> None:
+        """A term was given: the session stands with whoever leads."""
+        self.held = shares
+        leader = self.member.leader
+        if not self.back and leader and leader != self.without:
+            self.back = self.scheduler.now()
+
+    def demand(self) -> dict[str, float]:
+        return dict.fromkeys(self.register.configuration.services, DEMAND)
+
+    def holding(self) -> dict[str, float]:
+        return self.held if self.member.serving else {}
+
+    def reached_at(self, index: int) -> float | None:
+        return next((at for place, at in self.reached if place >= index), None)
+
+    def find_targets(self) -> None:
+        """The other edges of the zone times the watches, anew when either changed."""
+        known = (*self.member.members_version, self.register.version)
+        if known != self.known:
+            self.known = known
+            self.targets = [
+                (name, watch_name, watch_mark(watch))
+                for name, other in sorted(self.member.members.items())
+                for watch_name, watch in self.register.configuration.watches.items()
+                if other.role == "edge" and other.zone == self.session.zone
+                and name != self.session.name]
+
+    def make_rows(self, cadence: float, seconds: float) -> None:
+        """Rows of sound probes, as many as come due in so many seconds, one target in turn."""
+        self.find_targets()
+        self.owed += len(self.targets) * seconds / cadence
+        while self.owed >= 1.0 and self.targets:
+            self.owed -= 1.0
+            self.sequence += 1
+            edge, watch_name, mark = self.targets[self.sequence % len(self.targets)]
+            row = Row(self.session.name, self.session.machine, self.sequence, self.session.zone,
+                      edge, watch_name, False, time.time(), mark)
+            row.taken, row.age, row.ttfb = self.scheduler.now(), 1.0, 12.0
+            row.reachable = row.manifest_valid = row.object_fetchable = True
+            self.rows.append(row)
+
+    def tell_rows(self) -> Step[None]:
+        duty = self.register.duties.get("aggregator")
+        holder = self.member.members.get(duty.holder) if duty is not None else None
+        if duty is None or holder is None or not self.rows:
+            return
+        now = self.scheduler.now()
+        rows, self.rows = self.rows[:ROWS_MOST], self.rows[ROWS_MOST:]
+        yield from self.lines.ask(holder.wire, {
+            "kind": "rows", "epoch": duty.epoch, "holder": duty.holder,
+            "rows": [row.plain(now) for row in rows]}, 2.0)
+
+    def end(self) -> None:
+        self.member.stop()
+        for line in self.lines.lines.values():
+            line.drop()
+
+
+class HollowProcess:
+    """Some hollow nodes on one scheduler, and the door where the runner asks about them."""
+
+    __slots__ = ("cadence", "counts", "door", "listing_term", "log", "network", "nodes", "places",
+                 "random", "scheduler", "seeds", "term_seconds")
+
+    def __init__(self, settings: dict[str, object], scheduler: Scheduler, network: Network) -> None:
+        seeds, places = settings["seeds"], settings["nodes"]
+        assert isinstance(seeds, list) and isinstance(places, list)
+        self.scheduler = scheduler
+        self.network = network
+        self.random = Random()
+        self.counts = Counts()
+        self.log = CountedLog("hollow", self.counts)
+        self.seeds = tuple(str(seed) for seed in seeds)
+        self.term_seconds = float(str(settings["term_seconds"]))
+        self.listing_term = float(str(settings["listing_term"]))
+        self.cadence = float(str(settings["probe_seconds"]))
+        self.door = Door(scheduler, network, self.log, str(settings["wire_address"]), self.on_ask)
+        self.places = [(str(name), str(zone)) for name, zone in places]
+        self.nodes: list[HollowNode] = []
+
+    def on_ask(self, message: Message, reply: Reply) -> None:
+        kind, index = message.get("kind"), message.get("index")
+        since = message.get("since")
+        if kind == "hollow.start":
+            self.start(float(str(message.get("pause"))))
+            reply({"nodes": len(self.nodes)})
+        elif kind == "hollow.state":
+            reply(self.state())
+        elif kind == "hollow.reached" and isinstance(index, int):
+            found = [node.reached_at(index) for node in self.nodes]
+            reply({"times": [at for at in found if at is not None]})
+        elif kind == "hollow.listed" and isinstance(since, float):
+            reply({"times": [node.listed for node in self.nodes if node.listed > since]})
+        elif kind == "hollow.lose":
+            for node in self.nodes:
+                node.back, node.without = 0.0, str(message.get("without"))
+            reply({})
+        elif kind == "hollow.back":
+            reply({"times": [node.back for node in self.nodes if node.back]})
+        elif kind == "hollow.restart":
+            self.scheduler.spawn("restart", self.restart(int(str(message["count"])), reply))
+        else:
+            reply({"fault": "unknown ask"})
+
+    def start(self, pause: float) -> None:
+        """All nodes, one after another with a pause of seconds between them."""
+        if not self.nodes:
+            self.nodes = [HollowNode(self, name, zone) for name, zone in self.places]
+            self.scheduler.spawn("starts", self.start_each(list(self.nodes), pause))
+            self.scheduler.spawn("tends", self.tend())
+            if self.cadence:
+                self.scheduler.spawn("rows", self.probe())
+
+    def start_each(self, nodes: list[HollowNode], pause: float) -> Step[None]:
+        due = self.scheduler.now()
+        for node in nodes:
+            node.member.start()
+            due += pause
+            yield from self.scheduler.pause(max(0.0, due - self.scheduler.now()))
+
+    def restart(self, count: int, reply: Reply) -> Step[None]:
+        """Planned restarts: so many nodes say goodbye and come back as new incarnations."""
+        for place in range(min(count, len(self.nodes))):
+            before = self.nodes[place]
+            yield from before.member.say_goodbye()
+            before.end()
+            fresh = HollowNode(self, before.session.name, before.session.zone)
+            self.nodes[place] = fresh
+            fresh.member.start()
+        reply({})
+
+    def tend(self) -> Step[None]:
+        while True:
+            for node in self.nodes:
+                node.session.served += int(DEMAND / 10)
+                node.session.applied = node.register.index
+                node.session.ready = node.member.serving
+            yield from self.scheduler.pause(0.1)
+
+    def probe(self) -> Step[None]:
+        """What the nodes' probers would tell, had they fetched."""
+        while True:
+            yield from self.scheduler.pause(ROWS_SECONDS)
+            for node in self.nodes:
+                before = len(node.rows)
+                node.make_rows(self.cadence, ROWS_SECONDS)
+                self.counts.rows += len(node.rows) - before
+                if node.rows:
+                    self.scheduler.spawn("tells rows", node.tell_rows())
+
+    def state(self) -> Message:
+        counts, first = self.counts, self.nodes[0] if self.nodes else None
+        return {
+            "nodes": len(self.nodes),
+            "serving": sum(node.member.serving for node in self.nodes),
+            "led": sum(bool(node.member.leader) for node in self.nodes),
+            "asks": dict(counts.asks), "answers": dict(counts.answers), "images": counts.images,
+            "image_bytes": counts.image_bytes, "image_seconds": counts.image_seconds,
+            "lapsed": counts.lapsed, "rows": counts.rows,
+            "members": len(first.member.members) if first else 0,
+            "members_bytes": len(cbor2.dumps(
+                [session.plain() for session in first.member.members.values()])) if first else 0,
+            "verdict_bytes": len(cbor2.dumps(first.register.verdict)) if first else 0}
+
+
+def main() -> None:
+    codes: list[int] = []
+
+    def fault(task: str, error: BaseException) -> None:
+        sys.stderr.write(f"{task}: {error!r}\n")
+        codes.append(1)
+        reactor.stop()
+
+    reactor = Reactor(fault)
+    process = HollowProcess(json.loads(Path(sys.argv[1]).read_text()), reactor.scheduler, reactor)
+    sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
+
+    def until_told() -> Step[None]:
+        yield from reactor.signals.take()
+        reactor.stop()
+
+    reactor.scheduler.spawn("signals", until_told())
+    reactor.run()
+    sys.exit(codes[0] if codes else 0)
+
+
+if __name__ == "__main__":
+    main()
