Pieces of a control node's work, taken one by one up to the target's size

Cause: a whole run ends where one leader ends, far below 2,400 nodes, and the slopes above that would be guesses. `python -m ryelock.proving pieces` gives a real ControlNode so many sessions and takes the processor time and the bytes of each piece, with the judging of a full history, the image, the listing and a purge at an edge that holds many copies. Tests count bytes and names; none looks at a time.

--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -11,8 +11,9 @@
 from ryelock.proving.cases import CASES  # noqa: E402
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
+from ryelock.proving.pieces import measure_pieces  # noqa: E402
 from ryelock.proving.run import run_fleet  # noqa: E402
-from ryelock.proving.scale import Size, run_scale, table  # noqa: E402
+from ryelock.proving.scale import Point, Size, run_scale, table  # noqa: E402
 from ryelock.proving.schedules import run_schedule  # noqa: E402
 
 
@@ -186,8 +187,29 @@
     return 0
 
 
+def pieces(*, nodes: str = "60,180,540,2400", zones: int = 54, servers: int = 460,
+           routes: int = 4, copies: int = 100_000, runs: int = 3, judged: bool = False) -> int:
+    """Take the pieces of a control node's work one by one, in this process, at any size.
+
+    :param nodes: edges with a session, divided by commas
+    :param zones: zones that they stand in
+    :param servers: servers that the platform lists
+    :param routes: routes of the configuration
+    :param copies: copies that an edge holds
+    :param runs: times that each size is measured
+    :param judged: also fill a whole history of probes and judge it
+    """
+    points = [Point(f"{count} nodes", Size(count, zones, servers, routes))
+              for count in whole_numbers(nodes)]
+    for point in points:
+        point.runs = [measure_pieces(point.size.nodes, zones, servers, routes, copies,
+                                     judged) for _ in range(runs)]
+    sys.stdout.write(table(points, "nodes"))
+    return 0
+
+
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale], short={}))
+    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces], short={}))
 
 
 main()
--- /dev/null
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -0,0 +1,162 @@
+"""Pieces of a control node's work at any size, one by one, in this process.
+
+A whole scale run stops where one machine or one leader is at its end. The pieces of which the
+leader's and the aggregator's work is made can be run at the target's size itself: a real
+`ControlNode` that never starts gets so many sessions in its roster, and each piece is called
+and its processor time taken. Nothing crosses a socket here.
+"""
+
+import tempfile
+import time
+from collections.abc import Callable
+from random import Random
+
+import cbor2
+
+from ryelock.allowance.divide import Given
+from ryelock.cache.store import Store, Variants
+from ryelock.core.identity import open_disk
+from ryelock.core.process import ControlNode
+from ryelock.env import read_env
+from ryelock.events import QuietLog
+from ryelock.journal import MachineFolder
+from ryelock.loop.reactor import Reactor
+from ryelock.proving.scale import Figures, Size, measure_judging, zone_name
+from ryelock.register import Purge, Register, encode_word
+from ryelock.roster import Roster, Server, Session, session_of
+
+REPEATS = 5
+SERVICES = 2
+
+
+def session_of_node(number: int, zones: int) -> Session:
+    session = Session()
+    session.name = session.machine = f"edge-{number:04d}"
+    session.role, session.zone = "edge", zone_name(number, zones)
+    session.wire = session.control = session.order = "127.0.8.1:40000"
+    session.incarnation, session.mark = f"{number:012x}", f"{number:016x}"
+    session.probes = session.ready = True
+    return session
+
+
+def seconds_of(act: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Least processor seconds of one call."""
+    found: list[float] = []
+    for _ in range(repeats):
+        started = time.process_time()
+        act()
+        found.append(time.process_time() - started)
+    return min(found)
+
+
+def control_node(folder: str) -> ControlNode:
+    log = QuietLog("pieces")
+
+    def fault(task: str, error: BaseException) -> None:
+        raise error
+
+    reactor = Reactor(fault)
+    env = read_env("core", "", {
+        "name": "core-0", "zone": "zone-00", "wire_address": "127.0.0.1:0",
+        "control_address": "127.0.0.1:0", "data_folder": folder,
+        "seeds": ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]})
+    random = Random(1)
+    disk, journal = open_disk(MachineFolder(folder), log, env.segment_bytes, random).ok
+    return ControlNode(env, reactor.scheduler, reactor, log, random, disk, journal)
+
+
+def configured(routes: int) -> Register:
+    """A register whose configuration has so many routes, by its own first word."""
+    shape = Size(1, 1, 0, routes).shape()
+    register = Register()
+    register.apply(1, encode_word("change", id="first", change={
+        "id": "first", "base": 0, "put": shape.configuration}))
+    return register
+
+
+def measure_sessions(nodes: int, zones: int) -> Figures:
+    """What the leader does over all sessions, and what it says of them."""
+    with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
+        node = control_node(folder)
+        node.register.restore(configured(4).image_for_edges())
+        for number in range(nodes):
+            node.roster.renew(session_of_node(number, zones))
+        renewals, roster = node.renewals, node.roster
+        renewals.note_members()
+        looks = 50
+        look = seconds_of(lambda: [renewals.note_members() for _ in range(looks)]) / looks
+        sessions = list(roster.sessions.values())
+        for session in sessions:
+            renewals.divider.report(session.name, {f"service-{service}": 10.0
+                                                   for service in range(SERVICES)})
+
+        def share(session: Session) -> None:
+            renewals.shares(session, renewals.edges(), {"service-0": 1.0, "service-1": 1.0}, {},
+                            node.scheduler.now())
+
+        ends = node.scheduler.now() + 600.0
+        for service in range(SERVICES):
+            for session in sessions:
+                held = Given()
+                held.shares = [(1.0, ends)]
+                renewals.divider.given.setdefault(f"service-{service}", {})[session.name] = held
+        shares = seconds_of(lambda: share(sessions[0]))
+        now = node.scheduler.now()
+        for session in sessions:
+            renewals.terms.give((session.name, "run"), 1, now + 60.0, now)
+        behind = seconds_of(lambda: renewals.terms.behind(2, now))
+        said = cbor2.dumps(roster.say())
+        say = seconds_of(lambda: cbor2.dumps(roster.say()))
+        other = Roster(node.scheduler, "core-1/1", 3.0, 600.0)
+        hear = seconds_of(lambda: other.hear(cbor2.loads(said)))
+        told = cbor2.dumps([session.plain() for session in roster.members().values()])
+        tell = seconds_of(lambda: cbor2.dumps(
+            [session.plain() for session in roster.members().values()]))
+        take = seconds_of(lambda: [session_of(plain) for plain in cbor2.loads(told)])
+        node.door.close()
+        return {"leader: µs of one look for news of members": 1e6 * look,
+                "leader: µs of one edge's shares, 2 services": 1e6 * shares,
+                "leader: ms to see whose terms a word waits for": 1e3 * behind,
+                "leader: KB of sessions to a follower, each beat": len(said) / 1e3,
+                "leader: ms to write them": 1e3 * say,
+                "follower: ms to read them": 1e3 * hear,
+                "leader: KB of members to one node": len(told) / 1e3,
+                "leader: ms to write them for one node": 1e3 * tell,
+                "node: ms to read them": 1e3 * take}
+
+
+def measure_configuration(servers: int, routes: int) -> Figures:
+    """What a node is told at its start: the image, and the listing of servers."""
+    register = configured(routes)
+    image = register.image_for_edges()
+    fresh = Register()
+    listed = [Server(f"service-{number % SERVICES}", f"127.0.9.2:{10_000 + number}",
+                     zone_name(number, 4), "1", False).plain() for number in range(servers)]
+    return {"KB of image": len(image) / 1e3,
+            "ms to write the image": 1e3 * seconds_of(register.image_for_edges),
+            "ms to restore the image": 1e3 * seconds_of(lambda: fresh.restore(image)),
+            "KB of listing to one node": len(cbor2.dumps(listed)) / 1e3,
+            "ms to write the listing": 1e3 * seconds_of(lambda: cbor2.dumps(listed))}
+
+
+def measure_purge(copies: int) -> Figures:
+    """One purge of one path at an edge that holds so many copies, none of which it meets."""
+    store = Store(1)
+    for number in range(copies):
+        store.copies["route-0", "", f"/route-0/{number}"] = Variants()
+
+    def purge() -> None:
+        number = store.purged + 1
+        store.take_purges([Purge(number, "path", "", "/elsewhere")], number)
+
+    return {f"edge: ms of a purge at {copies} copies": 1e3 * seconds_of(purge)}
+
+
+def measure_pieces(nodes: int, zones: int, servers: int, routes: int, copies: int,
+                   judged: bool) -> Figures:
+    """All pieces at one size; judging fills a whole history and takes its time."""
+    found = {**measure_sessions(nodes, zones), **measure_configuration(servers, routes),
+             **measure_purge(copies)}
+    if judged:
+        found.update(measure_judging(nodes, zones))
+    return found
--- a/packages/proving/ryelock/proving/scale.py
+++ b/packages/proving/ryelock/proving/scale.py
@@ -12,13 +12,13 @@
 
 import json
 import math
-import resource
 import signal
 import statistics
 import subprocess
 import sys
 import tempfile
 import time
+import tracemalloc
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -537,8 +537,9 @@
     by_zone: dict[str, list[str]] = {}
     for number in range(nodes):
         by_zone.setdefault(zone_name(number, zones), []).append(f"edge-{number:04d}")
-    memory = resident_bytes()
+    made = 0
     started = time.process_time()
+    tracemalloc.start()
     for zone, names in by_zone.items():
         for edge in names:
             probers = [name for name in names if name != edge] or names
@@ -548,22 +549,22 @@
                 row.taken, row.age, row.ttfb = now - 600.0 + 600.0 * sequence / rows, 1.0, 12.0
                 row.reachable = row.manifest_valid = row.object_fetchable = True
                 history.add(row)
-    taken = time.process_time() - started
-    held = resident_bytes() - memory
+                made += 1
+            if tracemalloc.is_tracing():
+                held = tracemalloc.get_traced_memory()[0] / made
+                tracemalloc.stop()
+                made, started = 0, time.process_time()
+    taken = (time.process_time() - started) / max(1, made)
     weights = dict.fromkeys(by_zone, 1.0 / len(by_zone))
     started = time.process_time()
     history.forget_old(now)
     judged = judge(by_zone, {"watched": watch}, weights, False, history, rules, now)
     return {"judging s": time.process_time() - started,
-            "judging: µs to take a row": 1e6 * taken / (nodes * rows),
-            "judging: MB of history": held / 1e6,
+            "judging: µs to take a row": 1e6 * taken,
+            "judging: bytes a row held": held,
             "judging: verdict KB": len(cbor2.dumps(judged.plain())) / 1e3}
 
 
-def resident_bytes() -> int:
-    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
-
-
 class Point:
     """All runs of one size."""
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,6 +9,7 @@
 import testtools
 
 from ryelock.proving.accounts import Account, Spent, read_traffic
+from ryelock.proving.pieces import measure_configuration, measure_purge, measure_sessions
 from ryelock.proving.scale import Point, Size, growth, measure_judging, plot, run_scale, table
 
 NODES, CHANGES = 8, 2
@@ -42,6 +43,21 @@
         self.assertGreater(large["judging: verdict KB"], small["judging: verdict KB"])
 
 
+class PieceTests(testtools.TestCase):
+    def test_what_is_told_of_sessions_grows_in_step_with_them(self) -> None:
+        small, large = measure_sessions(10, 2), measure_sessions(100, 2)
+        for name in ("leader: KB of sessions to a follower, each beat",
+                     "leader: KB of members to one node"):
+            self.assertAlmostEqual(10.0, large[name] / small[name], 0, name)
+
+    def test_images_and_listings_grow_with_routes_and_servers(self) -> None:
+        small, large = measure_configuration(10, 10), measure_configuration(100, 100)
+        self.assertAlmostEqual(10.0, large["KB of listing to one node"]
+                               / small["KB of listing to one node"], 0)
+        self.assertGreater(large["KB of image"], 5 * small["KB of image"])
+        self.assertEqual(["edge: ms of a purge at 10 copies"], list(measure_purge(10)))
+
+
 class TableTests(testtools.TestCase):
     def test_a_square_has_the_exponent_two(self) -> None:
         points = [Point(f"{nodes} nodes", Size(nodes, 1, 1, 1)) for nodes in (10, 40)]
