--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -217,11 +217,15 @@
 
 
 Allowed = Callable[[Note], set[str]]
+OwnRead = Callable[[Arrival], bool]
 
 
 def broken(notes: list[Note], arrivals: list[Arrival], services: dict[str, ServiceStandIn],
-           words: Words, allowed: Allowed) -> list[str]:
-    """What of the rules on orders and answers is broken; empty where all held."""
+           words: Words, allowed: Allowed, own_read: OwnRead) -> list[str]:
+    """What of the rules on orders and answers is broken; empty where all held.
+
+    `own_read` tells of an order that no caller sent whether the system may send it by itself.
+    """
     found: list[str] = []
     sent = {note.identity: note for note in notes}
     runs: dict[str, int] = {}
@@ -230,7 +234,7 @@
             continue
         note = sent.get(arrival.identity)
         if note is None:
-            if arrival.method != "GET":
+            if not own_read(arrival):
                 found.append(f"unasked: {arrival.identity!r} was run and nobody sent it")
             continue
         runs[note.identity] = runs.get(note.identity, 0) + 1
--- a/tests/test_platform_shapes.py
+++ b/tests/test_platform_shapes.py
@@ -65,6 +65,31 @@
         voters = premises.node(leaders[0]).core.council.voters
         self.assertEqual(5, len(voters))
 
+    def test_control_nodes_without_a_disk_pass_operators_words_on(self) -> None:
+        self.pass_on(["10.1.0.1:8146", "10.2.0.1:8146", "10.3.0.1:8146"])
+
+    def test_control_nodes_found_also_where_a_seed_has_no_disk(self) -> None:
+        """The platform names any three machines that serve operators."""
+        self.pass_on(["10.1.0.1:8146", "10.1.0.2:8146", "10.2.0.1:8146"])
+
+    def pass_on(self, seeds: list[str]) -> None:
+        """Words through every control node, of which each zone's second has no disk."""
+        premises = Premises(20, edges=3, cores=2)
+        for machine, told in premises.lines.items():
+            told["seed_nodes"] = ",".join(seeds)
+            if machine.endswith("-1"):
+                del told["data_directory"]
+        premises.set_up()
+        self.assertEqual(6, len(premises.operator.nodes))
+        base = "r5"
+        for number, node in enumerate(list(premises.operator.nodes)):
+            premises.operator.nodes = [node]
+            sent = {**premises.configuration, "version": f"r{6 + number}"}
+            self.assertEqual(200, premises.replace(sent, base)[0], node)
+            self.assertEqual(sent, premises.read())
+            self.assertEqual(200, premises.purge(label="shelf-covers"))
+            base = f"r{6 + number}"
+
     def test_ten_services_serve_each_its_own_orders(self) -> None:
         names = tuple(f"service{number}" for number in range(10))
         premises = Premises(8, services=names, servers=1)
