--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -852,6 +852,7 @@
         while True:
             if self.disk not in self.voters or not self.knows_leader():
                 answers: dict[str, Message] = {}
+                diskless: dict[str, Message] = {}
                 for seed in self.seeds:
                     if seed == self.address:
                         answers[seed] = self.on_who({})
@@ -859,15 +860,17 @@
                     found = yield from self.lines.ask(seed, {"kind": "council.who"}, 0.5)
                     if found.is_ok() and isinstance(found.ok.get("disk"), str):
                         answers[seed] = found.ok
+                    elif found.is_ok() and found.ok.get("diskless") is True:
+                        diskless[seed] = found.ok
                 if (self.empty and self.pace.may_found and self.address in self.seeds
-                        and len(answers) == len(self.seeds)
+                        and len(answers) + len(diskless) == len(self.seeds)
                         and all(answer.get("empty") is True for answer in answers.values())):
                     voters = {str(answer["disk"]): seed for seed, answer in answers.items()}
-                    if len(voters) == len(self.seeds):
+                    if len(voters) == len(answers):
                         self.commands.put(Command(lambda voters=voters:  # type: ignore[misc]
                                                   self.found(voters)))
                 else:
-                    for answer in answers.values():
+                    for answer in (*answers.values(), *diskless.values()):
                         address = str(answer.get("leader_address") or "")
                         if address and address != self.address:
                             yield from self.lines.ask(address, {
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -107,6 +107,10 @@
         self.member.seeds = env.seeds
 
     def on_ask(self, message: Message, reply: Reply) -> None:
+        """A desk that is a seed says that it has no disk, and who leads as far as it knows."""
+        if message.get("kind") == "council.who" and self.role == "desk":
+            reply({"diskless": True, "leader_address": self.member.leader})
+            return
         reply({"fault": "this node answers no asks"})
 
     # Following the control plane.
--- a/tests/test_checked.py
+++ b/tests/test_checked.py
@@ -36,12 +36,17 @@
 class CheckedTests(testtools.TestCase):
     def test_every_fault_of_settings_is_named(self) -> None:
         error = self.assertRaises(EnvError, read_env, "core", "", {
-            "name": "a b", "zone": "z", "seeds": "1.2.3.4:1", "wire_address": "here:1",
+            "name": "a b", "zone": "z", "seeds": "1.2.3.4:1,1.2.3.4:1", "wire_address": "here:1",
             "control_address": "1.2.3.4:99999", "data_folder": "/d", "term_seconds": "soon",
             "cheese": 1})
         keys = [fault.partition(":")[0] for fault in error.faults]
         self.assertEqual(["name", "seeds", "wire_address", "control_address", "term_seconds",
                           "cheese"], keys)
+        for seeds in ("", "1.2.3.4:1,1.2.3.4:2,1.2.3.4:3,1.2.3.4:4", "1.2.3.4"):
+            error = self.assertRaises(EnvError, read_env, "core", "", {
+                "name": "a", "zone": "z", "seeds": seeds, "wire_address": "1.2.3.4:1",
+                "control_address": "1.2.3.4:2", "data_folder": "/d"})
+            self.assertEqual(["seeds"], [fault.partition(":")[0] for fault in error.faults], seeds)
 
     def test_every_fault_of_a_change_is_named(self) -> None:
         found = merge_change(Configuration(), change(
