--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -51,6 +51,7 @@
 FULL_SECONDS = 0.15
 CLAIM_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
+NO_SHARE = "declined: no share of the service's rate is held here yet"
 OWNER_OPEN = 0.2
 OWNER_PART = 0.5
 HASTY_SECONDS = 0.25
@@ -287,7 +288,8 @@
         """From a copy; else by a fill under way; else by a fill of its own.
 
         A probe that asks past the copy leaves the copy as it is: it must not mend what it
-        then looks at as a reader would.
+        then looks at as a reader would. Nor does it wait for a fill: the order that fills may
+        itself wait at the gate, and a probe goes before the crowd.
         """
         key = (order.route_name, order.host, order.target)
         head = exchange.head
@@ -305,7 +307,7 @@
             return
         shared = (head.method == b"GET" and field(head.fields, b"authorization") is None
                   and field(head.fields, b"cache-control") is None and not behind)
-        fill = self.store.fills.get(key) if shared else None
+        fill = self.store.fills.get(key) if shared and not order.probe else None
         if fill is not None:
             order.cache = "waited for a fill"
             waited = yield from self.wait_for(fill, exchange, route)
@@ -320,7 +322,7 @@
         kept: Copy | None = None
         try:
             known = copy if copy is not None and copy.etag is not None else None
-            if shared and not order.peer and self.peers is not None:
+            if shared and not (order.peer or order.probe) and self.peers is not None:
                 kept = yield from self.ask_owner(self.peers, exchange, order, route, key, known)
                 if kept is not None:
                     order.cache = "from the owner"
@@ -474,7 +476,8 @@
         back = yield from gate.enter(order.route_name, route.share, patience,
                                      order.probe)
         if back:
-            order.allowance = "declined: over the service's rate or queue"
+            bare = gate.bucket.holding(self.scheduler.now()) <= 0 and not gate.bucket.counted
+            order.allowance = NO_SHARE if bare else "declined: over the service's rate or queue"
             return Failure(503, "the service is at its rate; the order was not sent", back=back)
         order.allowance = "allowed"
         if exchange.left:
@@ -922,6 +925,8 @@
             fields.append((self.dialect.identity, order.identity.encode("latin-1")))
             if order.probe and self.crowded(order):
                 fields.append((b"X-Ryelock-Outcome", b"crowded"))
+        elif order.probe and order.allowance == NO_SHARE:
+            fields[2] = (b"X-Ryelock-Outcome", b"crowded")
         elif failure.status in (429, 502, 503, 504) and (not failure.unknown or keyed):
             back = math.ceil(failure.back + self.random.random() * 2)
             fields.append((b"Retry-After", b"%d" % back))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -230,7 +230,10 @@
 # Where a change of what else a run does left none of the first three seeds that shows the rule
 # broken, three others stand; of twelve, eight break before and after (4 to 9, 11, 12).
 SEEDS: dict[tuple[str, Callable[[], list[Patch]]], tuple[int, int, int]] = {
-    ("repeated-keys", claims_of_one_disk): (4, 5, 6)}
+    ("repeated-keys", claims_of_one_disk): (4, 5, 6),
+    # Of seeds 1 to 6: before an election soon after a start 1 and 3 broke of the first three,
+    # now 4, 5 and 6 of all.
+    ("crash-image", no_sync): (4, 5, 6)}
 
 
 class RuleTests(testtools.TestCase):
