An owner that falls silent costs a part of the aim, not half of the caller's time

Now an owner is waited for three quarters of the aim (at least 0.25 s), and doubted only if nothing else came from it meanwhile. Ruled out: the core (no leader was lost, no election ran in those seconds).

--- a/packages/edge/ryelock/edge/peers.py
+++ b/packages/edge/ryelock/edge/peers.py
@@ -38,7 +38,7 @@
 class Peers:
     """The edges of one zone as one of them sees them."""
 
-    __slots__ = ("doubted", "kept", "known", "name", "names", "scheduler", "sessions",
+    __slots__ = ("answered", "doubted", "kept", "known", "name", "names", "scheduler", "sessions",
                  "waits", "zone")
 
     def __init__(self, scheduler: Scheduler, name: str, zone: str) -> None:
@@ -48,6 +48,7 @@
         self.known: dict[str, Session] | None = None
         self.sessions: dict[str, Session] = {}
         self.names: list[str] = []
+        self.answered: dict[str, float] = {}
         self.doubted: dict[str, float] = {}
         self.waits: dict[str, float] = {}
         self.kept: dict[str, list[tuple[Link, Reader, float]]] = {}
@@ -84,7 +85,13 @@
         self.doubted[session.name] = self.scheduler.now() + self.waits[session.identity]
 
     def trust(self, session: Session) -> None:
+        """It answered: no wait is remembered, and asks that are open still have hope."""
         self.waits.pop(session.identity, None)
+        self.answered[session.name] = self.scheduler.now()
+
+    def heard(self, session: Session) -> float:
+        """When an edge last answered anything; one that answers others is slow, not gone."""
+        return self.answered.get(session.name, -1e18)
 
     def kept_link(self, address: str) -> tuple[Link, Reader] | None:
         kept = self.kept.get(address, [])
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -52,8 +52,10 @@
 CLAIM_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
 NO_SHARE = "declined: no share of the service's rate is held here yet"
-OWNER_OPEN = 0.2
+OWNER_OPEN = 0.1
 OWNER_PART = 0.5
+OWNER_AIM = 0.75
+OWNER_LEAST = 0.25
 HASTY_SECONDS = 0.25
 HASTY_TIMES = 3.0
 CONDITIONS = frozenset([b"range", b"if-range", b"if-none-match", b"if-modified-since",
@@ -382,7 +384,10 @@
         if owner is None:
             return None
         now = self.scheduler.now()
-        until = now + OWNER_PART * max(0.0, self.deadline(exchange, route) - now)
+        most = OWNER_PART * max(0.0, self.deadline(exchange, route) - now)
+        if route.target_seconds:
+            most = min(most, max(OWNER_LEAST, OWNER_AIM * route.target_seconds))
+        until = now + most
         kept = peers.kept_link(owner.order)
         link, reader = kept if kept is not None else (self.network.connect(owner.order), None)
         reader = reader or Reader(self.scheduler, link)
@@ -395,7 +400,8 @@
             self.send_to_owner(exchange, order, link, until, known)
             found = yield from read_answer(reader, b"GET", self.env.head_bytes, until)
             if found.is_error():
-                peers.doubt(owner)
+                if peers.heard(owner) < sent:
+                    peers.doubt(owner)
                 return None
             answer = found.ok
             body, whole = yield from self.read_first(answer, until, True)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -173,3 +173,26 @@
                              "since": version[1] + 4, "sessions": [],
                              "removed": list(before)})
         self.assertEqual((before, version), (member.members, member.members_version))
+
+
+class SilentOwnerTests(testtools.TestCase):
+    def test_an_owner_that_falls_silent_costs_a_part_of_the_aim_once(self) -> None:
+        """Its link stands and nothing comes: asks go on alone, and later ones ask it no more."""
+        scenario = shared(21, edges=2)
+        apply: dict[str, object] = {"routes": {"covers": {
+            "path": "/covers", "service": "pages", "cached": True,
+            "lifetime_seconds": 6.0, "target_seconds": 0.4}}}
+        self.assertEqual(200, scenario.world.task(
+            scenario.operators, scenario.change("aims", 1, apply), 20).status)
+        asking, owner = scenario.edges
+        first, second, third = [target for target in (
+            f"/covers/{number}" for number in range(100))
+            if owner_of((HOST, target), sorted(scenario.edges)) == owner][:3]
+        self.assertEqual(200, fetch(scenario, asking, first)[0])
+        scenario.world.freeze(owner, True)
+        before = scenario.world.time
+        self.assertEqual((200, b"miss"), fetch(scenario, asking, second))
+        self.assertLess(scenario.world.time - before, 0.5)
+        before = scenario.world.time
+        self.assertEqual((200, b"miss"), fetch(scenario, asking, third))
+        self.assertLess(scenario.world.time - before, 0.2)
