Owners fetch under the caller's name again; probes under none, on links of their own

Cause: a server repeats only names that callers sent. Now: an owner passes the caller's name on, and an asker that gets no copy takes a repeat's room where there is some; a probe bears no name and has a link that is not kept.

--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -171,16 +171,13 @@
         order.probe = self.is_probe(field(head.fields, b"x-ryelock-probe"))
         order.peer, order.purged, order.known = self.peer_of(
             field(head.fields, b"x-ryelock-peer"))
-        if order.peer:
-            order.identity = f"{self.name}-{self.member.session.incarnation}-{self.sequence}"
         order.verdict = self.member.verdicts()
         return order
 
     def peer_of(self, said: bytes | None) -> tuple[bool, int, int]:
         """Whether an order comes from an edge that is a member; the purges and version it knows.
 
-        What is fetched for another edge is read on this edge's own account, under a name of its
-        own: the caller's name stays free for a fetch of the other's.
+        What is fetched for another edge goes under the caller's name: servers repeat no other.
         """
         parts = (said or b"").decode("latin-1").split(" ")
         if len(parts) != 4 or not all(part.isascii() and part.isdigit() and len(part) < 19
@@ -402,12 +399,15 @@
             if found.is_error():
                 if peers.heard(owner) < sent:
                     peers.doubt(owner)
+                self.spend(order)
                 return None
             answer = found.ok
             body, whole = yield from self.read_first(answer, until, True)
             done = whole and answer.keep
             age = age_of(field(answer.head.fields, b"x-ryelock-age"))
             if not whole or age is None:
+                if answer.head.status not in (404, 429, 503):
+                    self.spend(order)
                 return None
             peers.trust(owner)
             now = self.scheduler.now()
@@ -423,6 +423,7 @@
             return copy
         except (Cut, Late, FramingError):
             peers.doubt(owner)
+            self.spend(order)
             return None
         finally:
             if done:
@@ -430,6 +431,16 @@
             else:
                 link.abort()
 
+    def spend(self, order: Order) -> None:
+        """An owner may have sent an order already: a fetch from here repeats it then.
+
+        It takes room for a repeat where there is some, and goes on where there is none: the caller
+        is owed an answer, and owners that are silent are soon asked no more.
+        """
+        gate = self.gates.get(order.service)
+        if gate is not None:
+            gate.budget.repeat()
+
     def send_to_owner(self, exchange: Exchange, order: Order, link: Link, until: float,
                       known: Copy | None) -> None:
         dialect = self.dialect
@@ -618,7 +629,8 @@
                    known: Copy | None, last: bool) -> Step[Result[Carried, CallError]]:
         """One dispatch: a link, the order's bytes, the answer's head, a short body whole."""
         kept = None
-        if order.klass != "once" or not self.dialect.own:
+        nameless = order.probe and not self.dialect.own
+        if (order.klass != "once" or not self.dialect.own) and not nameless:
             kept = self.servers.kept_link(state)
         if kept is not None:
             link, reader = kept
@@ -653,6 +665,8 @@
                 first, whole = yield from self.read_first(answer, until, fill)
                 if self.answers(order, answer.head) or not whole:
                     break
+            if nameless:
+                answer.keep = False
             error = self.unfit(order, answer.head)
             if error is not None:
                 return Error(error)
@@ -679,7 +693,8 @@
     def answers(self, order: Order, head: AnswerHead) -> bool:
         """Whether an answer is this order's, where answers say whose they are.
 
-        A server may send one too many; it comes where the next order's is due.
+        A server may send one too many; it comes where the next order's is due. A probe has no
+        name that servers repeat; it has a link of its own instead.
         """
         if not self.dialect.identity:
             return True
@@ -697,7 +712,7 @@
                                   and field(head.fields, dialect.not_run.lower()) is not None):
             return CallError(f"the server declined: {head.status}", False, head.status)
         if dialect.identity and field(head.fields, dialect.identity.lower()) is None and (
-                head.status < 400):
+                head.status < 400 and not order.probe):
             return CallError("an answer that does not say whose it is", True)
         if not self.sealed(head):
             return CallError("a success without its server's mark", True)
@@ -760,8 +775,9 @@
         """Fields that are said anew to a server; an order without a name gets one."""
         dialect = self.dialect
         dropped |= {dialect.deadline.lower(), dialect.expected.lower(), b"x-ryelock-probe"}
-        if order.peer or field(fields, dialect.identity.lower()) is None:
-            fields[:] = [pair for pair in fields if pair[0].lower() != dialect.identity.lower()]
+        if order.probe:
+            dropped.add(dialect.identity.lower())
+        elif field(fields, dialect.identity.lower()) is None:
             fields.append((dialect.identity, order.identity.encode("latin-1")))
 
     def read_first(self, answer: Answer, until: float, fill: bool) -> Step[tuple[bytes, bool]]:
