--- a/packages/edge/ryelock/edge/orders.py
+++ b/packages/edge/ryelock/edge/orders.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from ryelock.register import Route
+
 Caller = bytes
 FRESH_MOST = 200
 
@@ -11,7 +13,7 @@
 
     __slots__ = ("allowance", "body", "cache", "dispatches", "host", "identity", "klass", "known",
                  "method", "outcome", "path", "peer", "probe", "purged", "reason", "repeat",
-                 "route", "route_name", "seconds", "service", "started", "status",
+                 "route", "route_name", "rule", "seconds", "service", "started", "status",
                  "target", "verdict", "version", "wall", "weighed")
 
     def __init__(self, identity: str, method: str, target: str, host: str, started: float,
@@ -30,6 +32,7 @@
         self.known = 0
         self.repeat = False
         self.route = -1
+        self.rule: Route | None = None
         self.route_name = ""
         self.service = ""
         self.klass = ""
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/way.py
@@ -202,7 +202,7 @@
         order.route = plan.resolve(order.host, order.path)
         if order.route < 0:
             return None
-        route = plan.routes[order.route]
+        route = order.rule = plan.routes[order.route]
         order.route_name = plan.route_names[order.route]
         order.service = self.service_of(route)
         unsafe = order.method.encode("latin-1") not in SAFE
@@ -394,7 +394,7 @@
                 peers.doubt(owner)
                 return None
             sent = self.scheduler.now()
-            self.send_to_owner(exchange, order, link, until, known)
+            self.send_to_owner(exchange, order, link, self.deadline(exchange, route), known)
             found = yield from read_answer(reader, b"GET", self.env.head_bytes, until)
             if found.is_error():
                 if peers.heard(owner) < sent:
@@ -432,14 +432,8 @@
                 link.abort()
 
     def spend(self, order: Order) -> None:
-        """An owner may have sent an order already: a fetch from here repeats it then.
-
-        It takes room for a repeat where there is some, and goes on where there is none: the caller
-        is owed an answer, and owners that are silent are soon asked no more.
-        """
-        gate = self.gates.get(order.service)
-        if gate is not None:
-            gate.budget.repeat()
+        """An owner may have sent an order already: a fetch from here is then a repeat of it."""
+        order.dispatches.append({"server": "the owner", "sent": True})
 
     def send_to_owner(self, exchange: Exchange, order: Order, link: Link, until: float,
                       known: Copy | None) -> None:
@@ -541,7 +535,7 @@
             started = self.scheduler.now()
             state.sent_at.append(started)
             try:
-                last = number + 1 >= route.attempts
+                last = number + 1 >= route.attempts or order.peer
                 found = yield from self.try_server(exchange, order, route, state, until, record,
                                                    fill, known, last)
             finally:
@@ -761,7 +755,9 @@
             fields.append((b"X-Ryelock-Order", order.identity.encode()))
         else:
             dialect = self.dialect
-            left = self.deadline(exchange, self.plan.routes[order.route]) - self.scheduler.now()
+            until = exchange.deadline if order.rule is None else self.deadline(
+                exchange, order.rule)
+            left = until - self.scheduler.now()
             fields.append((dialect.deadline, b"%d" % max(1, int(left * 1000))))
             fields.append((dialect.expected, state.server.incarnation.encode()))
         target = head.target
@@ -938,8 +934,7 @@
                           (b"X-Ryelock-Order", order.identity.encode())]
         keyed = field(exchange.head.fields, b"idempotency-key") is not None
         if not self.dialect.own:
-            route = self.plan.routes[order.route] if order.route_name else None
-            back = self.soon(route) if route is not None else 0.2
+            back = self.soon(order.rule) if order.rule is not None else 0.2
             fields = [(b"Content-Type", b"application/json")]
             if failure.status in (429, 503):
                 fields.append((b"Retry-After", b"%.3f" % back if self.dialect.fractions
--- a/packages/proving/ryelock/proving/landlord.py
+++ b/packages/proving/ryelock/proving/landlord.py
@@ -55,10 +55,13 @@
 
 
 class ServiceStandIn:
-    """What all servers of a service have in common."""
+    """What all servers of a service have in common.
+
+    `repeats` tells which orders' names its answers bear: those that callers sent, and no others.
+    """
 
     __slots__ = ("fitness_path", "hangs", "idle_seconds", "links_most", "name", "objects",
-                 "queue", "rate", "slots", "taken", "work_seconds")
+                 "queue", "rate", "repeats", "slots", "taken", "work_seconds")
 
     def __init__(self, name: str, rate: float = 1e9, slots: int = 8, queue: int = 4,
                  hangs: bool = False, work_seconds: float = 0.02, size: int = 600) -> None:
@@ -73,6 +76,7 @@
         self.fitness_path = "/health"
         self.objects = Objects(size)
         self.taken: deque[float] = deque()
+        self.repeats: Callable[[str], bool] = lambda _identity: True
 
     def over_rate(self, now: float) -> bool:
         """Count one more order of this second; those above the rate are counted as well."""
@@ -226,7 +230,7 @@
     def named(self, arrival: Arrival) -> Fields:
         """Fields of every answer: whose it is, and how long the link is kept."""
         fields: Fields = [(b"Keep-Alive", b"timeout=%d" % self.service.idle_seconds)]
-        if arrival.identity:
+        if arrival.identity and self.service.repeats(arrival.identity):
             fields.append((self.words.dialect.identity, arrival.identity.encode("latin-1")))
         return fields
 
--- a/tests/premises.py
+++ b/tests/premises.py
@@ -131,6 +131,8 @@
         self.history: list[Arrival] = []
         self.notes: list[Note] = []
         self.services = {name: ServiceStandIn(name) for name in services}
+        for service in self.services.values():
+            service.repeats = self.sent_by_a_caller
         self.servers: dict[str, ServerLife] = {}
         self.callers_on = True
         self.outside = self.world.add("outside", "outside", "10.9.0.1")
@@ -167,6 +169,9 @@
                 for _ in range(servers):
                     self.add_server(name, zone)
 
+    def sent_by_a_caller(self, identity: str) -> bool:
+        return any(note.identity == identity for note in reversed(self.notes))
+
     # Building.
 
     def add_server(self, service: str, zone: str, address: str = "") -> ServerLife:
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -46,6 +46,11 @@
 
 
 class Orders(testtools.TestCase):
+    def repeat_all(self, premises: Premises) -> None:
+        """For orders that are written by hand and stand in no caller's notes."""
+        for service in premises.services.values():
+            service.repeats = lambda _identity: True
+
     def post(self, premises: Premises, number: int = 1, **more: Any) -> Note:
         return premises.ask(UNSAFE, "POST", f"/orders/{number}", b"body", **more)
 
@@ -358,6 +363,7 @@
 
     def test_a_body_in_chunks_reaches_its_server_whole(self) -> None:
         premises = Premises(47).set_up()
+        self.repeat_all(premises)
         whole = bytes(range(256)) * 1000
         outside, front = premises.outside, premises.entrance.fronts[premises.edges[0]]
         told: list[int] = []
@@ -714,6 +720,30 @@
         yield from client.order(CACHEABLE, "GET", HOST, "/covers/1", b"", 1.0, None, 1, edge)
 
 
+class ChangedMidwayTests(Orders):
+    """A configuration that changes while an order is on its way."""
+
+    def test_an_order_whose_version_went_is_answered(self) -> None:
+        """Its route's place in the table is another's now, or none's."""
+        premises = Premises(98).set_up()
+        premises.services["pages"].work_seconds = 0.4
+        for number, kind in enumerate((CACHEABLE, SAFE)):
+            client = premises.client(f"midway{number}")
+            target = "/covers/9" if kind == CACHEABLE else "/plain/9"
+            premises.outside.scheduler.spawn("midway", client.order(
+                kind, "GET", HOST, target, b"", 2.0, None, 1, premises.edges[0]))
+        premises.world.run(0.1)
+        routes = [route("a-only", "/only/", SAFE, "desks")]
+        plain = {**premises.configuration, "routes": routes, "version": "r90"}
+        self.assertEqual(200, premises.replace(plain, "r5")[0])
+        always(premises, "pages", FULL)
+        premises.world.run(3)
+        self.assertEqual(2, len(premises.notes))
+        for note in premises.notes:
+            self.assertIn(note.status, (200, 502, 503, 504), note.said)
+        self.assertEqual([], premises.world.faults)
+
+
 class LoadTests(Orders):
     """What all edges together send to a service."""
 
@@ -828,6 +858,7 @@
 
     def test_callers_who_leave_at_once_do_not_set_sound_servers_aside(self) -> None:
         premises = Premises(95).set_up()
+        self.repeat_all(premises)
         outside, front = premises.outside, premises.entrance.fronts[premises.edges[0]]
 
         def leave(number: int) -> Step[None]:
