--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -297,11 +297,14 @@
 def over_budget(notes: list[Note], arrivals: list[Arrival], service: str,
                 routed: Callable[[Note], set[str]], ratio: float = 0.2, slack: float = 68,
                 seconds: float = 10.0) -> list[str]:
-    """Spans in which a service got more repeats than a part of its callers' orders allows."""
+    """Spans in which a service got more repeats than a part of its callers' orders allows.
+
+    A read without a name is no caller's order, so it repeats none; every named one is counted.
+    """
     seen: set[str] = set()
     repeats: list[float] = []
     for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
-        if arrival.service != service:
+        if arrival.service != service or not arrival.identity:
             continue
         if arrival.identity in seen:
             repeats.append(arrival.at)
