--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -17,8 +17,14 @@
 from ryelock.proving.schedules import run_schedule  # noqa: E402
 
 
-def fleet(shape: str = "small", *, seconds: float = 5.0, seed: int = 1, faults: bool = False,
-          keep: str = "") -> int:
+def fleet(
+    shape: str = "small",
+    *,
+    seconds: float = 5.0,
+    seed: int = 1,
+    faults: bool = False,
+    keep: str = "",
+) -> int:
     """Bring up a fleet of real processes on loopback, run it, and print a report.
 
     :param shape: small, buchfalter or wanjiru
@@ -30,8 +36,9 @@
     return run_fleet(shape, seconds, seed, faults, keep)
 
 
-def simulate(*, seed: int = 1, runs: int = 1, faults: int = 8, size: str = "small",
-             verbose: bool = False) -> int:
+def simulate(
+    *, seed: int = 1, runs: int = 1, faults: int = 8, size: str = "small", verbose: bool = False
+) -> int:
     """Run random schedules of faults in the simulator, one a seed.
 
     :param seed: the first seed
@@ -56,19 +63,23 @@
         if ended.findings.violations or verbose:
             sys.stdout.write(f"seed {number}: back after {ended.back_after}\n")
             sys.stdout.writelines(f"  {line}\n" for line in ended.happened)
-            sys.stdout.writelines(f"  BROKEN {line}\n"
-                                  for line in ended.findings.violations[:10])
+            sys.stdout.writelines(f"  BROKEN {line}\n" for line in ended.findings.violations[:10])
         if ended.findings.violations:
             failed += 1
-            sys.stdout.write(f"  again: python -m ryelock.proving simulate --seed {number} "
-                             f"--faults {faults} --size {size}\n")
-    sys.stdout.write("faults: " + ", ".join(
-        f"{name} {count}" for name, count in sorted(counts.items())) + "\n")
+            sys.stdout.write(
+                f"  again: python -m ryelock.proving simulate --seed {number} "
+                f"--faults {faults} --size {size}\n"
+            )
+    sys.stdout.write(
+        "faults: " + ", ".join(f"{name} {count}" for name, count in sorted(counts.items())) + "\n"
+    )
     sys.stdout.write(f"down verdicts {downs}, of zones that served {wrong}\n")
     returns.sort()
     if returns:
-        sys.stdout.write(f"return after the last fault: median {returns[len(returns) // 2]:.2f} s,"
-                         f" longest {returns[-1]:.2f} s\n")
+        sys.stdout.write(
+            f"return after the last fault: median {returns[len(returns) // 2]:.2f} s,"
+            f" longest {returns[-1]:.2f} s\n"
+        )
     sys.stdout.write(f"{runs - failed} passed, {failed} failed\n")
     sys.stderr.write(f"{time.monotonic() - started:.0f} s\n")
     return 1 if failed else 0
@@ -90,14 +101,22 @@
         for number in range(seed, seed + runs):
             found = CASES[one](number)
             failed += bool(found.violations)
-            sys.stdout.writelines(f"{one} seed {number}: BROKEN {line}\n"
-                                  for line in found.violations[:10])
+            sys.stdout.writelines(
+                f"{one} seed {number}: BROKEN {line}\n" for line in found.violations[:10]
+            )
     sys.stdout.write(f"{len(names) * runs - failed} passed, {failed} failed\n")
     return 1 if failed else 0
 
 
-def finals(name: str = "", *, seed: int = 1, runs: int = 1, size: str = "small",
-           before: int = 0, verbose: bool = False) -> int:
+def finals(
+    name: str = "",
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    size: str = "small",
+    before: int = 0,
+    verbose: bool = False,
+) -> int:
     """Lose something for good, mend nothing, and see service return; without a name, each loss.
 
     :param name: one of the losses in ryelock.proving.finals
@@ -121,11 +140,14 @@
             held += not ended.findings.violations
             if ended.findings.violations or verbose:
                 sys.stdout.write(f"{one} seed {number}: {ended.happened} {ended.back}\n")
-                sys.stdout.writelines(f"  BROKEN {line}\n"
-                                      for line in ended.findings.violations[:6])
+                sys.stdout.writelines(
+                    f"  BROKEN {line}\n" for line in ended.findings.violations[:6]
+                )
         slowest.sort()
-        sys.stdout.write(f"{one} {size}: back after median {slowest[len(slowest) // 2]:.1f} s, "
-                         f"longest {slowest[-1]:.1f} s\n")
+        sys.stdout.write(
+            f"{one} {size}: back after median {slowest[len(slowest) // 2]:.1f} s, "
+            f"longest {slowest[-1]:.1f} s\n"
+        )
         sys.stdout.flush()
     sys.stdout.write(f"{held} passed, {broken} failed\n")
     return 1 if broken else 0
@@ -138,8 +160,9 @@
     :param seed: the first seed
     :param runs: how many seeds
     """
-    sys.stdout.write("| what | unit | lowest | median | highest | runs |\n"
-                     "|---|---|---|---|---|---|\n")
+    sys.stdout.write(
+        "| what | unit | lowest | median | highest | runs |\n|---|---|---|---|---|---|\n"
+    )
     for name in [name for name in MEASURES if like in name]:
         sys.stdout.write(measure(name, range(seed, seed + runs)) + "\n")
         sys.stdout.flush()
@@ -150,10 +173,24 @@
     return [int(part) for part in text.split(",")]
 
 
-def scale(*, nodes: str = "20,60,180", zones: str = "4", servers: str = "12", routes: str = "4",
-          runs: int = 3, processes: int = 1, seconds: float = 4.0, changes: int = 5,
-          restarts: int = 3, flood: float = 42.0, probe_seconds: float = 30.0,
-          joins: float = 20.0, losses: bool = True, write: str = "", plots: str = "") -> int:
+def scale(
+    *,
+    nodes: str = "20,60,180",
+    zones: str = "4",
+    servers: str = "12",
+    routes: str = "4",
+    runs: int = 3,
+    processes: int = 1,
+    seconds: float = 4.0,
+    changes: int = 5,
+    restarts: int = 3,
+    flood: float = 42.0,
+    probe_seconds: float = 30.0,
+    joins: float = 20.0,
+    losses: bool = True,
+    write: str = "",
+    plots: str = "",
+) -> int:
     """Bring up real cores and an edge beside hollow nodes, at each size, and print the costs.
 
     One of the four sizes may be a list, divided by commas: the figures stand against it.
@@ -174,11 +211,26 @@
     :param write: file for all figures of all runs, JSON
     :param plots: folder for a plot of each figure
     """
-    sizes = {"nodes": whole_numbers(nodes), "zones": whole_numbers(zones),
-             "servers": whole_numbers(servers), "routes": whole_numbers(routes)}
-    fixed = Size(1, 1, 1, 1, processes=processes, seconds=seconds, changes=changes,
-                 restarts=restarts, flood=flood, probe_seconds=probe_seconds, joins=joins,
-                 losses=losses)
+    sizes = {
+        "nodes": whole_numbers(nodes),
+        "zones": whole_numbers(zones),
+        "servers": whole_numbers(servers),
+        "routes": whole_numbers(routes),
+    }
+    fixed = Size(
+        1,
+        1,
+        1,
+        1,
+        processes=processes,
+        seconds=seconds,
+        changes=changes,
+        restarts=restarts,
+        flood=flood,
+        probe_seconds=probe_seconds,
+        joins=joins,
+        losses=losses,
+    )
     by = next((name for name, counts in sizes.items() if len(counts) > 1), "nodes")
     points = run_scale(sizes, fixed, runs, write, plots)
     sys.stdout.write(table(points, by))
@@ -187,8 +239,16 @@
     return 0
 
 
-def pieces(*, nodes: str = "60,180,540,2400", zones: int = 54, servers: int = 460,
-           routes: int = 4, copies: int = 100_000, runs: int = 3, judged: bool = False) -> int:
+def pieces(
+    *,
+    nodes: str = "60,180,540,2400",
+    zones: int = 54,
+    servers: int = 460,
+    routes: int = 4,
+    copies: int = 100_000,
+    runs: int = 3,
+    judged: bool = False,
+) -> int:
     """Take the pieces of a control node's work one by one, in this process, at any size.
 
     :param nodes: edges with a session, divided by commas
@@ -199,11 +259,15 @@
     :param runs: times that each size is measured
     :param judged: also fill a whole history of probes and judge it
     """
-    points = [Point(f"{count} nodes", Size(count, zones, servers, routes))
-              for count in whole_numbers(nodes)]
+    points = [
+        Point(f"{count} nodes", Size(count, zones, servers, routes))
+        for count in whole_numbers(nodes)
+    ]
     for point in points:
-        point.runs = [measure_pieces(point.size.nodes, zones, servers, routes, copies,
-                                     judged) for _ in range(runs)]
+        point.runs = [
+            measure_pieces(point.size.nodes, zones, servers, routes, copies, judged)
+            for _ in range(runs)
+        ]
     sys.stdout.write(table(points, "nodes"))
     return 0
 
--- a/packages/proving/ryelock/proving/accounts.py
+++ b/packages/proving/ryelock/proving/accounts.py
@@ -49,8 +49,16 @@
 class Spent:
     """The difference of two accounts of one process; all of the later one where it is fresh."""
 
-    __slots__ = ("bytes_in", "bytes_out", "cpu", "descriptors", "disk", "memory", "segments_in",
-                 "segments_out")
+    __slots__ = (
+        "bytes_in",
+        "bytes_out",
+        "cpu",
+        "descriptors",
+        "disk",
+        "memory",
+        "segments_in",
+        "segments_out",
+    )
 
     def __init__(self, before: Account | None, after: Account) -> None:
         self.cpu = after.cpu - (before.cpu if before is not None else 0.0)
@@ -69,10 +77,12 @@
     """By inode of every TCP socket: bytes in, bytes out, segments with data in and out."""
     found: dict[int, Traffic] = {}
     with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_DIAGNOSIS) as link:
-        asked = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 1 << (INFORMATION - 1),
-                            0xFFFFFFFF) + bytes(48)
-        link.send(struct.pack("=IHHII", 16 + len(asked), DUMP_SOCKETS, ORDER_AND_DUMP, 1, 0)
-                  + asked)
+        asked = struct.pack(
+            "=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 1 << (INFORMATION - 1), 0xFFFFFFFF
+        ) + bytes(48)
+        link.send(
+            struct.pack("=IHHII", 16 + len(asked), DUMP_SOCKETS, ORDER_AND_DUMP, 1, 0) + asked
+        )
         while True:
             data = memoryview(link.recv(1 << 20))
             while len(data) >= 16:
@@ -80,7 +90,7 @@
                 if kind != DUMP_SOCKETS:
                     return found
                 read_socket(data[16:size], found)
-                data = data[(size + 3) & ~3:]
+                data = data[(size + 3) & ~3 :]
 
 
 def read_socket(data: memoryview, found: dict[int, Traffic]) -> None:
--- a/packages/proving/ryelock/proving/callers.py
+++ b/packages/proving/ryelock/proving/callers.py
@@ -16,8 +16,22 @@
 class Told:
     """One order of a caller and what it was told of it."""
 
-    __slots__ = ("at", "body", "cache", "edge", "end", "identity", "method", "order", "outcome",
-                 "retry_after", "seconds", "status", "target", "whole")
+    __slots__ = (
+        "at",
+        "body",
+        "cache",
+        "edge",
+        "end",
+        "identity",
+        "method",
+        "order",
+        "outcome",
+        "retry_after",
+        "seconds",
+        "status",
+        "target",
+        "whole",
+    )
 
     def __init__(self, at: float, edge: str, method: str, target: str, identity: str) -> None:
         self.at = at
@@ -41,8 +55,14 @@
 
     __slots__ = ("link", "network", "notes", "random", "reader", "scheduler", "seconds")
 
-    def __init__(self, scheduler: Scheduler, network: Network, random: Random,
-                 notes: list[Told], seconds: float = 15.0) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        random: Random,
+        notes: list[Told],
+        seconds: float = 15.0,
+    ) -> None:
         self.scheduler = scheduler
         self.network = network
         self.random = random
@@ -56,8 +76,15 @@
             self.link.close()
             self.link = None
 
-    def order(self, edge: str, method: str, target: str, identity: str,
-              fields: Fields | None = None, body: bytes = b"") -> Step[Told]:
+    def order(
+        self,
+        edge: str,
+        method: str,
+        target: str,
+        identity: str,
+        fields: Fields | None = None,
+        body: bytes = b"",
+    ) -> Step[Told]:
         """Send one order and read its answer to the end."""
         told = Told(self.scheduler.now(), edge, method, target, identity)
         self.notes.append(told)
@@ -73,9 +100,13 @@
                 return told
         reader = self.reader
         assert reader is not None
-        send_order(link, method.encode(), target.encode(), [
-            (b"Host", b"shop.example"), (b"X-Order-Identity", identity.encode()),
-            *(fields or [])], body)
+        send_order(
+            link,
+            method.encode(),
+            target.encode(),
+            [(b"Host", b"shop.example"), (b"X-Order-Identity", identity.encode()), *(fields or [])],
+            body,
+        )
         try:
             found = yield from read_answer(reader, method.encode(), 65_536, until)
             if found.is_error():
--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -18,11 +18,14 @@
     """Everybody arrives at once, and many ask again the instant something fails."""
     scenario = Scenario(seed)
     scenario.rate_rate = {"pages": 40.0, "desks": 10.0}
-    services = {"pages": {"rate": 40, "answer_seconds": 2},
-                "desks": {"rate": 10, "flight": 8, "answer_seconds": 2}}
+    services = {
+        "pages": {"rate": 40, "answer_seconds": 2},
+        "desks": {"rate": 10, "flight": 8, "answer_seconds": 2},
+    }
     scenario.set_up()
-    scenario.world.task(scenario.operators, scenario.change(
-        "narrow", 1, {"services": services}), 20)
+    scenario.world.task(
+        scenario.operators, scenario.change("narrow", 1, {"services": services}), 20
+    )
     scenario.world.run(8)
     scenario.history.clear()
     scenario.start_callers(60, 3.0, 40)
@@ -86,15 +89,17 @@
 
 def stubborn(scenario: Scenario, edge: str) -> Step[None]:
     """A caller that keeps asking one edge for marks and covers, ready or not."""
-    caller = Caller(scenario.outside.scheduler, scenario.outside.network, scenario.random,
-                    scenario.notes)
+    caller = Caller(
+        scenario.outside.scheduler, scenario.outside.network, scenario.random, scenario.notes
+    )
     count = 0
     while scenario.callers_on:
         count += 1
         marks = [changed.mark for changed in scenario.changes if changed.mark][-3:]
         for target in [*marks, f"/covers/{count % 8}"]:
-            yield from caller.order(f"{scenario.node(edge).host}:3", "GET", target,
-                                    f"s{edge}-{count}-{target}")
+            yield from caller.order(
+                f"{scenario.node(edge).host}:3", "GET", target, f"s{edge}-{count}-{target}"
+            )
         yield from scenario.outside.scheduler.pause(0.05)
 
 
@@ -154,8 +159,7 @@
     version = 1
     found = Findings()
     for number in range(4):
-        scenario.world.task(scenario.operators,
-                            scenario.add_route(f"gen-p-{number}", version), 30)
+        scenario.world.task(scenario.operators, scenario.add_route(f"gen-p-{number}", version), 30)
         version = max(changed.version for changed in scenario.changes)
         for name in scenario.cores:
             scenario.world.kill(name, True)
@@ -300,8 +304,9 @@
 
 
 def a_change(scenario: Scenario, through: str) -> Callable[[], str]:
-    changed = scenario.world.task(scenario.operators,
-                                  scenario.add_route("gen-point", 1, through), 40)
+    changed = scenario.world.task(
+        scenario.operators, scenario.add_route("gen-point", 1, through), 40
+    )
 
     def fault() -> str:
         version = end_version(scenario)
@@ -315,8 +320,9 @@
 def some_changes(scenario: Scenario, through: str) -> Callable[[], str]:
     version = 1
     for turn in range(12):
-        changed = scenario.world.task(scenario.operators, scenario.add_route(
-            f"gen-some-{turn}", version, through), 40)
+        changed = scenario.world.task(
+            scenario.operators, scenario.add_route(f"gen-some-{turn}", version, through), 40
+        )
         version = changed.version or version
 
     def fault() -> str:
@@ -326,8 +332,9 @@
 
 
 def a_purge(scenario: Scenario, through: str) -> Callable[[], str]:
-    status, _ = scenario.ask_now("POST", "/purges", {
-        "id": "point", "scopes": [{"path": "/covers/1"}]}, through)
+    status, _ = scenario.ask_now(
+        "POST", "/purges", {"id": "point", "scopes": [{"path": "/covers/1"}]}, through
+    )
 
     def fault() -> str:
         there = bool(scenario.node(scenario.leader()).core.register.purges)
@@ -337,8 +344,9 @@
 
 
 def a_drain(scenario: Scenario, through: str) -> Callable[[], str]:
-    status, _ = scenario.ask_now("POST", "/drains", {
-        "id": "point", "target": scenario.edges[0], "force": True}, through)
+    status, _ = scenario.ask_now(
+        "POST", "/drains", {"id": "point", "target": scenario.edges[0], "force": True}, through
+    )
 
     def fault() -> str:
         there = scenario.edges[0] in scenario.node(scenario.leader()).core.register.drains
@@ -354,13 +362,15 @@
 
 
 def a_reservation(scenario: Scenario, _through: str) -> Callable[[], str]:
-    caller = Caller(scenario.outside.scheduler, scenario.outside.network, scenario.random,
-                    scenario.notes, 8.0)
+    caller = Caller(
+        scenario.outside.scheduler, scenario.outside.network, scenario.random, scenario.notes, 8.0
+    )
     key = [(b"Idempotency-Key", b"point")]
 
     def sending() -> Step[Told]:
-        return caller.order(f"{scenario.node(scenario.edges[0]).host}:3", "POST", "/orders/1",
-                            "point", key, b"body")
+        return caller.order(
+            f"{scenario.node(scenario.edges[0]).host}:3", "POST", "/orders/1", "point", key, b"body"
+        )
 
     scenario.world.task(scenario.outside, sending(), 40)
 
@@ -385,8 +395,9 @@
     return fault
 
 
-def crash_each(seed: int, who: str, act: Act, points: Iterable[int],
-               settings: dict[str, object] | None = None) -> Findings:
+def crash_each(
+    seed: int, who: str, act: Act, points: Iterable[int], settings: dict[str, object] | None = None
+) -> Findings:
     """Power is lost at one numbered point of a word's way, each in turn; nothing may be lost.
 
     Behind the last point all cores lose it, just after the answer.
@@ -402,9 +413,15 @@
         passed: list[int] = []
         hit: list[str] = []
 
-        def fire(point: int, node: SimNode, what: str, number: int = number,
-                 target: str = target, passed: list[int] = passed,
-                 hit: list[str] = hit) -> bool:
+        def fire(
+            point: int,
+            node: SimNode,
+            what: str,
+            number: int = number,
+            target: str = target,
+            passed: list[int] = passed,
+            hit: list[str] = hit,
+        ) -> bool:
             if node.name == target and not hit:
                 passed.append(point)
             if len(passed) == number and not hit:
@@ -419,12 +436,20 @@
             scenario.world.kill(name, True)
         scenario.world.run(1)
         scenario.mend_all()
-        if not scenario.world.run_until(lambda scenario=scenario:  # type: ignore[misc]
-                                        bool(scenario.leader()), 15):
+        if not scenario.world.run_until(
+            lambda scenario=scenario: (  # type: ignore[misc]
+                bool(scenario.leader())
+            ),
+            15,
+        ):
             found.broken("return", f"no leader after point {number} {hit}")
             continue
-        scenario.world.run_until(lambda scenario=scenario: all(  # type: ignore[misc]
-            scenario.node(name).traffic.ready for name in scenario.edges), 5)
+        scenario.world.run_until(
+            lambda scenario=scenario: all(  # type: ignore[misc]
+                scenario.node(name).traffic.ready for name in scenario.edges
+            ),
+            5,
+        )
         text = fault()
         found.look("points")
         if text:
@@ -447,8 +472,7 @@
         found.look("voters")
         if not voters_stand(scenario):
             found.broken("voters", "the lost voter was not replaced")
-        scenario.world.task(scenario.operators,
-                            scenario.add_route(f"gen-d-{turn}", version), 30)
+        scenario.world.task(scenario.operators, scenario.add_route(f"gen-d-{turn}", version), 30)
         version = max(changed.version for changed in scenario.changes)
         lost = scenario.random.choice(scenario.cores)
         scenario.lose_disk(lost)
@@ -486,8 +510,12 @@
         scenario.world.kill(name)
         scenario.world.run(0.3)
         scenario.start(name)
-        scenario.world.run_until(lambda node=node: bool(  # type: ignore[misc]
-            node.inner is not None and node.inner.fitness()["ready"]), 20)
+        scenario.world.run_until(
+            lambda node=node: bool(  # type: ignore[misc]
+                node.inner is not None and node.inner.fitness()["ready"]
+            ),
+            20,
+        )
     scenario.world.run(2)
     found = scenario.findings()
     for told in scenario.notes:
@@ -539,8 +567,11 @@
             by_identity.setdefault(told.identity, []).append(told)
     again = [notes for notes in by_identity.values() if len(notes) > 1]
     found.look("keys", len(again))
-    if not any(notes[-1].status == 200 and any(told.status == 502 and told.outcome == "not-run"
-                                               for told in notes) for notes in again):
+    if not any(
+        notes[-1].status == 200
+        and any(told.status == 502 and told.outcome == "not-run" for told in notes)
+        for notes in again
+    ):
         found.broken("keys", "no order went again after its claim was given back")
     if not any(notes[-1].status == 409 for notes in again):
         found.broken("keys", "no repeat was told that its key was sent before")
@@ -553,8 +584,13 @@
     scenario = Scenario(seed, edges=5, probers=0)
     scenario.rate_rate = {"desks": rate}
     scenario.set_up()
-    scenario.world.task(scenario.operators, scenario.change("narrow", 1, {"services": {
-        "desks": {"rate": rate, "flight": 8, "answer_seconds": 2}}}), 20)
+    scenario.world.task(
+        scenario.operators,
+        scenario.change(
+            "narrow", 1, {"services": {"desks": {"rate": rate, "flight": 8, "answer_seconds": 2}}}
+        ),
+        20,
+    )
     scenario.start_callers(40, 3.0, 20)
     scenario.world.run(6)
     since = scenario.world.time
@@ -604,8 +640,14 @@
         server.manner = "whole"
     scenario.world.run(8)
     found = scenario.findings()
-    late = [told for told in scenario.notes if told.target.startswith("/plain/") and told.end
-            and told.identity.startswith("c") and told.at > scenario.world.time - 4.0]
+    late = [
+        told
+        for told in scenario.notes
+        if told.target.startswith("/plain/")
+        and told.end
+        and told.identity.startswith("c")
+        and told.at > scenario.world.time - 4.0
+    ]
     found.look("others", len(late))
     if sum(told.status == 200 for told in late) < 0.9 * len(late):
         found.broken("others", "first orders were declined 4 s after the service was back")
@@ -627,8 +669,13 @@
             edges = scenario.ready_edges()
             if edges and (moving or edge not in edges):
                 edge = random.choice(edges)
-            told = yield from caller.order(f"{scenario.node(edge).host}:3", "GET", target,
-                                           f"p{number}-{count}", [(b"User-Agent", name)])
+            told = yield from caller.order(
+                f"{scenario.node(edge).host}:3",
+                "GET",
+                target,
+                f"p{number}-{count}",
+                [(b"User-Agent", name)],
+            )
             if told.status == 200 or not scenario.callers_on:
                 break
             yield from scenario.outside.scheduler.pause(0.05)
@@ -639,11 +686,23 @@
     "unmarked-repeats": unmarked_repeats,
     "narrow-desks": narrow_desks,
     "repeated-keys": repeated_keys,
-    "crowd": crowd, "mean-servers": mean_servers, "cut-edges": cut_edges,
-    "handed-address": handed_address, "purge-flood": purge_flood, "all-power": all_power,
-    "deposed-leader": deposed_leader, "scattered": scattered, "lost-disk": lost_disk,
+    "crowd": crowd,
+    "mean-servers": mean_servers,
+    "cut-edges": cut_edges,
+    "handed-address": handed_address,
+    "purge-flood": purge_flood,
+    "all-power": all_power,
+    "deposed-leader": deposed_leader,
+    "scattered": scattered,
+    "lost-disk": lost_disk,
     "lifetimes": lifetimes,
-    "rolling": rolling, "crash-points": crash_points,
-    "crash-follower": crash_follower, "crash-edge": crash_edge, "crash-purge": crash_purge,
-    "crash-drain": crash_drain, "crash-claim": crash_claim, "crash-image": crash_image,
-    "crash-voters": crash_voters}
+    "rolling": rolling,
+    "crash-points": crash_points,
+    "crash-follower": crash_follower,
+    "crash-edge": crash_edge,
+    "crash-purge": crash_purge,
+    "crash-drain": crash_drain,
+    "crash-claim": crash_claim,
+    "crash-image": crash_image,
+    "crash-voters": crash_voters,
+}
--- a/packages/proving/ryelock/proving/checks.py
+++ b/packages/proving/ryelock/proving/checks.py
@@ -50,25 +50,30 @@
         if len(ran_for) > 1:
             found.broken("once", f"{identity} ran {len(ran_for)} times")
         for ran in ran_for:
-            if all(told.whole and told.outcome == "not-run" for told in sendings
-                   if told.at <= ran.at):
+            if all(
+                told.whole and told.outcome == "not-run" for told in sendings if told.at <= ran.at
+            ):
                 found.broken("once", f"{identity} ran after 'not run' was told")
 
 
-def check_bytes(found: Findings, notes: list[Told], objects: dict[str, Objects],
-                routes: dict[str, str]) -> None:
+def check_bytes(
+    found: Findings, notes: list[Told], objects: dict[str, Objects], routes: dict[str, str]
+) -> None:
     """A whole 200 carries a body that its service could have sent."""
     for told in notes:
         if not told.whole or told.status != 200:
             continue
-        service = next((service for path, service in routes.items()
-                        if told.target.startswith(path)), "")
+        service = next(
+            (service for path, service in routes.items() if told.target.startswith(path)), ""
+        )
         if not service:
             continue
         found.look("bytes")
         known = objects[service]
-        right = any(told.body == body_for(service, told.target, revision, known.size)
-                    for revision in range(known.revision(told.target) + 1))
+        right = any(
+            told.body == body_for(service, told.target, revision, known.size)
+            for revision in range(known.revision(told.target) + 1)
+        )
         if not right:
             found.broken("bytes", f"{told.identity} {told.target}: {told.body[:60]!r}")
 
@@ -140,8 +145,9 @@
 def check_misrouted(found: Findings, history: list[Ran], service_of: dict[str, str]) -> None:
     """No order ran at a service that no configuration sent it to."""
     for ran in history:
-        service = next((service for path, service in service_of.items()
-                        if ran.target.startswith(path)), "")
+        service = next(
+            (service for path, service in service_of.items() if ran.target.startswith(path)), ""
+        )
         if not service and ran.target.startswith("/gen-"):
             service = "pages"
         found.look("service")
@@ -149,24 +155,33 @@
             found.broken("service", f"{ran.target} ran at {ran.service} {ran.address}")
 
 
-def check_leaving(found: Findings, history: list[Ran],
-                  shown: list[tuple[float, str, str, bool]]) -> None:
+def check_leaving(
+    found: Findings, history: list[Ran], shown: list[tuple[float, str, str, bool]]
+) -> None:
     """A server gets no new work more than 2 s after it shows as leaving or is not listed."""
     for position, (at, _, address, leaving) in enumerate(shown):
         if not leaving:
             continue
-        until = min((other[0] for other in shown[position + 1:]
-                     if other[2] == address and not other[3]), default=1e18)
+        until = min(
+            (other[0] for other in shown[position + 1 :] if other[2] == address and not other[3]),
+            default=1e18,
+        )
         found.look("leaving")
         for ran in history:
             if ran.address == address and at + 2.0 < ran.at < until:
-                found.broken("leaving", f"{address} got {ran.target} "
-                             f"{ran.at - at:.2f} s after it showed as leaving")
+                found.broken(
+                    "leaving",
+                    f"{address} got {ran.target} {ran.at - at:.2f} s after it showed as leaving",
+                )
                 break
 
 
-def check_changes(found: Findings, notes: list[Told], changes: list[Changed],
-                  reads: list[tuple[float, float, int]]) -> None:
+def check_changes(
+    found: Findings,
+    notes: list[Told],
+    changes: list[Changed],
+    reads: list[tuple[float, float, int]],
+) -> None:
     """Acknowledged changes hold everywhere at once, declined ones nowhere, reads miss none."""
     accepted = [changed for changed in changes if changed.status == 200]
     by_mark = {changed.mark: changed for changed in changes if changed.mark}
@@ -180,11 +195,13 @@
         found.look("changes")
         at = told.at
         if changed.status == 200 and at > changed.told + 2.0 and told.status == 404:
-            found.broken("changes", f"{changed.identity} ignored {at - changed.told:.2f} s "
-                         f"after its acknowledgement by {told.edge}")
+            found.broken(
+                "changes",
+                f"{changed.identity} ignored {at - changed.told:.2f} s "
+                f"after its acknowledgement by {told.edge}",
+            )
         if changed.status in (409, 422) and told.status == 200:
-            found.broken("changes", f"{changed.identity} took effect though told "
-                         f"{changed.status}")
+            found.broken("changes", f"{changed.identity} took effect though told {changed.status}")
     seen: dict[tuple[str, str], float] = {}
     for told in sorted(notes, key=lambda told: told.at + told.seconds):
         if told.target not in by_mark or not told.whole:
@@ -195,8 +212,9 @@
         elif told.status == 404 and key in seen and told.at > seen[key]:
             found.broken("changes", f"{told.edge} slipped back on {told.target}")
     for started, _, version in reads:
-        newest = max((changed.version for changed in accepted if changed.told <= started),
-                     default=0)
+        newest = max(
+            (changed.version for changed in accepted if changed.told <= started), default=0
+        )
         found.look("reads")
         if version < newest:
             found.broken("reads", f"read {version} after {newest} was acknowledged")
@@ -213,9 +231,12 @@
             found.look("purges")
             revision = revision_of(told.body)
             if revision is not None and revision < purged.revision:
-                found.broken("purges", f"{told.target} revision {revision} served by "
-                             f"{told.edge} {told.at - purged.told:.2f} s after the "
-                             f"purge of {purged.revision}")
+                found.broken(
+                    "purges",
+                    f"{told.target} revision {revision} served by "
+                    f"{told.edge} {told.at - purged.told:.2f} s after the "
+                    f"purge of {purged.revision}",
+                )
 
 
 def check_lifetimes(found: Findings, notes: list[Told], objects: Objects, lifetime: float) -> None:
@@ -226,10 +247,16 @@
             continue
         found.look("lifetimes")
         revision = revision_of(told.body)
-        if (revision is not None and revision < objects.revision(told.target)
-                and told.at > changed + lifetime + 2.0):
-            found.broken("lifetimes", f"{told.target} revision {revision} served "
-                         f"{told.at - changed:.2f} s after it changed")
+        if (
+            revision is not None
+            and revision < objects.revision(told.target)
+            and told.at > changed + lifetime + 2.0
+        ):
+            found.broken(
+                "lifetimes",
+                f"{told.target} revision {revision} served "
+                f"{told.at - changed:.2f} s after it changed",
+            )
 
 
 def revision_of(body: bytes) -> int | None:
@@ -244,8 +271,9 @@
 
     __slots__ = ("at", "edges", "targets", "zone")
 
-    def __init__(self, at: float, zone: str, edges: list[str],
-                 targets: list[dict[str, object]]) -> None:
+    def __init__(
+        self, at: float, zone: str, edges: list[str], targets: list[dict[str, object]]
+    ) -> None:
         self.at = at
         self.zone = zone
         self.edges = edges
@@ -257,8 +285,16 @@
 
     __slots__ = ("at", "edge", "failed", "machine", "prober", "sequence", "watch")
 
-    def __init__(self, at: float, edge: str, watch: str, machine: str, prober: str, sequence: int,
-                 failed: bool) -> None:
+    def __init__(
+        self,
+        at: float,
+        edge: str,
+        watch: str,
+        machine: str,
+        prober: str,
+        sequence: int,
+        failed: bool,
+    ) -> None:
         self.at = at
         self.edge = edge
         self.watch = watch
@@ -275,8 +311,13 @@
 ROUNDED = 0.05
 
 
-def check_downs(found: Findings, downs: list[Down], probed: list[Probed],
-                span: float = 600.0, late: float = LATE_MOST) -> None:
+def check_downs(
+    found: Findings,
+    downs: list[Down],
+    probed: list[Probed],
+    span: float = 600.0,
+    late: float = LATE_MOST,
+) -> None:
     """A zone is down only by fetches that really failed, as its own record names them.
 
     For every edge, each target the record shows as judged must name at least three rows of two
@@ -302,18 +343,28 @@
                 found.broken("downs", f"{text}: {target.get('edge')} {fault}")
 
 
-def target_fault(target: dict[str, object], by_row: dict[tuple[str, int, str, str], list[Probed]],
-                 at: float, span: float, late: float) -> str:
+def target_fault(
+    target: dict[str, object],
+    by_row: dict[tuple[str, int, str, str], list[Probed]],
+    at: float,
+    span: float,
+    late: float,
+) -> str:
     """What is wrong with the evidence of one failed target; empty when nothing is."""
     named = target.get("failed_rows")
     rows = named if isinstance(named, list) else []
     matched: list[Probed] = []
     for row in rows:
         ago = float(row["seconds_ago"])
-        real = [probe for probe in by_row.get((row["prober"], row["sequence"],
-                                               str(target["edge"]), str(target["watch"])), [])
-                if probe.failed and probe.machine == row["machine"]
-                and at - late - TOLD_MOST - ROUNDED <= probe.at + ago <= at + ROUNDED]
+        real = [
+            probe
+            for probe in by_row.get(
+                (row["prober"], row["sequence"], str(target["edge"]), str(target["watch"])), []
+            )
+            if probe.failed
+            and probe.machine == row["machine"]
+            and at - late - TOLD_MOST - ROUNDED <= probe.at + ago <= at + ROUNDED
+        ]
         if not real:
             return f"names a failed fetch that there was not, or long ago: {row}"
         if ago > span:
@@ -332,8 +383,12 @@
     count = 0
     for down in downs:
         places = {addresses[edge] for edge in down.edges if edge in addresses}
-        lately = [told for told in notes if told.edge in places and told.end
-                  and down.at - 3.0 <= told.at <= down.at]
+        lately = [
+            told
+            for told in notes
+            if told.edge in places and told.end and down.at - 3.0 <= told.at <= down.at
+        ]
         count += len(lately) >= 5 and sum(
-            told.whole and told.status < 500 for told in lately) >= 0.9 * len(lately)
+            told.whole and told.status < 500 for told in lately
+        ) >= 0.9 * len(lately)
     return count
--- a/packages/proving/ryelock/proving/finals.py
+++ b/packages/proving/ryelock/proving/finals.py
@@ -20,8 +20,12 @@
 A_SECOND = 8.0
 FAILED_MOST = 0.1
 LOOK_ON = 6.0
-KINDS = {"covers": ("GET", "/covers/"), "plain": ("GET", "/plain/"),
-         "lookups": ("GET", "/lookups/"), "orders": ("POST", "/orders/")}
+KINDS = {
+    "covers": ("GET", "/covers/"),
+    "plain": ("GET", "/plain/"),
+    "lookups": ("GET", "/lookups/"),
+    "orders": ("POST", "/orders/"),
+}
 Loss = Callable[[Scenario, Random], str]
 
 
@@ -44,8 +48,11 @@
 
 def zone(scenario: Scenario, random: Random) -> str:
     """Everything in one zone, its servers too, where a majority of voters is elsewhere."""
-    able = [place for place in scenario.zones
-            if 2 * len(voting_in(scenario, [place])) < len(voters(scenario))]
+    able = [
+        place
+        for place in scenario.zones
+        if 2 * len(voting_in(scenario, [place])) < len(voters(scenario))
+    ]
     return lose_zones(scenario, [random.choice(able)], random)
 
 
@@ -53,8 +60,9 @@
     """Half of the zones, where a majority of voters is in the other half."""
     half = len(scenario.zones) // 2
     halves = [scenario.zones[:half], scenario.zones[half:]]
-    able = [places for places in halves
-            if 2 * len(voting_in(scenario, places)) < len(voters(scenario))]
+    able = [
+        places for places in halves if 2 * len(voting_in(scenario, places)) < len(voters(scenario))
+    ]
     return lose_zones(scenario, random.choice(able), random) if able else ""
 
 
@@ -84,8 +92,11 @@
 def servers_of_a_zone(scenario: Scenario, random: Random) -> str:
     """All servers of a service in one zone vanish and stay listed."""
     service, place = random.choice(["pages", "desks"]), random.choice(scenario.zones)
-    lost = [name for name, server in scenario.servers.items() if server.service == service
-            and scenario.platform.servers[server.address]["zone"] == place]
+    lost = [
+        name
+        for name, server in scenario.servers.items()
+        if server.service == service and scenario.platform.servers[server.address]["zone"] == place
+    ]
     for name in lost:
         scenario.servers[name].close()
     return lose(scenario, lost, random)
@@ -93,8 +104,11 @@
 
 def prober_pair(scenario: Scenario, random: Random) -> str:
     place = random.choice(scenario.zones)
-    return lose(scenario, [name for name in scenario.probers
-                           if scenario.plans[name][1]["zone"] == place], random)
+    return lose(
+        scenario,
+        [name for name in scenario.probers if scenario.plans[name][1]["zone"] == place],
+        random,
+    )
 
 
 def slow_server(scenario: Scenario, random: Random) -> str:
@@ -153,8 +167,11 @@
 
 def voters(scenario: Scenario) -> list[str]:
     council = scenario.node(scenario.leader()).core.council
-    return [name for name in scenario.alive(scenario.cores)
-            if scenario.node(name).core.council.disk in council.voters]
+    return [
+        name
+        for name in scenario.alive(scenario.cores)
+        if scenario.node(name).core.council.disk in council.voters
+    ]
 
 
 def voting_in(scenario: Scenario, places: list[str]) -> list[str]:
@@ -162,12 +179,23 @@
 
 
 FINALS: dict[str, Loss] = {
-    "core": core, "leader": leader, "two-voters": two_voters, "zone": zone, "region": region,
-    "edge": edge, "most-edges": most_edges, "listing-at-one-core": listing_at_one_core,
+    "core": core,
+    "leader": leader,
+    "two-voters": two_voters,
+    "zone": zone,
+    "region": region,
+    "edge": edge,
+    "most-edges": most_edges,
+    "listing-at-one-core": listing_at_one_core,
     "listing-out-of-leaders-reach": listing_out_of_leaders_reach,
-    "servers-of-a-zone": servers_of_a_zone, "prober-pair": prober_pair,
-    "slow-server": slow_server, "cores-cut": cores_cut, "leader-cut-off": leader_cut_off,
-    "edge-cut-off": edge_cut_off, "frozen": frozen}
+    "servers-of-a-zone": servers_of_a_zone,
+    "prober-pair": prober_pair,
+    "slow-server": slow_server,
+    "cores-cut": cores_cut,
+    "leader-cut-off": leader_cut_off,
+    "edge-cut-off": edge_cut_off,
+    "frozen": frozen,
+}
 
 
 class Final:
@@ -196,18 +224,32 @@
         yield from scheduler.pause(1.0 / A_SECOND)
         edges = scenario.ready_edges()
         if edges:
-            scheduler.spawn("caller", order_once(
-                scenario, f"{scenario.node(scenario.random.choice(edges)).host}:3", method,
-                f"{path}{scenario.random.randrange(8)}", f"f{kind}-{count}"))
-
-
-def order_once(scenario: Scenario, edge: str, method: str, target: str,
-               identity: str) -> Step[None]:
-    caller = Caller(scenario.outside.scheduler, scenario.outside.network, scenario.random,
-                    scenario.notes, 8.0)
-    yield from caller.order(edge, method, target, identity,
-                            [(b"Idempotency-Key", identity.encode())],
-                            b"body" if method == "POST" else b"")
+            scheduler.spawn(
+                "caller",
+                order_once(
+                    scenario,
+                    f"{scenario.node(scenario.random.choice(edges)).host}:3",
+                    method,
+                    f"{path}{scenario.random.randrange(8)}",
+                    f"f{kind}-{count}",
+                ),
+            )
+
+
+def order_once(
+    scenario: Scenario, edge: str, method: str, target: str, identity: str
+) -> Step[None]:
+    caller = Caller(
+        scenario.outside.scheduler, scenario.outside.network, scenario.random, scenario.notes, 8.0
+    )
+    yield from caller.order(
+        edge,
+        method,
+        target,
+        identity,
+        [(b"Idempotency-Key", identity.encode())],
+        b"body" if method == "POST" else b"",
+    )
     caller.close()
 
 
@@ -220,8 +262,13 @@
     last = 0.0
     moment = since
     while moment + BIN <= until:
-        found = [told for told in notes if told.method == method and moment <= told.at
-                 < moment + BIN and told.target.startswith(path)]
+        found = [
+            told
+            for told in notes
+            if told.method == method
+            and moment <= told.at < moment + BIN
+            and told.target.startswith(path)
+        ]
         lost = sum(failed(told) for told in found)
         if not found or lost > max(1, FAILED_MOST * len(found)) or lost == len(found):
             last = moment + BIN - since
@@ -229,8 +276,9 @@
     return last
 
 
-def ask_on(scenario: Scenario, path: str, given: Callable[[int], object], ended: list[float],
-           until: float) -> Step[None]:
+def ask_on(
+    scenario: Scenario, path: str, given: Callable[[int], object], ended: list[float], until: float
+) -> Step[None]:
     """An operator that asks again, through any node that runs, until it is acknowledged."""
     count = 0
     while scenario.world.time < until and not ended:
@@ -247,8 +295,16 @@
     spawn = scenario.operators.scheduler.spawn
     until = since + RETURN_SECONDS + 5
     spawn("change", change_on(scenario, ended["change"], until))
-    spawn("purge", ask_on(scenario, "/purges", lambda count: {
-        "id": f"final-{count}", "scopes": [{"path": "/covers/1"}]}, ended["purge"], until))
+    spawn(
+        "purge",
+        ask_on(
+            scenario,
+            "/purges",
+            lambda count: {"id": f"final-{count}", "scopes": [{"path": "/covers/1"}]},
+            ended["purge"],
+            until,
+        ),
+    )
     return ended
 
 
@@ -256,8 +312,12 @@
     """One change under one id: it may be asked for again, and is taken once."""
     base = max(changed.version for changed in scenario.changes)
     while scenario.world.time < until and not ended:
-        changed = yield from scenario.change("gen-final", base, {"routes": {"gen-final": {
-            "path": "/gen-final", "service": "pages"}}}, "/gen-final")
+        changed = yield from scenario.change(
+            "gen-final",
+            base,
+            {"routes": {"gen-final": {"path": "/gen-final", "service": "pages"}}},
+            "/gen-final",
+        )
         if changed.status == 200:
             ended.append(scenario.world.time)
         yield from scenario.operators.scheduler.pause(0.2)
@@ -269,23 +329,33 @@
     cores, zones, edges, probers = SIZES[size]
     if name == "two-voters":
         cores = max(cores, 5)
-    scenario = Scenario(seed, cores or random.choice([3, 5]), zones, edges, probers,
-                        {"spread_servers": True})
+    scenario = Scenario(
+        seed, cores or random.choice([3, 5]), zones, edges, probers, {"spread_servers": True}
+    )
     scenario.set_up()
     scenario.ask_readiness()
     scenario.rate_rate = {"pages": 120.0, "desks": 60.0}
-    scenario.world.task(scenario.operators, scenario.change("ample", 1, {"services": {
-        "desks": {"rate": 60, "flight": 16, "answer_seconds": 2}}}), 20)
+    scenario.world.task(
+        scenario.operators,
+        scenario.change(
+            "ample", 1, {"services": {"desks": {"rate": 60, "flight": 16, "answer_seconds": 2}}}
+        ),
+        20,
+    )
     for kind in KINDS:
         scenario.outside.scheduler.spawn(f"callers for {kind}", arrive(scenario, kind))
     wanted = 5 if len(scenario.cores) >= 5 else 3
-    scenario.world.run_until(lambda: bool(scenario.leader())
-                             and len(voters(scenario)) == wanted, 20)
+    scenario.world.run_until(
+        lambda: bool(scenario.leader()) and len(voters(scenario)) == wanted, 20
+    )
     scenario.world.run(4)
     happened: list[str] = []
     for _ in range(before):
-        lost = scenario.leader() if random.random() < 0.5 else random.choice(
-            scenario.edges + scenario.cores)
+        lost = (
+            scenario.leader()
+            if random.random() < 0.5
+            else random.choice(scenario.edges + scenario.cores)
+        )
         happened.append(f"{scenario.world.time:.2f} {lost} killed and started again")
         scenario.world.kill(lost, True)
         scenario.world.run(1 + random.random())
@@ -310,12 +380,14 @@
 def judge_return(ended: Final, since: float, asked: dict[str, list[float]]) -> None:
     notes = [told for told in ended.scenario.notes if told.end]
     for kind, (method, path) in KINDS.items():
-        ended.back[kind] = return_of(notes, method, path, since,
-                                     since + RETURN_SECONDS + LOOK_ON)
+        ended.back[kind] = return_of(notes, method, path, since, since + RETURN_SECONDS + LOOK_ON)
     for kind, times in asked.items():
         ended.back[kind] = times[0] - since if times else 1e9
     for kind, seconds in ended.back.items():
         ended.findings.look("final")
         if seconds > RETURN_SECONDS:
-            ended.findings.broken("final", f"{kind} was not back {RETURN_SECONDS:g} s after "
-                                  f"{ended.happened[-1]} ({seconds:.1f})")
+            ended.findings.broken(
+                "final",
+                f"{kind} was not back {RETURN_SECONDS:g} s after "
+                f"{ended.happened[-1]} ({seconds:.1f})",
+            )
--- a/packages/proving/ryelock/proving/fleet.py
+++ b/packages/proving/ryelock/proving/fleet.py
@@ -46,8 +46,11 @@
     def start(self) -> None:
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, "-m", "ryelock.program", self.role, "--settings",
-                 str(self.file)], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                [sys.executable, "-m", "ryelock.program", self.role, "--settings", str(self.file)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
 
     def signal(self, number: int) -> None:
         if self.popen is not None and self.popen.poll() is None:
@@ -69,8 +72,9 @@
 class Fleet:
     __slots__ = ("folder", "platform", "processes", "settings", "shape")
 
-    def __init__(self, shape: Shape, folder: Path, platform: str,
-                 settings: dict[str, object]) -> None:
+    def __init__(
+        self, shape: Shape, folder: Path, platform: str, settings: dict[str, object]
+    ) -> None:
         self.shape = shape
         self.folder = folder
         self.platform = platform
@@ -95,16 +99,20 @@
 
     @property
     def seeds(self) -> list[str]:
-        return [process.wire for process in self.processes.values()
-                if process.role == "core"][:3]
+        return [process.wire for process in self.processes.values() if process.role == "core"][:3]
 
     def write_settings(self, process: Process) -> None:
         machines = {machine.name: machine for machine in self.shape.machines}
         machine = machines.get(process.name) or machines[process.name.removeprefix("prober-")]
         plain: dict[str, object] = {
-            "name": process.name, "zone": process.zone, "machine": machine.name,
-            "seeds": self.seeds, "wire_address": process.wire,
-            "control_address": process.control, **self.settings}
+            "name": process.name,
+            "zone": process.zone,
+            "machine": machine.name,
+            "seeds": self.seeds,
+            "wire_address": process.wire,
+            "control_address": process.control,
+            **self.settings,
+        }
         if process.role == "core":
             plain["data_folder"] = str(self.folder / f"data-{process.name}")
             plain["platform_address"] = self.platform
@@ -131,8 +139,9 @@
                 process.wait(5)
 
 
-def wait_ready(scheduler: Scheduler, network: Network, process: Process,
-               seconds: float) -> Step[bool]:
+def wait_ready(
+    scheduler: Scheduler, network: Network, process: Process, seconds: float
+) -> Step[bool]:
     """Until a process says it is ready, or the seconds are over."""
     until = scheduler.now() + seconds
     while scheduler.now() < until:
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -64,13 +64,15 @@
 class CountedLines(Lines):
     __slots__ = ("counts",)
 
-    def __init__(self, scheduler: Scheduler, network: Network, log: QuietLog,
-                 counts: Counts) -> None:
+    def __init__(
+        self, scheduler: Scheduler, network: Network, log: QuietLog, counts: Counts
+    ) -> None:
         super().__init__(scheduler, network, log)
         self.counts = counts
 
-    def ask(self, address: str, message: Message,
-            seconds: float) -> Step[Result[Message, WireError]]:
+    def ask(
+        self, address: str, message: Message, seconds: float
+    ) -> Step[Result[Message, WireError]]:
         kind = str(message.get("kind"))
         self.counts.asks[kind] += 1
         found = yield from super().ask(address, message, seconds)
@@ -98,8 +100,23 @@
 class HollowNode:
     """One node: its session, and when it reached what."""
 
-    __slots__ = ("back", "held", "known", "lines", "listed", "member", "owed", "reached",
-                 "register", "rows", "scheduler", "sequence", "session", "targets", "without")
+    __slots__ = (
+        "back",
+        "held",
+        "known",
+        "lines",
+        "listed",
+        "member",
+        "owed",
+        "reached",
+        "register",
+        "rows",
+        "scheduler",
+        "sequence",
+        "session",
+        "targets",
+        "without",
+    )
 
     def __init__(self, process: "HollowProcess", name: str, zone: str) -> None:
         self.scheduler = process.scheduler
@@ -113,9 +130,16 @@
         self.session.wire = self.session.control = self.session.order = process.door.address
         self.session.incarnation = f"{process.random.getrandbits(48):012x}"
         self.session.mark = f"{process.random.getrandbits(64):016x}"
-        self.member = Member(process.scheduler, self.lines, process.log, self.register,
-                             self.session, process.seeds, process.term_seconds,
-                             process.listing_term)
+        self.member = Member(
+            process.scheduler,
+            self.lines,
+            process.log,
+            self.register,
+            self.session,
+            process.seeds,
+            process.term_seconds,
+            process.listing_term,
+        )
         self.member.changed = self.on_change
         self.member.shares = self.on_shares
         self.member.listing_news = self.on_listing
@@ -167,8 +191,10 @@
                 (name, watch_name, watch_mark(watch))
                 for name, other in sorted(self.member.members.items())
                 for watch_name, watch in self.register.configuration.watches.items()
-                if other.role == "edge" and other.zone == self.session.zone
-                and name != self.session.name]
+                if other.role == "edge"
+                and other.zone == self.session.zone
+                and name != self.session.name
+            ]
 
     def make_rows(self, cadence: float, seconds: float) -> None:
         """Rows of sound probes, as many as come due in so many seconds, one target in turn."""
@@ -178,8 +204,17 @@
             self.owed -= 1.0
             self.sequence += 1
             edge, watch_name, mark = self.targets[self.sequence % len(self.targets)]
-            row = Row(self.session.name, self.session.machine, self.sequence, self.session.zone,
-                      edge, watch_name, False, time.time(), mark)
+            row = Row(
+                self.session.name,
+                self.session.machine,
+                self.sequence,
+                self.session.zone,
+                edge,
+                watch_name,
+                False,
+                time.time(),
+                mark,
+            )
             row.taken, row.age, row.ttfb = self.scheduler.now(), 1.0, 12.0
             row.reachable = row.manifest_valid = row.object_fetchable = True
             self.rows.append(row)
@@ -191,9 +226,16 @@
             return
         now = self.scheduler.now()
         rows, self.rows = self.rows[:ROWS_MOST], self.rows[ROWS_MOST:]
-        yield from self.lines.ask(holder.wire, {
-            "kind": "rows", "epoch": duty.epoch, "holder": duty.holder,
-            "rows": [row.plain(now) for row in rows]}, 2.0)
+        yield from self.lines.ask(
+            holder.wire,
+            {
+                "kind": "rows",
+                "epoch": duty.epoch,
+                "holder": duty.holder,
+                "rows": [row.plain(now) for row in rows],
+            },
+            2.0,
+        )
 
     def end(self) -> None:
         self.member.stop()
@@ -204,8 +246,21 @@
 class HollowProcess:
     """Some hollow nodes on one scheduler, and the door where the runner asks about them."""
 
-    __slots__ = ("cadence", "counts", "door", "dropped", "listing_term", "log", "network",
-                 "nodes", "places", "random", "scheduler", "seeds", "term_seconds")
+    __slots__ = (
+        "cadence",
+        "counts",
+        "door",
+        "dropped",
+        "listing_term",
+        "log",
+        "network",
+        "nodes",
+        "places",
+        "random",
+        "scheduler",
+        "seeds",
+        "term_seconds",
+    )
 
     def __init__(self, settings: dict[str, object], scheduler: Scheduler, network: Network) -> None:
         seeds, places = settings["seeds"], settings["nodes"]
@@ -246,8 +301,7 @@
         elif kind == "hollow.drop":
             reply({"nodes": self.drop(str(message.get("zone")))})
         elif kind == "hollow.knowing":
-            reply({"nodes": sum(node.known_edges == message.get("edges")
-                                for node in self.nodes)})
+            reply({"nodes": sum(node.known_edges == message.get("edges") for node in self.nodes)})
         elif kind == "hollow.return":
             for name, zone in self.dropped:
                 self.nodes.append(HollowNode(self, name, zone))
@@ -320,13 +374,21 @@
             "nodes": len(self.nodes),
             "serving": sum(node.member.serving for node in self.nodes),
             "led": sum(bool(node.member.leader) for node in self.nodes),
-            "asks": dict(counts.asks), "answers": dict(counts.answers), "images": counts.images,
-            "image_bytes": counts.image_bytes, "image_seconds": counts.image_seconds,
-            "lapsed": counts.lapsed, "rows": counts.rows,
+            "asks": dict(counts.asks),
+            "answers": dict(counts.answers),
+            "images": counts.images,
+            "image_bytes": counts.image_bytes,
+            "image_seconds": counts.image_seconds,
+            "lapsed": counts.lapsed,
+            "rows": counts.rows,
             "members": len(first.member.members) if first else 0,
-            "members_bytes": len(cbor2.dumps(
-                [session.plain() for session in first.member.members.values()])) if first else 0,
-            "verdict_bytes": len(cbor2.dumps(first.register.verdict)) if first else 0}
+            "members_bytes": len(
+                cbor2.dumps([session.plain() for session in first.member.members.values()])
+            )
+            if first
+            else 0,
+            "verdict_bytes": len(cbor2.dumps(first.register.verdict)) if first else 0,
+        }
 
 
 def main() -> None:
--- a/packages/proving/ryelock/proving/landlord.py
+++ b/packages/proving/ryelock/proving/landlord.py
@@ -20,12 +20,50 @@
 from ryelock.loop import Link, Mailbox, Network, Scheduler, Step
 from ryelock.proving.standins import Objects, body_for
 
-(WHOLE, FULL, LIMITED, LOST, HANGING, CUT, BEHIND, TWIN, UNSEALED, WRONG, FAILING, VAGUE,
- CLOSING) = (
-    "whole", "full", "limited", "lost", "hanging", "cut", "behind", "twin", "unsealed", "wrong",
-    "failing", "vague", "closing")
-MANNERS = (WHOLE, FULL, LIMITED, LOST, HANGING, CUT, BEHIND, TWIN, UNSEALED, WRONG, FAILING,
-           VAGUE, CLOSING)
+(
+    WHOLE,
+    FULL,
+    LIMITED,
+    LOST,
+    HANGING,
+    CUT,
+    BEHIND,
+    TWIN,
+    UNSEALED,
+    WRONG,
+    FAILING,
+    VAGUE,
+    CLOSING,
+) = (
+    "whole",
+    "full",
+    "limited",
+    "lost",
+    "hanging",
+    "cut",
+    "behind",
+    "twin",
+    "unsealed",
+    "wrong",
+    "failing",
+    "vague",
+    "closing",
+)
+MANNERS = (
+    WHOLE,
+    FULL,
+    LIMITED,
+    LOST,
+    HANGING,
+    CUT,
+    BEHIND,
+    TWIN,
+    UNSEALED,
+    WRONG,
+    FAILING,
+    VAGUE,
+    CLOSING,
+)
 TAIL = b"HTTP/1.1 200 OK\r\nbytes that belong to nothing"
 COLD_FACTOR = 4.0
 FOREVER = 3600.0
@@ -44,8 +82,15 @@
 
     __slots__ = ("describe", "dialect", "life", "listing", "page", "table")
 
-    def __init__(self, dialect: Dialect, life: bytes, listing: str, page: str,
-                 describe: Describe, table: Table) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        life: bytes,
+        listing: str,
+        page: str,
+        describe: Describe,
+        table: Table,
+    ) -> None:
         self.dialect = dialect
         self.life = life
         self.listing = listing
@@ -60,11 +105,31 @@
     `repeats` tells which orders' names its answers bear: those that callers sent, and no others.
     """
 
-    __slots__ = ("fitness_path", "hangs", "idle_seconds", "links_most", "name", "objects",
-                 "queue", "rate", "repeats", "slots", "taken", "work_seconds")
-
-    def __init__(self, name: str, rate: float = 1e9, slots: int = 8, queue: int = 4,
-                 hangs: bool = False, work_seconds: float = 0.02, size: int = 600) -> None:
+    __slots__ = (
+        "fitness_path",
+        "hangs",
+        "idle_seconds",
+        "links_most",
+        "name",
+        "objects",
+        "queue",
+        "rate",
+        "repeats",
+        "slots",
+        "taken",
+        "work_seconds",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        rate: float = 1e9,
+        slots: int = 8,
+        queue: int = 4,
+        hangs: bool = False,
+        work_seconds: float = 0.02,
+        size: int = 600,
+    ) -> None:
         self.name = name
         self.rate = rate
         self.slots = slots
@@ -97,8 +162,21 @@
 class Arrival:
     """One order as it reached a server, and whether the server ran it."""
 
-    __slots__ = ("at", "body", "deadline", "expected", "host", "identifier", "identity", "link",
-                 "method", "ran", "service", "status", "target")
+    __slots__ = (
+        "at",
+        "body",
+        "deadline",
+        "expected",
+        "host",
+        "identifier",
+        "identity",
+        "link",
+        "method",
+        "ran",
+        "service",
+        "status",
+        "target",
+    )
 
     def __init__(self, at: float, life: "ServerLife", exchange: Exchange, body: bytes) -> None:
         head = exchange.head
@@ -134,13 +212,41 @@
 class ServerLife:
     """One life of a server at an address."""
 
-    __slots__ = ("address", "cold_until", "door", "draining", "ended", "history", "identifier",
-                 "late", "manner", "manners", "random", "scheduler", "service", "speed", "version",
-                 "waiting", "words", "working", "zone")
-
-    def __init__(self, scheduler: Scheduler, network: Network, log: Log, words: Words,
-                 service: ServiceStandIn, zone: str, identifier: str, address: str,
-                 history: list[Arrival], cold_seconds: float = 0.0) -> None:
+    __slots__ = (
+        "address",
+        "cold_until",
+        "door",
+        "draining",
+        "ended",
+        "history",
+        "identifier",
+        "late",
+        "manner",
+        "manners",
+        "random",
+        "scheduler",
+        "service",
+        "speed",
+        "version",
+        "waiting",
+        "words",
+        "working",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        log: Log,
+        words: Words,
+        service: ServiceStandIn,
+        zone: str,
+        identifier: str,
+        address: str,
+        history: list[Arrival],
+        cold_seconds: float = 0.0,
+    ) -> None:
         self.scheduler = scheduler
         self.words = words
         self.service = service
@@ -159,9 +265,19 @@
         self.working = 0
         self.waiting: deque[Mailbox[bool]] = deque()
         self.late: dict[Link, bytes] = {}
-        self.door = ServerDoor(scheduler, network, log, address, Limits(
-            body_bytes=1 << 26, links_most=service.links_most,
-            idle_seconds=float(service.idle_seconds), order_seconds=60.0), self.serve)
+        self.door = ServerDoor(
+            scheduler,
+            network,
+            log,
+            address,
+            Limits(
+                body_bytes=1 << 26,
+                links_most=service.links_most,
+                idle_seconds=float(service.idle_seconds),
+                order_seconds=60.0,
+            ),
+            self.serve,
+        )
 
     def close(self) -> None:
         """Gone at once: every link is reset where it is."""
@@ -239,8 +355,9 @@
         if not why:
             self.leave()
         fine = not why and not self.draining
-        yield from exchange.answer(200 if fine else 503, [
-            (self.words.life, self.identifier.encode())], b"")
+        yield from exchange.answer(
+            200 if fine else 503, [(self.words.life, self.identifier.encode())], b""
+        )
 
     # Slots.
 
@@ -273,7 +390,8 @@
         now = self.scheduler.now()
         cold = COLD_FACTOR if now < self.cold_until else 1.0
         end = now + self.service.work_seconds * self.speed * cold * (
-            0.7 + 0.6 * self.random.random())
+            0.7 + 0.6 * self.random.random()
+        )
         while self.scheduler.now() < end:
             yield from self.scheduler.pause(min(0.05, end - self.scheduler.now() + 1e-6))
             if exchange.left:
@@ -308,7 +426,7 @@
         if manner == TWIN:
             self.late[exchange.link] = raw_answer(status, fields, body)
         exchange.begin(status, b"", fields, None if status == 304 else len(body))
-        sent = body[:len(body) // 2] if manner == CUT else body
+        sent = body[: len(body) // 2] if manner == CUT else body
         if manner == BEHIND:
             sent += TAIL
         yield from exchange.send(sent, 30.0)
@@ -323,8 +441,11 @@
         revision = self.service.objects.revision(arrival.target)
         body = self.service.body(arrival.target, revision)
         tag = b'"r%d"' % revision
-        fields = [*self.named(arrival), (b"ETag", tag),
-                  (self.words.dialect.labels, labels_of(arrival.target).encode())]
+        fields = [
+            *self.named(arrival),
+            (b"ETag", tag),
+            (self.words.dialect.labels, labels_of(arrival.target).encode()),
+        ]
         given = exchange.head.fields
         if field(given, b"if-none-match") == tag:
             return 304, fields, b""
@@ -347,19 +468,46 @@
 
 
 def raw_answer(status: int, fields: Fields, body: bytes) -> bytes:
-    lines = [b"HTTP/1.1 %d OK" % status, *(name + b": " + value for name, value in fields),
-             b"Content-Length: %d" % len(body)]
+    lines = [
+        b"HTTP/1.1 %d OK" % status,
+        *(name + b": " + value for name, value in fields),
+        b"Content-Length: %d" % len(body),
+    ]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
 class Landlord:
     """The platform's list: pages, a rate for all who call together, and a lag."""
 
-    __slots__ = ("address", "calls", "cut_pages", "declined", "door", "lag", "lives", "page_size",
-                 "rate", "raw", "scheduler", "shown", "silent", "taken", "words")
-
-    def __init__(self, scheduler: Scheduler, network: Network, log: Log, words: Words,
-                 address: str, lag: float = 0.8, rate: float = 50.0, page_size: int = 50) -> None:
+    __slots__ = (
+        "address",
+        "calls",
+        "cut_pages",
+        "declined",
+        "door",
+        "lag",
+        "lives",
+        "page_size",
+        "rate",
+        "raw",
+        "scheduler",
+        "shown",
+        "silent",
+        "taken",
+        "words",
+    )
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        log: Log,
+        words: Words,
+        address: str,
+        lag: float = 0.8,
+        rate: float = 50.0,
+        page_size: int = 50,
+    ) -> None:
         self.scheduler = scheduler
         self.words = words
         self.lag = lag
@@ -373,8 +521,7 @@
         self.silent = False
         self.cut_pages: set[int] = set()
         self.raw: bytes | None = None
-        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000),
-                             self.serve)
+        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000), self.serve)
         self.address = self.door.address
 
     # What happens to servers; the list shows it later.
@@ -442,9 +589,12 @@
 
     def page(self, start: int, zone: str) -> bytes:
         now = self.scheduler.now()
-        states = {identifier: state for identifier, state in sorted(self.states().items())
-                  if not zone or self.lives[identifier].zone == zone}
-        names = list(states)[start:start + self.page_size]
+        states = {
+            identifier: state
+            for identifier, state in sorted(self.states().items())
+            if not zone or self.lives[identifier].zone == zone
+        }
+        names = list(states)[start : start + self.page_size]
         entries: dict[str, Plain] = {}
         for identifier in names:
             life = self.lives[identifier]
--- a/packages/proving/ryelock/proving/load.py
+++ b/packages/proving/ryelock/proving/load.py
@@ -18,8 +18,11 @@
 from ryelock.proving.run import Run
 from ryelock.proving.shapes import SHAPES
 
-KINDS = {"hits": ("GET", "/covers/", 20), "misses": ("GET", "/status/", 100_000),
-         "posts": ("POST", "/orders/", 100_000)}
+KINDS = {
+    "hits": ("GET", "/covers/", 20),
+    "misses": ("GET", "/status/", 100_000),
+    "posts": ("POST", "/orders/", 100_000),
+}
 LOOPS = 16
 
 
@@ -36,9 +39,14 @@
     count = 0
     while run.scheduler.now() < until:
         count += 1
-        told = yield from caller.order(edge, method, f"{path}{run.random.randrange(objects)}",
-                                       f"{kind}{number}-{count}", None,
-                                       b"x" * 64 if method == "POST" else b"")
+        told = yield from caller.order(
+            edge,
+            method,
+            f"{path}{run.random.randrange(objects)}",
+            f"{kind}{number}-{count}",
+            None,
+            b"x" * 64 if method == "POST" else b"",
+        )
         if told.status == 200:
             run.orders_sent += 1
         notes.clear()
@@ -61,12 +69,13 @@
         run.orders_sent = 0
         before, since = cpu_seconds(edge.popen.pid), run.scheduler.now()
         for number in range(LOOPS):
-            run.scheduler.spawn("loop", closed_loop(run, edge.order, kind, number,
-                                                    since + seconds))
+            run.scheduler.spawn("loop", closed_loop(run, edge.order, kind, number, since + seconds))
         yield from run.scheduler.pause(seconds + 0.5)
         used = cpu_seconds(edge.popen.pid) - before
-        found[kind] = {"a_second": round(run.orders_sent / seconds),
-                       "cpu_ms_an_order": round(1000 * used / max(1, run.orders_sent), 3)}
+        found[kind] = {
+            "a_second": round(run.orders_sent / seconds),
+            "cpu_ms_an_order": round(1000 * used / max(1, run.orders_sent), 3),
+        }
     return found
 
 
--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -22,8 +22,11 @@
     scenario.set_up()
     scenario.world.run(4)
     started = scenario.world.time
-    found = scenario.world.task(scenario.operators, scenario.change(
-        "measured", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}), 20)
+    found = scenario.world.task(
+        scenario.operators,
+        scenario.change("measured", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}),
+        20,
+    )
     return scenario.world.time - started if found.status == 200 else None
 
 
@@ -35,9 +38,17 @@
     for core in scenario.cores:
         scenario.world.cut(scenario.edges[0], core)
     started = scenario.world.time
-    found = scenario.world.task(scenario.operators, scenario.change(
-        "measured", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}, "",
-        scenario.leader()), 20)
+    found = scenario.world.task(
+        scenario.operators,
+        scenario.change(
+            "measured",
+            1,
+            {"routes": {"m": {"path": "/m", "service": "pages"}}},
+            "",
+            scenario.leader(),
+        ),
+        20,
+    )
     return scenario.world.time - started if found.status == 200 else None
 
 
@@ -60,9 +71,13 @@
     started = scenario.world.time
     for number in range(200):
         through = next(name for name in scenario.cores if name != leader)
-        found = scenario.world.task(scenario.operators, scenario.change(
-            f"m{number}", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}, "",
-            through), 30)
+        found = scenario.world.task(
+            scenario.operators,
+            scenario.change(
+                f"m{number}", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}, "", through
+            ),
+            30,
+        )
         if found.status == 200:
             return scenario.world.time - started
         scenario.world.run(0.02)
@@ -96,15 +111,17 @@
 
     def stands() -> bool:
         leader = scenario.leader()
-        return bool(leader) and (scenario.node(lost).core.council.disk
-                                 in scenario.node(leader).core.council.voters)
+        return bool(leader) and (
+            scenario.node(lost).core.council.disk in scenario.node(leader).core.council.voters
+        )
 
     return scenario.world.time - started if scenario.world.run_until(stands, 40) else None
 
 
 def found_word(seed: int, word: str, cadence: float) -> float | None:
-    scenario = Scenario(seed, settings={"probe_seconds": cadence,
-                                        "probe_timeout": min(6.0, cadence * 0.8)})
+    scenario = Scenario(
+        seed, settings={"probe_seconds": cadence, "probe_timeout": min(6.0, cadence * 0.8)}
+    )
     scenario.set_up()
     scenario.start_callers(4, 2.0, 0)
     scenario.world.run(4 * cadence + seed % 7)
@@ -115,9 +132,24 @@
         for server in scenario.servers.values():
             server.lifetime = "max-age=600"
         version = scenario.node(scenario.leader()).core.register.version
-        scenario.world.task(scenario.operators, scenario.change("long", version, {"routes": {
-            "covers": {"path": "/covers", "service": "pages", "cached": True,
-                       "lifetime_seconds": 600}}}), 20)
+        scenario.world.task(
+            scenario.operators,
+            scenario.change(
+                "long",
+                version,
+                {
+                    "routes": {
+                        "covers": {
+                            "path": "/covers",
+                            "service": "pages",
+                            "cached": True,
+                            "lifetime_seconds": 600,
+                        }
+                    }
+                },
+            ),
+            20,
+        )
         scenario.world.run(3 * cadence)
         scenario.objects["pages"].change("/covers/watched", scenario.world.time)
     started = scenario.world.time
@@ -145,8 +177,11 @@
     scenario.world.run(10)
     scenario.world.heal()
     address = f"{scenario.node(edge).host}:3"
-    told = [one for one in scenario.notes if one.edge == address and one.at >= since and one.end
-            and one.identity.startswith("s")]
+    told = [
+        one
+        for one in scenario.notes
+        if one.edge == address and one.at >= since and one.end and one.identity.startswith("s")
+    ]
     return sum(one.status == 503 for one in told) / len(told) if told else None
 
 
@@ -155,12 +190,18 @@
     was served, over 20 s."""
     scenario = Scenario(seed, zones=2, edges=edges // 2, probers=0)
     scenario.set_up()
-    scenario.world.task(scenario.operators, scenario.change("narrow", 1, {"services": {
-        "desks": {"rate": rate, "flight": 16, "answer_seconds": 2}}}), 20)
+    scenario.world.task(
+        scenario.operators,
+        scenario.change(
+            "narrow", 1, {"services": {"desks": {"rate": rate, "flight": 16, "answer_seconds": 2}}}
+        ),
+        20,
+    )
     crowded = scenario.random.sample(scenario.edges, min(busy, len(scenario.edges)))
     for number, name in enumerate(crowded):
-        scenario.outside.scheduler.spawn("crowd", crowd_at(
-            scenario, name, number, 3.0 * rate / len(crowded)))
+        scenario.outside.scheduler.spawn(
+            "crowd", crowd_at(scenario, name, number, 3.0 * rate / len(crowded))
+        )
     scenario.world.run(6.0)
     since = scenario.world.time
     scenario.world.run(20.0)
@@ -179,9 +220,16 @@
     while scenario.callers_on:
         count += 1
         yield from scheduler.pause(scenario.random.expovariate(rate))
-        scheduler.spawn("caller", order_once(
-            scenario, f"{scenario.node(edge).host}:3", "POST", f"/orders/{count % 100}",
-            f"g{number}-{count}"))
+        scheduler.spawn(
+            "caller",
+            order_once(
+                scenario,
+                f"{scenario.node(edge).host}:3",
+                "POST",
+                f"/orders/{count % 100}",
+                f"g{number}-{count}",
+            ),
+        )
 
 
 def spread(seed: int, what: str) -> float | None:
@@ -203,8 +251,11 @@
         servers[0].manner = SLOW
     scenario.world.run(20.0)
     if what == "tail":
-        times = sorted(told.seconds for told in scenario.notes
-                       if told.at >= since and told.end and told.identity.startswith("l"))
+        times = sorted(
+            told.seconds
+            for told in scenario.notes
+            if told.at >= since and told.end and told.identity.startswith("l")
+        )
         return times[int(len(times) * 0.99)] if times else None
     if what == "back":
         servers[0].manner = FAILING
@@ -224,15 +275,27 @@
         count += 1
         yield from scenario.outside.scheduler.pause(scenario.random.expovariate(rate))
         edge = scenario.random.choice(scenario.edges)
-        scenario.outside.scheduler.spawn("caller", order_once(
-            scenario, f"{scenario.node(edge).host}:3", "GET", f"/plain/{count % 100}",
-            f"l{count}"))
-
-
-GOODPUT = {f"goodput at {rate:g}/s, {edges} edges, {busy} busy":
-           ("part of the rate served", lambda seed, rate=rate, edges=edges, busy=busy: goodput(
-               seed, rate, edges, busy))
-           for edges in (10, 14) for rate in (1.0, 2.0, 5.0, 10.0, 60.0) for busy in (1, edges)}
+        scenario.outside.scheduler.spawn(
+            "caller",
+            order_once(
+                scenario,
+                f"{scenario.node(edge).host}:3",
+                "GET",
+                f"/plain/{count % 100}",
+                f"l{count}",
+            ),
+        )
+
+
+GOODPUT = {
+    f"goodput at {rate:g}/s, {edges} edges, {busy} busy": (
+        "part of the rate served",
+        lambda seed, rate=rate, edges=edges, busy=busy: goodput(seed, rate, edges, busy),
+    )
+    for edges in (10, 14)
+    for rate in (1.0, 2.0, 5.0, 10.0, 60.0)
+    for busy in (1, edges)
+}
 
 MEASURES: dict[str, tuple[str, Measure]] = {
     "change": ("s to acknowledge a change", change_delay),
@@ -244,11 +307,13 @@
     "dead zone, cadence 1 s": ("s to the verdict", lambda seed: found_word(seed, "down", 1.0)),
     "dead zone, cadence 30 s": ("s to the verdict", lambda seed: found_word(seed, "down", 30.0)),
     "stale zone, cadence 30 s": ("s to the verdict", lambda seed: found_word(seed, "stale", 30.0)),
-    "edge cut for 10 s": ("part of its orders declined", lapsed_share), **GOODPUT,
+    "edge cut for 10 s": ("part of its orders declined", lapsed_share),
+    **GOODPUT,
     "spread, busiest of four": ("its share, 1 is even", lambda seed: spread(seed, "most")),
     "spread, idlest of four": ("its share, 1 is even", lambda seed: spread(seed, "least")),
     "spread, one that comes back": ("its share, 1 is even", lambda seed: spread(seed, "back")),
-    "spread, one slow": ("s, 99th percentile", lambda seed: spread(seed, "tail"))}
+    "spread, one slow": ("s, 99th percentile", lambda seed: spread(seed, "tail")),
+}
 
 
 def measure(name: str, seeds: range) -> str:
@@ -259,5 +324,7 @@
     if not known:
         return f"| {name} | {what} | - | - | - | {len(found)} without |"
     missing = len(found) - len(known)
-    return (f"| {name} | {what} | {known[0]:.2f} | {known[len(known) // 2]:.2f} "
-            f"| {known[-1]:.2f} | {len(known)}{f', {missing} without' if missing else ''} |")
+    return (
+        f"| {name} | {what} | {known[0]:.2f} | {known[len(known) // 2]:.2f} "
+        f"| {known[-1]:.2f} | {len(known)}{f', {missing} without' if missing else ''} |"
+    )
--- a/packages/proving/ryelock/proving/pieces.py
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -56,10 +56,18 @@
         raise error
 
     reactor = Reactor(fault)
-    env = read_env("core", "", {
-        "name": "core-0", "zone": "zone-00", "wire_address": "127.0.0.1:0",
-        "control_address": "127.0.0.1:0", "data_folder": folder,
-        "seeds": ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]})
+    env = read_env(
+        "core",
+        "",
+        {
+            "name": "core-0",
+            "zone": "zone-00",
+            "wire_address": "127.0.0.1:0",
+            "control_address": "127.0.0.1:0",
+            "data_folder": folder,
+            "seeds": ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"],
+        },
+    )
     random = Random(1)
     disk, journal = open_disk(MachineFolder(folder), log, env.segment_bytes, random).ok
     return ControlNode(env, reactor.scheduler, reactor, log, random, disk, journal)
@@ -69,8 +77,12 @@
     """A register whose configuration has so many routes, by its own first word."""
     shape = Size(1, 1, 0, routes).shape()
     register = Register()
-    register.apply(1, encode_word("change", id="first", change={
-        "id": "first", "base": 0, "put": shape.configuration}))
+    register.apply(
+        1,
+        encode_word(
+            "change", id="first", change={"id": "first", "base": 0, "put": shape.configuration}
+        ),
+    )
     return register
 
 
@@ -87,12 +99,18 @@
         look = seconds_of(lambda: [renewals.note_members() for _ in range(looks)]) / looks
         sessions = list(roster.sessions.values())
         for session in sessions:
-            renewals.divider.report(session.name, {f"service-{service}": 10.0
-                                                   for service in range(SERVICES)})
+            renewals.divider.report(
+                session.name, {f"service-{service}": 10.0 for service in range(SERVICES)}
+            )
 
         def share(session: Session) -> None:
-            renewals.shares(session, renewals.edges(), {"service-0": 1.0, "service-1": 1.0}, {},
-                            node.scheduler.now())
+            renewals.shares(
+                session,
+                renewals.edges(),
+                {"service-0": 1.0, "service-1": 1.0},
+                {},
+                node.scheduler.now(),
+            )
 
         ends = node.scheduler.now() + 600.0
         for service in range(SERVICES):
@@ -110,19 +128,22 @@
         other = Roster(node.scheduler, "core-1/1", 3.0, 600.0)
         hear = seconds_of(lambda: other.hear(cbor2.loads(said)))
         told = cbor2.dumps([session.plain() for session in roster.members().values()])
-        tell = seconds_of(lambda: cbor2.dumps(
-            [session.plain() for session in roster.members().values()]))
+        tell = seconds_of(
+            lambda: cbor2.dumps([session.plain() for session in roster.members().values()])
+        )
         take = seconds_of(lambda: [session_of(plain) for plain in cbor2.loads(told)])
         node.door.close()
-        return {"leader: µs of one look for news of members": 1e6 * look,
-                "leader: µs of one edge's shares, 2 services": 1e6 * shares,
-                "leader: ms to see whose terms a word waits for": 1e3 * behind,
-                "leader: KB of sessions to a follower, each beat": len(said) / 1e3,
-                "leader: ms to write them": 1e3 * say,
-                "follower: ms to read them": 1e3 * hear,
-                "leader: KB of members to one node": len(told) / 1e3,
-                "leader: ms to write them for one node": 1e3 * tell,
-                "node: ms to read them": 1e3 * take}
+        return {
+            "leader: µs of one look for news of members": 1e6 * look,
+            "leader: µs of one edge's shares, 2 services": 1e6 * shares,
+            "leader: ms to see whose terms a word waits for": 1e3 * behind,
+            "leader: KB of sessions to a follower, each beat": len(said) / 1e3,
+            "leader: ms to write them": 1e3 * say,
+            "follower: ms to read them": 1e3 * hear,
+            "leader: KB of members to one node": len(told) / 1e3,
+            "leader: ms to write them for one node": 1e3 * tell,
+            "node: ms to read them": 1e3 * take,
+        }
 
 
 def measure_configuration(servers: int, routes: int) -> Figures:
@@ -130,13 +151,23 @@
     register = configured(routes)
     image = register.image_for_edges()
     fresh = Register()
-    listed = [Server(f"service-{number % SERVICES}", f"127.0.9.2:{10_000 + number}",
-                     zone_name(number, 4), "1", False).plain() for number in range(servers)]
-    return {"KB of image": len(image) / 1e3,
-            "ms to write the image": 1e3 * seconds_of(register.image_for_edges),
-            "ms to restore the image": 1e3 * seconds_of(lambda: fresh.restore(image)),
-            "KB of listing to one node": len(cbor2.dumps(listed)) / 1e3,
-            "ms to write the listing": 1e3 * seconds_of(lambda: cbor2.dumps(listed))}
+    listed = [
+        Server(
+            f"service-{number % SERVICES}",
+            f"127.0.9.2:{10_000 + number}",
+            zone_name(number, 4),
+            "1",
+            False,
+        ).plain()
+        for number in range(servers)
+    ]
+    return {
+        "KB of image": len(image) / 1e3,
+        "ms to write the image": 1e3 * seconds_of(register.image_for_edges),
+        "ms to restore the image": 1e3 * seconds_of(lambda: fresh.restore(image)),
+        "KB of listing to one node": len(cbor2.dumps(listed)) / 1e3,
+        "ms to write the listing": 1e3 * seconds_of(lambda: cbor2.dumps(listed)),
+    }
 
 
 def measure_purge(copies: int) -> Figures:
@@ -152,11 +183,15 @@
     return {f"edge: ms of a purge at {copies} copies": 1e3 * seconds_of(purge)}
 
 
-def measure_pieces(nodes: int, zones: int, servers: int, routes: int, copies: int,
-                   judged: bool) -> Figures:
+def measure_pieces(
+    nodes: int, zones: int, servers: int, routes: int, copies: int, judged: bool
+) -> Figures:
     """All pieces at one size; judging fills a whole history and takes its time."""
-    found = {**measure_sessions(nodes, zones), **measure_configuration(servers, routes),
-             **measure_purge(copies)}
+    found = {
+        **measure_sessions(nodes, zones),
+        **measure_configuration(servers, routes),
+        **measure_purge(copies),
+    }
     if judged:
         found.update(measure_judging(nodes, zones))
     return found
--- a/packages/proving/ryelock/proving/run.py
+++ b/packages/proving/ryelock/proving/run.py
@@ -30,12 +30,30 @@
 class Run:
     """A fleet, its outside world on one reactor, and the notes of both."""
 
-    __slots__ = ("callers_over", "crowd_over", "fleet", "frozen", "history", "log", "notes",
-                 "objects", "orders_sent", "platform", "random", "reactor", "ready", "report",
-                 "scheduler", "servers", "shape", "stopped")
-
-    def __init__(self, shape: Shape, folder: Path, reactor: Reactor, seed: int,
-                 settings: dict[str, object]) -> None:
+    __slots__ = (
+        "callers_over",
+        "crowd_over",
+        "fleet",
+        "frozen",
+        "history",
+        "log",
+        "notes",
+        "objects",
+        "orders_sent",
+        "platform",
+        "random",
+        "reactor",
+        "ready",
+        "report",
+        "scheduler",
+        "servers",
+        "shape",
+        "stopped",
+    )
+
+    def __init__(
+        self, shape: Shape, folder: Path, reactor: Reactor, seed: int, settings: dict[str, object]
+    ) -> None:
         self.shape = shape
         self.reactor = reactor
         self.scheduler: Scheduler = reactor.scheduler
@@ -57,8 +75,15 @@
         for service, count in shape.servers.items():
             self.objects[service] = Objects()
             for number in range(count):
-                server = ServerStandIn(self.scheduler, reactor, self.log, service,
-                                       "127.0.9.2:0", self.objects[service], self.history)
+                server = ServerStandIn(
+                    self.scheduler,
+                    reactor,
+                    self.log,
+                    service,
+                    "127.0.9.2:0",
+                    self.objects[service],
+                    self.history,
+                )
                 server.delay = 0.002
                 self.servers.append(server)
                 self.platform.show(service, server.address, zones[number % len(zones)], 1)
@@ -66,20 +91,25 @@
 
     def control(self) -> str:
         """Any control address of a process that runs."""
-        able = [process for process in self.fleet.of_role("edge") + self.fleet.of_role("core")
-                if not process.over and process.name not in self.frozen]
+        able = [
+            process
+            for process in self.fleet.of_role("edge") + self.fleet.of_role("core")
+            if not process.over and process.name not in self.frozen
+        ]
         return self.random.choice(able).control
 
-    def operator(self, method: str, target: str,
-                 given: object = None) -> Step[tuple[int, dict[str, object]]]:
-        found = yield from ask(self.scheduler, self.reactor, self.control(), method, target,
-                               given)
+    def operator(
+        self, method: str, target: str, given: object = None
+    ) -> Step[tuple[int, dict[str, object]]]:
+        found = yield from ask(self.scheduler, self.reactor, self.control(), method, target, given)
         return found.ok if found.is_ok() else (0, {"fault": str(found.error)})
 
-    def change(self, identity: str, base: int, **parts: object) -> Step[
-            tuple[int, dict[str, object]]]:
-        return (yield from self.operator("POST", "/changes",
-                                         {"id": identity, "base": base, **parts}))
+    def change(
+        self, identity: str, base: int, **parts: object
+    ) -> Step[tuple[int, dict[str, object]]]:
+        return (
+            yield from self.operator("POST", "/changes", {"id": identity, "base": base, **parts})
+        )
 
     def bring_up(self, seconds: float = 60.0) -> Step[bool]:
         self.fleet.start()
@@ -120,8 +150,9 @@
             self.orders_sent += 1
             identity = f"c{number}-{self.orders_sent}"
             target = f"{kind.path}{self.random.randrange(kind.objects)}"
-            yield from caller.order(edge.order, kind.method, target, identity, None,
-                                    b"x" * kind.body)
+            yield from caller.order(
+                edge.order, kind.method, target, identity, None, b"x" * kind.body
+            )
             due += self.random.expovariate(rate / CALLERS)
             wait = due - self.scheduler.now()
             if wait > 0:
@@ -136,8 +167,9 @@
         while not self.stopped:
             fine = False
             if not process.over and process.name not in self.frozen:
-                found = yield from ask(self.scheduler, self.reactor, process.control, "GET",
-                                       "/fitness/ready")
+                found = yield from ask(
+                    self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
+                )
                 fine = found.is_ok() and found.ok[0] == 200
             (self.ready.add if fine else self.ready.discard)(process.name)
             yield from self.scheduler.pause(0.15)
@@ -171,8 +203,9 @@
         for process in self.fleet.of_role("core"):
             if process.over or process.name in self.frozen:
                 continue
-            found = yield from ask(self.scheduler, self.reactor, process.control, "GET",
-                                   "/fitness/ready")
+            found = yield from ask(
+                self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
+            )
             if found.is_ok() and found.ok[1].get("leads") is True:
                 return process
         return None
@@ -205,15 +238,18 @@
                 reasons[reason] = reasons.get(reason, 0) + 1
         times = sorted(told.seconds for told in notes if told.whole)
         span = (max((told.at for told in notes), default=since) - since) or 1.0
-        return {"orders": len(notes), "per_second": round(len(notes) / span, 1),
-                "by_status": statuses, "declined_for": reasons,
-                "median_ms": round(statistics.median(times) * 1000, 1) if times else None,
-                "p99_ms": round(times[int(len(times) * 0.99)] * 1000, 1) if times else None,
-                "cut": sum(not told.whole and told.status > 0 for told in notes)}
+        return {
+            "orders": len(notes),
+            "per_second": round(len(notes) / span, 1),
+            "by_status": statuses,
+            "declined_for": reasons,
+            "median_ms": round(statistics.median(times) * 1000, 1) if times else None,
+            "p99_ms": round(times[int(len(times) * 0.99)] * 1000, 1) if times else None,
+            "cut": sum(not told.whole and told.status > 0 for told in notes),
+        }
 
     def findings(self) -> Findings:
-        rates = {name: float(str(service["rate"])) for name, service in
-                 self.services().items()}
+        rates = {name: float(str(service["rate"])) for name, service in self.services().items()}
         found = Findings()
         check_once(found, self.notes, self.history)
         check_bytes(found, self.notes, self.objects, self.routes())
@@ -251,18 +287,23 @@
     zone = run.shape.zones[0]
     run.report["healthy_after"] = yield from run.wait_verdict(zone, "healthy", 30)
     status, answer = yield from run.change(
-        "under-load", 1, put={"routes": {"extra": {
-            "path": "/extra", "service": next(iter(run.shape.servers))}}})
+        "under-load",
+        1,
+        put={"routes": {"extra": {"path": "/extra", "service": next(iter(run.shape.servers))}}},
+    )
     run.report["change_under_load"] = {"status": status, "version": answer.get("version")}
-    status, _ = yield from run.operator("POST", "/purges", {
-        "id": "purge-1", "scopes": [{"prefix": run.shape.kinds[0].path}]})
+    status, _ = yield from run.operator(
+        "POST", "/purges", {"id": "purge-1", "scopes": [{"prefix": run.shape.kinds[0].path}]}
+    )
     run.report["purge"] = status
     drained = run.fleet.of_role("edge")[0]
-    status, _ = yield from run.operator("POST", "/drains", {"id": "drain-1",
-                                                            "target": drained.name})
+    status, _ = yield from run.operator(
+        "POST", "/drains", {"id": "drain-1", "target": drained.name}
+    )
     run.report["drain"] = status
-    status, _ = yield from run.operator("POST", "/recoveries", {"id": "recover-1",
-                                                                "target": drained.name})
+    status, _ = yield from run.operator(
+        "POST", "/recoveries", {"id": "recover-1", "target": drained.name}
+    )
     run.report["recover"] = status
     if faults:
         yield from with_faults(run)
@@ -281,8 +322,15 @@
         leader.signal(signal.SIGKILL)
         killed = run.scheduler.now()
         while run.scheduler.now() < killed + 30:
-            status, _ = yield from run.change(f"after-{run.scheduler.now()}", 2, put={"routes": {
-                "later": {"path": "/later", "service": next(iter(run.shape.servers))}}})
+            status, _ = yield from run.change(
+                f"after-{run.scheduler.now()}",
+                2,
+                put={
+                    "routes": {
+                        "later": {"path": "/later", "service": next(iter(run.shape.servers))}
+                    }
+                },
+            )
             if status == 200:
                 break
             yield from run.scheduler.pause(0.1)
@@ -321,8 +369,11 @@
     while run.scheduler.now() < started + seconds:
         _, answer = yield from run.operator("GET", "/configuration")
         base = answer.get("version")
-        status, _ = yield from run.change(identity, base if isinstance(base, int) else 0, put={
-            "routes": {name: {"path": f"/{name}", "service": first_service(run)}}})
+        status, _ = yield from run.change(
+            identity,
+            base if isinstance(base, int) else 0,
+            put={"routes": {name: {"path": f"/{name}", "service": first_service(run)}}},
+        )
         if status == 200:
             return round(run.scheduler.now() - started, 2)
         if status == 409:
@@ -352,7 +403,7 @@
     """A minority of the cores, half of the edges and a prober at once, midway through a change."""
     cores, edges = run.fleet.of_role("core"), run.fleet.of_role("edge")
     leader = yield from run.leader()
-    lost = [core for core in cores if core is not leader][:(min(len(cores), 5) - 1) // 2 - 1]
+    lost = [core for core in cores if core is not leader][: (min(len(cores), 5) - 1) // 2 - 1]
     lost += edges[::2] + run.fleet.of_role("prober")[:1] + ([leader] if leader else [])
     run.scheduler.spawn("midway", midway(run))
     yield from run.scheduler.pause(0.004)
@@ -387,11 +438,14 @@
     told = [one for one in run.notes if one.at >= before and one.identity.startswith("x")]
     declined = [one for one in told if one.whole and one.status in (429, 503)]
     run.report["crowd"] = {
-        "came": number, "whole_200": sum(one.whole and one.status == 200 for one in told),
+        "came": number,
+        "whole_200": sum(one.whole and one.status == 200 for one in told),
         "declined": len(declined),
         "declined_without_retry_after": sum(not one.retry_after for one in declined),
-        "decline_median_ms": round(statistics.median(
-            [one.seconds for one in declined]) * 1000, 1) if declined else None}
+        "decline_median_ms": round(statistics.median([one.seconds for one in declined]) * 1000, 1)
+        if declined
+        else None,
+    }
     yield from run.scheduler.pause(2.0)
 
 
@@ -407,8 +461,9 @@
         for turn in range(2):
             fields = [(b"X-Retry-Count", b"%d" % turn)] if turn and kind.method == "GET" else []
             identity = f"x{number}" if kind.method == "GET" else f"x{number}-{turn}"
-            told = yield from caller.order(edge, kind.method, target, identity, fields,
-                                           b"x" * kind.body)
+            told = yield from caller.order(
+                edge, kind.method, target, identity, fields, b"x" * kind.body
+            )
             if told.status == 200:
                 break
         caller.close()
@@ -421,19 +476,41 @@
     service = next(iter(run.shape.servers))
     _, answer = yield from run.operator("GET", "/configuration")
     version = int(str(answer.get("version", 0)))
-    status, _ = yield from run.change("aged", version, put={
-        "routes": {"aged": {"path": "/aged", "service": service, "cached": True,
-                            "lifetime_seconds": 600}},
-        "watches": {"aged": {"route": "aged", "object": "/aged/watched", "dating": "etag",
-                             "stale_seconds": 2}}})
+    status, _ = yield from run.change(
+        "aged",
+        version,
+        put={
+            "routes": {
+                "aged": {
+                    "path": "/aged",
+                    "service": service,
+                    "cached": True,
+                    "lifetime_seconds": 600,
+                }
+            },
+            "watches": {
+                "aged": {
+                    "route": "aged",
+                    "object": "/aged/watched",
+                    "dating": "etag",
+                    "stale_seconds": 2,
+                }
+            },
+        },
+    )
     yield from run.scheduler.pause(8.0)
     run.objects[service].change("/aged/watched", run.scheduler.clock.wall())
     stale = yield from run.wait_verdict(zone, "stale", 60)
-    purged, _ = yield from run.operator("POST", "/purges", {
-        "id": "purge-aged", "scopes": [{"path": "/aged/watched"}]})
+    purged, _ = yield from run.operator(
+        "POST", "/purges", {"id": "purge-aged", "scopes": [{"path": "/aged/watched"}]}
+    )
     healthy = yield from run.wait_verdict(zone, "healthy", 60)
-    run.report["stale_zone"] = {"change": status, "purge": purged, "found_after": stale,
-                                "healthy_after_purge": healthy}
+    run.report["stale_zone"] = {
+        "change": status,
+        "purge": purged,
+        "found_after": stale,
+        "healthy_after_purge": healthy,
+    }
 
 
 def run_fleet(name: str, seconds: float, seed: int, faults: bool, keep: str) -> int:
--- a/packages/proving/ryelock/proving/scale.py
+++ b/packages/proving/ryelock/proving/scale.py
@@ -50,12 +50,37 @@
 class Size:
     """What one bring-up has, and what is measured of it."""
 
-    __slots__ = ("changes", "flood", "joins", "losses", "nodes", "probe_seconds", "processes",
-                 "restarts", "routes", "seconds", "servers", "zones")
-
-    def __init__(self, nodes: int, zones: int, servers: int, routes: int, *, processes: int = 1,
-                 seconds: float = 4.0, changes: int = 5, restarts: int = 3, flood: float = 42.0,
-                 probe_seconds: float = 30.0, joins: float = 20.0, losses: bool = True) -> None:
+    __slots__ = (
+        "changes",
+        "flood",
+        "joins",
+        "losses",
+        "nodes",
+        "probe_seconds",
+        "processes",
+        "restarts",
+        "routes",
+        "seconds",
+        "servers",
+        "zones",
+    )
+
+    def __init__(
+        self,
+        nodes: int,
+        zones: int,
+        servers: int,
+        routes: int,
+        *,
+        processes: int = 1,
+        seconds: float = 4.0,
+        changes: int = 5,
+        restarts: int = 3,
+        flood: float = 42.0,
+        probe_seconds: float = 30.0,
+        joins: float = 20.0,
+        losses: bool = True,
+    ) -> None:
         self.nodes = nodes
         self.zones = zones
         self.servers = servers
@@ -70,15 +95,27 @@
         self.losses = losses
 
     def shape(self) -> Shape:
-        machines = [Machine(f"core-{number}", zone_name(number, self.zones), True, False, False)
-                    for number in range(3)]
+        machines = [
+            Machine(f"core-{number}", zone_name(number, self.zones), True, False, False)
+            for number in range(3)
+        ]
         machines.append(Machine("edge-real", zone_name(0, self.zones), False, False, False))
         services = {f"service-{number}": {"rate": 20_000} for number in range(2)}
-        routes = {f"route-{number}": {"path": f"/route-{number}", "cached": True,
-                                      "service": f"service-{number % 2}"}
-                  for number in range(self.routes)}
-        configuration: Plain = {"services": services, "routes": routes, "watches": {
-            "watched": {"route": "route-0", "object": "/route-0/watched", "dating": "etag"}}}
+        routes = {
+            f"route-{number}": {
+                "path": f"/route-{number}",
+                "cached": True,
+                "service": f"service-{number % 2}",
+            }
+            for number in range(self.routes)
+        }
+        configuration: Plain = {
+            "services": services,
+            "routes": routes,
+            "watches": {
+                "watched": {"route": "route-0", "object": "/route-0/watched", "dating": "etag"}
+            },
+        }
         return Shape("scale", machines, {}, configuration, [], 0.0)
 
 
@@ -91,22 +128,39 @@
 
     __slots__ = ("address", "file", "log", "popen")
 
-    def __init__(self, name: str, folder: Path, seeds: list[str], places: list[tuple[str, str]],
-                 probe_seconds: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        seeds: list[str],
+        places: list[tuple[str, str]],
+        probe_seconds: float,
+    ) -> None:
         self.address = f"127.0.8.1:{picked_port('127.0.8.1')}"
         self.file = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
-        self.file.write_text(json.dumps({
-            "wire_address": self.address, "seeds": seeds, "nodes": places,
-            "term_seconds": TERM_SECONDS, "listing_term": LISTING_SECONDS,
-            "probe_seconds": probe_seconds}))
+        self.file.write_text(
+            json.dumps(
+                {
+                    "wire_address": self.address,
+                    "seeds": seeds,
+                    "nodes": places,
+                    "term_seconds": TERM_SECONDS,
+                    "listing_term": LISTING_SECONDS,
+                    "probe_seconds": probe_seconds,
+                }
+            )
+        )
         self.popen: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "ryelock.proving.hollow", str(self.file)],
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
 
     def stop(self) -> None:
         if self.popen is not None:
@@ -134,8 +188,23 @@
 class ScaleRun:
     """One bring-up of one size and its figures."""
 
-    __slots__ = ("again", "faults", "figures", "fleet", "hollow", "leader", "lines", "notes",
-                 "passed", "platform", "reactor", "scheduler", "size", "turn", "version")
+    __slots__ = (
+        "again",
+        "faults",
+        "figures",
+        "fleet",
+        "hollow",
+        "leader",
+        "lines",
+        "notes",
+        "passed",
+        "platform",
+        "reactor",
+        "scheduler",
+        "size",
+        "turn",
+        "version",
+    )
 
     def __init__(self, size: Size, folder: Path, reactor: Reactor) -> None:
         self.size = size
@@ -145,15 +214,31 @@
         self.lines = Lines(self.scheduler, reactor, log)
         self.platform = PlatformStandIn(self.scheduler, reactor, log, "127.0.9.1:0")
         for number in range(size.servers):
-            self.platform.show(f"service-{number % 2}", f"127.0.9.{2 + number // 200}:"
-                               f"{10_000 + number}", zone_name(number, size.zones), 1)
-        self.fleet = Fleet(size.shape(), folder, self.platform.address, {
-            "term_seconds": TERM_SECONDS, "listing_term": LISTING_SECONDS})
-        places = [(f"edge-{number:04d}", zone_name(number, size.zones))
-                  for number in range(size.nodes)]
-        self.hollow = [HollowProcess(f"hollow-{number}", folder, self.fleet.seeds,
-                                     places[number::size.processes], size.probe_seconds)
-                       for number in range(size.processes)]
+            self.platform.show(
+                f"service-{number % 2}",
+                f"127.0.9.{2 + number // 200}:{10_000 + number}",
+                zone_name(number, size.zones),
+                1,
+            )
+        self.fleet = Fleet(
+            size.shape(),
+            folder,
+            self.platform.address,
+            {"term_seconds": TERM_SECONDS, "listing_term": LISTING_SECONDS},
+        )
+        places = [
+            (f"edge-{number:04d}", zone_name(number, size.zones)) for number in range(size.nodes)
+        ]
+        self.hollow = [
+            HollowProcess(
+                f"hollow-{number}",
+                folder,
+                self.fleet.seeds,
+                places[number :: size.processes],
+                size.probe_seconds,
+            )
+            for number in range(size.processes)
+        ]
         self.leader = ""
         self.again = self.passed = 0
         self.turn = 0
@@ -209,8 +294,9 @@
             for core in self.cores():
                 if core.over:
                     continue
-                found = yield from ask(self.scheduler, self.reactor, core.control, "GET",
-                                       "/fitness/ready")
+                found = yield from ask(
+                    self.scheduler, self.reactor, core.control, "GET", "/fitness/ready"
+                )
                 if found.is_ok() and found.ok[1].get("leads") is True:
                     self.passed += self.leader not in ("", core.name)
                     self.leader = core.name
@@ -222,9 +308,14 @@
         """An operator's order; not taken or unknown, it is asked again under its id."""
         until = self.scheduler.now() + REACH_SECONDS
         while True:
-            found = yield from ask(self.scheduler, self.reactor,
-                                   self.fleet.processes[self.leader].control, "POST", target,
-                                   given)
+            found = yield from ask(
+                self.scheduler,
+                self.reactor,
+                self.fleet.processes[self.leader].control,
+                "POST",
+                target,
+                given,
+            )
             status, answer = found.ok if found.is_ok() else (0, fault_of(found.error))
             if status not in (0, 503, 504) or self.scheduler.now() >= until:
                 return status, answer
@@ -235,12 +326,23 @@
     def read(self) -> Step[Reading]:
         state = yield from self.state()
         traffic = read_traffic()
-        numbers = {process.name: process.popen.pid for process in self.fleet.processes.values()
-                   if process.popen is not None and not process.over}
-        numbers.update({f"hollow-{place}": process.popen.pid
-                        for place, process in enumerate(self.hollow) if process.popen is not None})
-        return Reading(self.scheduler.now(), {
-            name: Account(number, traffic) for name, number in numbers.items()}, state)
+        numbers = {
+            process.name: process.popen.pid
+            for process in self.fleet.processes.values()
+            if process.popen is not None and not process.over
+        }
+        numbers.update(
+            {
+                f"hollow-{place}": process.popen.pid
+                for place, process in enumerate(self.hollow)
+                if process.popen is not None
+            }
+        )
+        return Reading(
+            self.scheduler.now(),
+            {name: Account(number, traffic) for name, number in numbers.items()},
+            state,
+        )
 
     def followers(self) -> list[str]:
         return [core.name for core in self.cores() if core.name != self.leader]
@@ -259,8 +361,9 @@
         if (yield from self.find_leader()) is None:
             self.faults.append("no leader")
             return False
-        status, _ = yield from self.order("/changes", {
-            "id": "first", "base": 0, "put": self.fleet.shape.configuration})
+        status, _ = yield from self.order(
+            "/changes", {"id": "first", "base": 0, "put": self.fleet.shape.configuration}
+        )
         if status != 200:
             self.faults.append(f"the first change: {status}")
             return False
@@ -268,14 +371,16 @@
         started = self.scheduler.now()
         yield from self.tell("hollow.lose", without="")
         yield from self.tell("hollow.start", pause=self.size.processes / self.size.joins)
-        back = yield from self.times("hollow.back", JOIN_SECONDS + self.size.nodes
-                                     / self.size.joins)
+        back = yield from self.times(
+            "hollow.back", JOIN_SECONDS + self.size.nodes / self.size.joins
+        )
         self.keep_storm("join", started, back, before, (yield from self.read()))
         yield from self.scheduler.pause(3.0)
         return len(back) == self.size.nodes
 
-    def keep_storm(self, name: str, started: float, back: list[float], before: Reading,
-                   after: Reading) -> None:
+    def keep_storm(
+        self, name: str, started: float, back: list[float], before: Reading, after: Reading
+    ) -> None:
         """What it took until all sessions stood; those that never came are a fault."""
         nodes = self.size.nodes
         if len(back) < nodes:
@@ -290,13 +395,22 @@
         images = number_of(after.state, "images") - number_of(before.state, "images")
         self.figures[f"{name} images"] = images
         if images and name == "join":
-            self.figures["image bytes"] = (number_of(after.state, "image_bytes")
-                                           - number_of(before.state, "image_bytes")) / images
-            self.figures["image ms to restore"] = 1000 * (
-                number_of(after.state, "image_seconds")
-                - number_of(before.state, "image_seconds")) / images
-        spent = [Spent(before.accounts.get(core), after.accounts[core]) for core in after.accounts
-                 if core.startswith("core")]
+            self.figures["image bytes"] = (
+                number_of(after.state, "image_bytes") - number_of(before.state, "image_bytes")
+            ) / images
+            self.figures["image ms to restore"] = (
+                1000
+                * (
+                    number_of(after.state, "image_seconds")
+                    - number_of(before.state, "image_seconds")
+                )
+                / images
+            )
+        spent = [
+            Spent(before.accounts.get(core), after.accounts[core])
+            for core in after.accounts
+            if core.startswith("core")
+        ]
         self.figures[f"{name} MB from cores"] = sum(one.bytes_out for one in spent) / 1e6
         self.figures[f"{name} s of processor, busiest core"] = max(one.cpu for one in spent)
 
@@ -306,31 +420,40 @@
         yield from self.scheduler.pause(self.size.seconds)
         after = yield from self.read()
         span, nodes = after.at - before.at, self.size.nodes
-        for role, names in (("leader", [self.leader]), ("follower", self.followers()),
-                            ("edge", ["edge-real"])):
+        for role, names in (
+            ("leader", [self.leader]),
+            ("follower", self.followers()),
+            ("edge", ["edge-real"]),
+        ):
             spent = [Spent(before.accounts[name], after.accounts[name]) for name in names]
             self.keep_spent(role, spent, span, len(spent))
-        spent = [Spent(before.accounts[name], after.accounts[name]) for name in after.accounts
-                 if name.startswith("hollow")]
+        spent = [
+            Spent(before.accounts[name], after.accounts[name])
+            for name in after.accounts
+            if name.startswith("hollow")
+        ]
         self.keep_spent("hollow node", spent, span, nodes)
         self.figures["hollow node asks/s"] = (after.asks - before.asks)["renew"] / span / nodes
-        self.figures["rows/s told"] = (number_of(after.state, "rows")
-                                       - number_of(before.state, "rows")) / span
-        self.figures["terms lapsed at rest"] = (number_of(after.state, "lapsed")
-                                                - number_of(before.state, "lapsed"))
+        self.figures["rows/s told"] = (
+            number_of(after.state, "rows") - number_of(before.state, "rows")
+        ) / span
+        self.figures["terms lapsed at rest"] = number_of(after.state, "lapsed") - number_of(
+            before.state, "lapsed"
+        )
         self.figures["members KB"] = number_of(after.state, "members_bytes") / 1e3
         self.figures["verdict KB"] = number_of(after.state, "verdict_bytes") / 1e3
 
     def keep_spent(self, role: str, spent: list[Spent], span: float, count: int) -> None:
         for name, value in (
-                ("% of a core", 100 * sum(one.cpu for one in spent) / span),
-                ("MB", sum(one.memory for one in spent) / 1e6),
-                ("KB/s in", sum(one.bytes_in for one in spent) / span / 1e3),
-                ("KB/s out", sum(one.bytes_out for one in spent) / span / 1e3),
-                ("segments/s in", sum(one.segments_in for one in spent) / span),
-                ("segments/s out", sum(one.segments_out for one in spent) / span),
-                ("KB/s to disk", sum(one.disk for one in spent) / span / 1e3),
-                ("descriptors", sum(one.descriptors for one in spent))):
+            ("% of a core", 100 * sum(one.cpu for one in spent) / span),
+            ("MB", sum(one.memory for one in spent) / 1e6),
+            ("KB/s in", sum(one.bytes_in for one in spent) / span / 1e3),
+            ("KB/s out", sum(one.bytes_out for one in spent) / span / 1e3),
+            ("segments/s in", sum(one.segments_in for one in spent) / span),
+            ("segments/s out", sum(one.segments_out for one in spent) / span),
+            ("KB/s to disk", sum(one.disk for one in spent) / span / 1e3),
+            ("descriptors", sum(one.descriptors for one in spent)),
+        ):
             self.figures[f"{role} {name}"] = value / count
 
     def under_words(self, kind: str) -> Step[None]:
@@ -343,19 +466,31 @@
             self.turn += 1
             started = self.scheduler.now()
             if kind == "change":
-                status, answer = yield from self.order("/changes", {
-                    "id": f"change-{self.turn}", "base": self.version, "put": {"routes": {
-                        "moved": {"path": f"/moved-{self.turn}", "service": "service-0"}}}})
+                status, answer = yield from self.order(
+                    "/changes",
+                    {
+                        "id": f"change-{self.turn}",
+                        "base": self.version,
+                        "put": {
+                            "routes": {
+                                "moved": {"path": f"/moved-{self.turn}", "service": "service-0"}
+                            }
+                        },
+                    },
+                )
                 self.version = int(number_of(answer, "version"))
             else:
-                status, answer = yield from self.order("/purges", {
-                    "id": f"purge-{self.turn}", "scopes": [{"path": f"/route-0/{self.turn}"}]})
+                status, answer = yield from self.order(
+                    "/purges",
+                    {"id": f"purge-{self.turn}", "scopes": [{"path": f"/route-0/{self.turn}"}]},
+                )
             if status != 200:
                 self.faults.append(f"{kind}: {status} {answer}")
                 continue
             acknowledged.append(self.scheduler.now() - started)
-            times = yield from self.times("hollow.reached", REACH_SECONDS,
-                                          index=answer.get("index"))
+            times = yield from self.times(
+                "hollow.reached", REACH_SECONDS, index=answer.get("index")
+            )
             reached += len(times)
             if len(times) == self.size.nodes:
                 last.append(times[-1] - started)
@@ -382,8 +517,9 @@
 
         def purge(number: int) -> Step[None]:
             started = self.scheduler.now()
-            status, answer = yield from self.order("/purges", {
-                "id": f"flood-{number}", "scopes": [{"path": f"/route-0/{number}"}]})
+            status, answer = yield from self.order(
+                "/purges", {"id": f"flood-{number}", "scopes": [{"path": f"/route-0/{number}"}]}
+            )
             index = answer.get("index")
             if status == 200 and isinstance(index, int):
                 taken.append((started, index))
@@ -415,8 +551,7 @@
         self.figures["flood leader KB/s out"] = spent.bytes_out / span / 1e3
         self.figures["flood leader KB/s to disk"] = spent.disk / span / 1e3
 
-    def over_and_above(self, name: str, count: int,
-                       act: Callable[[int], Step[None]]) -> Step[None]:
+    def over_and_above(self, name: str, count: int, act: Callable[[int], Step[None]]) -> Step[None]:
         """What some events cost the leader beyond its rest, each."""
         if not count:
             return
@@ -429,13 +564,15 @@
         span = after.at - before.at
         rest = self.figures["leader KB/s out"] * span
         self.figures[f"{name}: KB from the leader above rest"] = (
-            spent.bytes_out / 1e3 - rest) / count
+            spent.bytes_out / 1e3 - rest
+        ) / count
         self.figures[f"{name}: leader % of a core"] = 100 * spent.cpu / span
 
     def change_listing(self, number: int) -> Step[None]:
         since = time.monotonic()
-        self.platform.show("service-0", "127.0.9.250:9999", zone_name(0, self.size.zones),
-                           number + 1)
+        self.platform.show(
+            "service-0", "127.0.9.250:9999", zone_name(0, self.size.zones), number + 1
+        )
         times = yield from self.times("hollow.listed", REACH_SECONDS, since=since)
         if len(times) < self.size.nodes:
             self.faults.append(f"listing: {len(times)} of {self.size.nodes}")
@@ -443,19 +580,24 @@
             self.figures["listing s to the last node"] = times[-1] - since
 
     def restart_one(self, _: int) -> Step[None]:
-        yield from self.lines.ask(self.hollow[0].address,
-                                  {"kind": "hollow.restart", "count": 1}, 10.0)
+        yield from self.lines.ask(
+            self.hollow[0].address, {"kind": "hollow.restart", "count": 1}, 10.0
+        )
 
     def lose_zone(self) -> Step[None]:
         """A zone's nodes end at once; then all of them come back at once."""
         before = yield from self.read()
-        lost = sum(int(number_of(answer, "nodes")) for answer in (
-            yield from self.tell("hollow.drop", zone=zone_name(1, self.size.zones))))
+        lost = sum(
+            int(number_of(answer, "nodes"))
+            for answer in (yield from self.tell("hollow.drop", zone=zone_name(1, self.size.zones)))
+        )
         left = self.size.nodes - lost
         until = before.at + REACH_SECONDS
         while True:
-            knowing = sum(int(number_of(answer, "nodes")) for answer in (
-                yield from self.tell("hollow.knowing", edges=left + 1)))
+            knowing = sum(
+                int(number_of(answer, "nodes"))
+                for answer in (yield from self.tell("hollow.knowing", edges=left + 1))
+            )
             if knowing == left or self.scheduler.now() > until:
                 break
             yield from self.scheduler.pause(0.05)
@@ -466,7 +608,8 @@
         self.figures["zone lost: s until the others know"] = span
         spent = Spent(before.accounts[self.leader], after.accounts[self.leader])
         self.figures["zone lost: MB from the leader above rest"] = (
-            spent.bytes_out / 1e6 - self.figures["leader KB/s out"] * span / 1e3)
+            spent.bytes_out / 1e6 - self.figures["leader KB/s out"] * span / 1e3
+        )
         before = yield from self.read()
         yield from self.tell("hollow.lose", without="")
         started = self.scheduler.now()
@@ -489,8 +632,9 @@
         back = yield from self.times("hollow.back", JOIN_SECONDS)
         after = yield from self.read()
         self.keep_storm("leader lost", started, back, before, after)
-        self.figures["leader lost terms lapsed"] = (number_of(after.state, "lapsed")
-                                                    - number_of(before.state, "lapsed"))
+        self.figures["leader lost terms lapsed"] = number_of(after.state, "lapsed") - number_of(
+            before.state, "lapsed"
+        )
         leader.start()
         yield from wait_ready(self.scheduler, self.reactor, leader, 30.0)
 
@@ -510,8 +654,9 @@
         for core in self.cores():
             before.accounts.pop(core.name, None)
         self.keep_storm("all lost", started, back, before, after)
-        self.figures["all lost terms lapsed"] = (number_of(after.state, "lapsed")
-                                                 - number_of(before.state, "lapsed"))
+        self.figures["all lost terms lapsed"] = number_of(after.state, "lapsed") - number_of(
+            before.state, "lapsed"
+        )
 
     def work(self) -> Step[None]:
         if not (yield from self.bring_up()):
@@ -526,10 +671,14 @@
 
     def phases(self) -> list[Step[None]]:
         restarts = self.size.restarts
-        found = [self.at_rest(), self.under_words("change"), self.under_words("purge"),
-                 self.flood(),
-                 self.over_and_above("listing changed", restarts, self.change_listing),
-                 self.over_and_above("node restarted", restarts, self.restart_one)]
+        found = [
+            self.at_rest(),
+            self.under_words("change"),
+            self.under_words("purge"),
+            self.flood(),
+            self.over_and_above("listing changed", restarts, self.change_listing),
+            self.over_and_above("node restarted", restarts, self.restart_one),
+        ]
         if self.size.losses:
             found += [self.lose_zone(), self.lose_leader(), self.lose_all()]
         return found
@@ -608,10 +757,12 @@
     started = time.process_time()
     history.forget_old(now)
     judged = judge(by_zone, {"watched": watch}, weights, False, history, rules, now)
-    return {"judging s": time.process_time() - started,
-            "judging: µs to take a row": 1e6 * taken,
-            "judging: bytes a row held": held,
-            "judging: verdict KB": len(cbor2.dumps(judged.plain())) / 1e3}
+    return {
+        "judging s": time.process_time() - started,
+        "judging: µs to take a row": 1e6 * taken,
+        "judging: bytes a row held": held,
+        "judging: verdict KB": len(cbor2.dumps(judged.plain())) / 1e3,
+    }
 
 
 class Point:
@@ -634,9 +785,16 @@
         return statistics.median(values) if values else None
 
     def plain(self) -> Plain:
-        return {"label": self.label, "nodes": self.size.nodes, "zones": self.size.zones,
-                "servers": self.size.servers, "routes": self.size.routes, "runs": self.runs,
-                "faults": self.faults, "notes": self.notes}
+        return {
+            "label": self.label,
+            "nodes": self.size.nodes,
+            "zones": self.size.zones,
+            "servers": self.size.servers,
+            "routes": self.size.routes,
+            "runs": self.runs,
+            "faults": self.faults,
+            "notes": self.notes,
+        }
 
 
 def growth(first: Point, second: Point, name: str, by: str) -> float | None:
@@ -651,8 +809,10 @@
 def table(points: list[Point], by: str) -> str:
     """Medians with lowest and highest, and the exponent between the two greatest sizes."""
     names = list(dict.fromkeys(name for point in points for run in point.runs for name in run))
-    lines = ["| figure | " + " | ".join(point.label for point in points) + " | exponent |",
-             "|---" * (len(points) + 2) + "|"]
+    lines = [
+        "| figure | " + " | ".join(point.label for point in points) + " | exponent |",
+        "|---" * (len(points) + 2) + "|",
+    ]
     for name in names:
         cells = [cell(point.values(name)) for point in points]
         power = growth(points[-2], points[-1], name, by) if len(points) > 1 else None
@@ -673,6 +833,7 @@
 def plot(points: list[Point], by: str, folder: Path) -> None:
     """One picture a figure, both axes by powers, every run a dot."""
     from matplotlib.figure import Figure
+
     folder.mkdir(parents=True, exist_ok=True)
     names = list(dict.fromkeys(name for point in points for run in point.runs for name in run))
     for name in names:
@@ -682,8 +843,11 @@
         for place, point in known:
             values = point.values(name)
             axes.plot([place] * len(values), values, "o", color="tab:grey", markersize=4)
-        axes.plot([place for place, _ in known],
-                  [statistics.median(point.values(name)) for _, point in known], "-")
+        axes.plot(
+            [place for place, _ in known],
+            [statistics.median(point.values(name)) for _, point in known],
+            "-",
+        )
         if all(point.values(name)[0] > 0 for _, point in known):
             axes.set_xscale("log")
             axes.set_yscale("log")
@@ -693,17 +857,26 @@
         picture.savefig(folder / f"{by}-{file}.png", dpi=110)
 
 
-def run_scale(sizes: dict[str, list[int]], fixed: Size, runs: int, write: str = "",
-              plots: str = "") -> list[Point]:
+def run_scale(
+    sizes: dict[str, list[int]], fixed: Size, runs: int, write: str = "", plots: str = ""
+) -> list[Point]:
     """Every size so many times; one list with more than one entry gives the axis."""
     by = next((name for name, counts in sizes.items() if len(counts) > 1), "nodes")
     points: list[Point] = []
     for count in sizes[by]:
         given = {name: counts[0] for name, counts in sizes.items()}
         given[by] = count
-        size = Size(**given, processes=fixed.processes, seconds=fixed.seconds,
-                    changes=fixed.changes, restarts=fixed.restarts, flood=fixed.flood,
-                    probe_seconds=fixed.probe_seconds, joins=fixed.joins, losses=fixed.losses)
+        size = Size(
+            **given,
+            processes=fixed.processes,
+            seconds=fixed.seconds,
+            changes=fixed.changes,
+            restarts=fixed.restarts,
+            flood=fixed.flood,
+            probe_seconds=fixed.probe_seconds,
+            joins=fixed.joins,
+            losses=fixed.losses,
+        )
         points.append(Point(f"{count} {by}", size))
     for point in points:
         for number in range(runs):
@@ -714,12 +887,17 @@
             point.runs.append(figures)
             point.faults += faults
             point.notes.append(notes)
-            sys.stderr.write(f"{point.label}, run {number + 1}: {time.monotonic() - started:.0f} s"
-                             f"{'; ' + '; '.join(faults) if faults else ''}\n")
+            sys.stderr.write(
+                f"{point.label}, run {number + 1}: {time.monotonic() - started:.0f} s"
+                f"{'; ' + '; '.join(faults) if faults else ''}\n"
+            )
             if write:
-                Path(write).write_text(json.dumps({
-                    "by": by, "sizes": sizes, "points": [one.plain() for one in points]},
-                    indent=1))
+                Path(write).write_text(
+                    json.dumps(
+                        {"by": by, "sizes": sizes, "points": [one.plain() for one in points]},
+                        indent=1,
+                    )
+                )
     if plots:
         plot(points, by, Path(plots))
     return points
--- a/packages/proving/ryelock/proving/scenario.py
+++ b/packages/proving/ryelock/proving/scenario.py
@@ -38,16 +38,30 @@
 LIFETIME = 6.0
 DRAINED = ("drained", "its zone is drained")
 CONFIGURATION: dict[str, object] = {
-    "services": {"pages": {"rate": 120, "answer_seconds": 2},
-                 "desks": {"rate": 20, "flight": 8, "answer_seconds": 2}},
+    "services": {
+        "pages": {"rate": 120, "answer_seconds": 2},
+        "desks": {"rate": 20, "flight": 8, "answer_seconds": 2},
+    },
     "routes": {
-        "covers": {"path": "/covers", "service": "pages", "cached": True,
-                   "lifetime_seconds": LIFETIME},
+        "covers": {
+            "path": "/covers",
+            "service": "pages",
+            "cached": True,
+            "lifetime_seconds": LIFETIME,
+        },
         "plain": {"path": "/plain", "service": "pages"},
         "orders": {"path": "/orders", "service": "desks", "once": True},
-        "lookups": {"path": "/lookups", "service": "desks", "share": 0.6}},
-    "watches": {"covers": {"route": "covers", "object": "/covers/watched", "marker": "OBJECT",
-                           "dating": "etag"}}}
+        "lookups": {"path": "/lookups", "service": "desks", "share": 0.6},
+    },
+    "watches": {
+        "covers": {
+            "route": "covers",
+            "object": "/covers/watched",
+            "marker": "OBJECT",
+            "dating": "etag",
+        }
+    },
+}
 SERVICE_OF = {"/covers": "pages", "/plain": "pages", "/orders": "desks", "/lookups": "desks"}
 
 
@@ -83,16 +97,27 @@
         "zones",
     )
 
-    def __init__(self, seed: int, cores: int = 3, zones: int = 2, edges: int = 2,
-                 probers: int = 2, settings: dict[str, object] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        cores: int = 3,
+        zones: int = 2,
+        edges: int = 2,
+        probers: int = 2,
+        settings: dict[str, object] | None = None,
+    ) -> None:
         settings = dict(settings or {})
         spread = settings.pop("spread_servers", False) is True
         self.world = World(seed)
         self.random = Random(f"scenario {seed}")
         self.zones = [f"zone{number}" for number in range(zones)]
         self.settings: dict[str, object] = {
-            "probe_seconds": 1.0, "probe_timeout": 0.8, "replace_seconds": 4.0,
-            "verdict_seconds": 0.5, **settings}
+            "probe_seconds": 1.0,
+            "probe_timeout": 0.8,
+            "replace_seconds": 4.0,
+            "verdict_seconds": 0.5,
+            **settings,
+        }
         self.history: list[Ran] = []
         self.notes: list[Told] = []
         self.changes: list[Changed] = []
@@ -111,18 +136,30 @@
         self.outside = self.world.add("outside", "outside", "10.9.0.1")
         self.operators = self.world.add("operators", "operators", "10.9.0.2")
         self.platform_node = self.world.add("platform", "platform", "10.9.0.3")
-        self.platform = PlatformStandIn(self.platform_node.scheduler, self.platform_node.network,
-                                        self.platform_node.log, "10.9.0.3:80")
+        self.platform = PlatformStandIn(
+            self.platform_node.scheduler,
+            self.platform_node.network,
+            self.platform_node.log,
+            "10.9.0.3:80",
+        )
         # Few zones' servers stand in pairs; where a whole zone may go, each has its own.
         for number, zone in enumerate(self.zones * (3 if spread and zones == 2 else 2)):
             for service in ("pages", "desks"):
                 self.add_server(service, zone, f"{service}{number}", 1)
-        self.cores = [self.plan("core", f"core{number}", self.zones[number % zones])
-                      for number in range(cores)]
-        self.edges = [self.plan("edge", f"edge{zone}{number}", self.zones[zone])
-                      for zone in range(zones) for number in range(edges)]
-        self.probers = [self.plan("prober", f"prober{zone}{number}", self.zones[zone])
-                        for zone in range(zones) for number in range(probers)]
+        self.cores = [
+            self.plan("core", f"core{number}", self.zones[number % zones])
+            for number in range(cores)
+        ]
+        self.edges = [
+            self.plan("edge", f"edge{zone}{number}", self.zones[zone])
+            for zone in range(zones)
+            for number in range(edges)
+        ]
+        self.probers = [
+            self.plan("prober", f"prober{zone}{number}", self.zones[zone])
+            for zone in range(zones)
+            for number in range(probers)
+        ]
 
     # Building.
 
@@ -134,8 +171,14 @@
         node.clock.zero = node.random.random() * 1000
         seeds = [f"10.1.0.{number}:1" for number in (1, 2, 3)]
         plain: dict[str, object] = {
-            "name": name, "zone": zone, "machine": name, "seeds": seeds,
-            "wire_address": f"{host}:1", "control_address": f"{host}:2", **self.settings}
+            "name": name,
+            "zone": zone,
+            "machine": name,
+            "seeds": seeds,
+            "wire_address": f"{host}:1",
+            "control_address": f"{host}:2",
+            **self.settings,
+        }
         if role == "core":
             plain.update(data_folder="/data", platform_address="10.9.0.3:80")
         if role == "edge":
@@ -143,13 +186,23 @@
         self.plans[name] = (role, plain)
         return name
 
-    def add_server(self, service: str, zone: str, name: str, incarnation: int,
-                   address: str = "") -> ServerStandIn:
-        host = address.rpartition(":")[0] or f"10.8.{len(self.servers) // 200}." \
-            f"{1 + len(self.servers) % 200}"
+    def add_server(
+        self, service: str, zone: str, name: str, incarnation: int, address: str = ""
+    ) -> ServerStandIn:
+        host = (
+            address.rpartition(":")[0]
+            or f"10.8.{len(self.servers) // 200}.{1 + len(self.servers) % 200}"
+        )
         node = self.world.add(f"{name}-{incarnation}", f"{name}-{incarnation}", host)
-        server = ServerStandIn(node.scheduler, node.network, node.log, service,
-                               address or f"{host}:80", self.objects[service], self.history)
+        server = ServerStandIn(
+            node.scheduler,
+            node.network,
+            node.log,
+            service,
+            address or f"{host}:80",
+            self.objects[service],
+            self.history,
+        )
         server.lifetime = ""
         self.servers[node.name] = server
         self.platform.show(service, server.address, zone, incarnation)
@@ -187,26 +240,42 @@
 
     # Operators.
 
-    def operator(self, method: str, target: str, given: object = None,
-                 through: str = "") -> Step[tuple[int, dict[str, object]]]:
+    def operator(
+        self, method: str, target: str, given: object = None, through: str = ""
+    ) -> Step[tuple[int, dict[str, object]]]:
         names = self.alive(self.cores + self.edges)
         name = through or self.random.choice(names)
-        found = yield from ask(self.operators.scheduler, self.operators.network,
-                               f"{self.node(name).host}:2", method, target, given)
+        found = yield from ask(
+            self.operators.scheduler,
+            self.operators.network,
+            f"{self.node(name).host}:2",
+            method,
+            target,
+            given,
+        )
         return found.ok if found.is_ok() else (0, {"fault": str(found.error)})
 
-    def ask_now(self, method: str, target: str, given: object = None, through: str = "",
-                seconds: float = 40.0) -> tuple[int, dict[str, object]]:
-        return self.world.task(self.operators, self.operator(method, target, given, through),
-                               seconds)
-
-    def change(self, identity: str, base: int, put: dict[str, object], marks: str = "",
-               through: str = "") -> Step[Changed]:
+    def ask_now(
+        self,
+        method: str,
+        target: str,
+        given: object = None,
+        through: str = "",
+        seconds: float = 40.0,
+    ) -> tuple[int, dict[str, object]]:
+        return self.world.task(
+            self.operators, self.operator(method, target, given, through), seconds
+        )
+
+    def change(
+        self, identity: str, base: int, put: dict[str, object], marks: str = "", through: str = ""
+    ) -> Step[Changed]:
         """One change, and what its operator was told; `marks` is a route path it brings."""
         changed = Changed(identity, marks, self.world.time)
         self.changes.append(changed)
         status, answer = yield from self.operator(
-            "POST", "/changes", {"id": identity, "base": base, "put": put}, through)
+            "POST", "/changes", {"id": identity, "base": base, "put": put}, through
+        )
         changed.told = self.world.time
         changed.status = status
         version = answer.get("version")
@@ -215,8 +284,15 @@
 
     def add_route(self, mark: str, base: int, through: str = "") -> Step[Changed]:
         """A change that brings a route of its own name, by which later orders tell it."""
-        return (yield from self.change(mark, base, {"routes": {mark: {
-            "path": f"/{mark}", "service": "pages"}}}, f"/{mark}", through))
+        return (
+            yield from self.change(
+                mark,
+                base,
+                {"routes": {mark: {"path": f"/{mark}", "service": "pages"}}},
+                f"/{mark}",
+                through,
+            )
+        )
 
     def set_up(self, seconds: float = 30.0) -> None:
         """Everything started, founded and configured."""
@@ -226,8 +302,9 @@
         found = self.world.task(self.operators, self.change("setup", 0, CONFIGURATION), 30)
         if found.status != 200:
             raise AssertionError(f"set-up was told {found.status}")
-        if not self.world.run_until(lambda: all(
-                self.node(name).traffic.ready for name in self.edges), seconds):
+        if not self.world.run_until(
+            lambda: all(self.node(name).traffic.ready for name in self.edges), seconds
+        ):
             raise AssertionError("edges are not ready")
 
     def operate(self, number: int, seconds: float) -> Step[None]:
@@ -245,8 +322,9 @@
                 route = {"path": f"/{name}", "service": "pages"}
                 if what < 0.1:
                     route["service"] = "nobody"
-                changed = yield from self.change(name, version, {"routes": {name: route}},
-                                                 f"/{name}")
+                changed = yield from self.change(
+                    name, version, {"routes": {name: route}}, f"/{name}"
+                )
                 version = changed.version or version
             elif what < 0.75:
                 started = self.world.time
@@ -263,8 +341,9 @@
         """An object changes and is purged; kept in the notes once that was acknowledged."""
         self.objects["pages"].change(target, self.world.time)
         purged = Purged(target, self.objects["pages"].revision(target))
-        status, _ = yield from self.operator("POST", "/purges", {
-            "id": identity, "scopes": [{"path": target}]})
+        status, _ = yield from self.operator(
+            "POST", "/purges", {"id": identity, "scopes": [{"path": target}]}
+        )
         if status == 200:
             purged.told = self.world.time
             self.purges.append(purged)
@@ -287,23 +366,39 @@
             method, target = self.pick_order(random)
             identity = f"c{number}-{count}"
             key = [(b"Idempotency-Key", identity.encode())]
-            told = yield from caller.order(edge, method, target, identity, key,
-                                           b"body" if method == "POST" else b"")
+            told = yield from caller.order(
+                edge, method, target, identity, key, b"body" if method == "POST" else b""
+            )
             sendings = 1
-            while (again and method == "POST" and told.status != 200 and sendings < 6
-                   and self.callers_on):
+            while (
+                again
+                and method == "POST"
+                and told.status != 200
+                and sendings < 6
+                and self.callers_on
+            ):
                 sendings += 1
                 yield from scheduler.pause(0.3 * random.random())
                 edges = self.ready_edges() or edges
                 edge = f"{self.node(random.choice(edges)).host}:3"
                 told = yield from caller.order(edge, method, target, identity, key, b"body")
             repeats = 0
-            while (again and method == "GET" and told.status not in (200, 404)
-                   and repeats < 40 and self.callers_on):
+            while (
+                again
+                and method == "GET"
+                and told.status not in (200, 404)
+                and repeats < 40
+                and self.callers_on
+            ):
                 repeats += 1
                 yield from scheduler.pause(0.05)
-                told = yield from caller.order(edge, method, target, f"{identity}r{repeats}",
-                                               [(b"X-Retry-Count", b"%d" % repeats)])
+                told = yield from caller.order(
+                    edge,
+                    method,
+                    target,
+                    f"{identity}r{repeats}",
+                    [(b"X-Retry-Count", b"%d" % repeats)],
+                )
         caller.close()
 
     def ask_readiness(self) -> None:
@@ -317,9 +412,16 @@
         assert ready is not None
         scheduler = self.platform_node.scheduler
         while True:
-            found = yield from call(scheduler, self.platform_node.network,
-                                    f"{self.node(name).host}:2", b"GET", b"/fitness/ready", [],
-                                    b"", 1.0)
+            found = yield from call(
+                scheduler,
+                self.platform_node.network,
+                f"{self.node(name).host}:2",
+                b"GET",
+                b"/fitness/ready",
+                [],
+                b"",
+                1.0,
+            )
             fine = found.is_ok() and found.ok[0].status == 200
             (ready.add if fine else ready.discard)(name)
             yield from scheduler.pause(0.25)
@@ -328,8 +430,11 @@
         """What the platform would hand callers: edges that say they are ready."""
         if self.asked_ready is not None:
             return sorted(self.asked_ready)
-        return [name for name in self.edges if self.node(name).alive
-                and (self.node(name).frozen or self.node(name).traffic.ready)]
+        return [
+            name
+            for name in self.edges
+            if self.node(name).alive and (self.node(name).frozen or self.node(name).traffic.ready)
+        ]
 
     def pick_order(self, random: Random) -> tuple[str, str]:
         mark = random.random()
@@ -346,8 +451,9 @@
 
     def start_callers(self, count: int = 12, rate: float = 3.0, again: int = 4) -> None:
         for number in range(count):
-            self.outside.scheduler.spawn(f"caller {number}",
-                                         self.call(number, rate, number < again))
+            self.outside.scheduler.spawn(
+                f"caller {number}", self.call(number, rate, number < again)
+            )
 
     def watch_verdicts(self) -> Step[None]:
         """Notes every down verdict that the record shows, with its evidence."""
@@ -363,19 +469,32 @@
                     key = (zone, int(str(register.verdict.get("index"))))
                     if found.get("verdict") == "down" and key not in seen:
                         seen.add(key)
-                        self.downs.append(Down(self.world.time, zone, list(found["edges"]),
-                                               list(found["targets"])))
+                        self.downs.append(
+                            Down(
+                                self.world.time, zone, list(found["edges"]), list(found["targets"])
+                            )
+                        )
 
     def served_since(self, since: float) -> Callable[[], bool]:
         """Whether every edge that is not drained has answered with a whole 200 since a moment."""
+
         def done() -> bool:
-            edges = {f"{self.node(name).host}:3" for name in self.alive(self.edges)
-                     if self.node(name).traffic.not_ready_for not in DRAINED}
-            fine = {told.edge for told in self.notes
-                    if told.at >= since and told.status == 200 and told.whole}
-            posted = any(told.at >= since and told.status == 200 and told.method == "POST"
-                         for told in self.notes)
+            edges = {
+                f"{self.node(name).host}:3"
+                for name in self.alive(self.edges)
+                if self.node(name).traffic.not_ready_for not in DRAINED
+            }
+            fine = {
+                told.edge
+                for told in self.notes
+                if told.at >= since and told.status == 200 and told.whole
+            }
+            posted = any(
+                told.at >= since and told.status == 200 and told.method == "POST"
+                for told in self.notes
+            )
             return bool(edges) and edges <= fine and posted
+
         return done
 
     def mend_all(self) -> None:
@@ -394,9 +513,19 @@
             server.delay = 0.0
 
     def probed(self) -> list[Probed]:
-        return [Probed(row.taken - node.clock.zero, row.edge, row.watch, row.machine, row.prober,
-                       row.sequence, row.failed)
-                for node, rows in self.row_stores for row in rows]
+        return [
+            Probed(
+                row.taken - node.clock.zero,
+                row.edge,
+                row.watch,
+                row.machine,
+                row.prober,
+                row.sequence,
+                row.failed,
+            )
+            for node, rows in self.row_stores
+            for row in rows
+        ]
 
     def findings(self) -> Findings:
         found = Findings()
--- a/packages/proving/ryelock/proving/schedules.py
+++ b/packages/proving/ryelock/proving/schedules.py
@@ -55,10 +55,16 @@
     if not leader:
         return False
     council = scenario.node(leader).core.council
-    disks = {scenario.node(name).core.council.disk for name in scenario.cores
-             if scenario.node(name).alive}
-    return (set(council.voters) == disks and len(disks) == len(scenario.cores)
-            and all(peer.match == council.last_index for peer in council.peers.values()))
+    disks = {
+        scenario.node(name).core.council.disk
+        for name in scenario.cores
+        if scenario.node(name).alive
+    }
+    return (
+        set(council.voters) == disks
+        and len(disks) == len(scenario.cores)
+        and all(peer.match == council.last_index for peer in council.peers.values())
+    )
 
 
 def kill_edge(scenario: Scenario, random: Random) -> str:
@@ -81,8 +87,12 @@
     power = random.random() < 0.5
     for name in scenario.alive(scenario.cores):
         scenario.world.kill(name, power)
-        scenario.world.later(0.5 + random.random(), lambda name=name:  # type: ignore[misc]
-                             scenario.start(name))
+        scenario.world.later(
+            0.5 + random.random(),
+            lambda name=name: (  # type: ignore[misc]
+                scenario.start(name)
+            ),
+        )
     return f"all cores down, power {power}"
 
 
@@ -124,14 +134,14 @@
     name = any_of(random, scenario.alive([*scenario.cores, *scenario.edges]))
     if name:
         scenario.world.freeze(name, True)
-        scenario.world.later(0.3 + random.random() * 4,
-                             lambda: scenario.world.freeze(name, False))
+        scenario.world.later(0.3 + random.random() * 4, lambda: scenario.world.freeze(name, False))
     return f"freeze {name}"
 
 
 def mean_server(scenario: Scenario, random: Random) -> str:
-    servers = [server for name, server in scenario.servers.items()
-               if scenario.world.nodes[name].alive]
+    servers = [
+        server for name, server in scenario.servers.items() if scenario.world.nodes[name].alive
+    ]
     server = random.choice(servers)
     server.manner = random.choice([SLOW, CUT, SHORT, LONG, WRONG, LOST, FAILING, DEAF])
 
@@ -145,9 +155,12 @@
 def staying(scenario: Scenario) -> list[str]:
     """Servers that run and are listed as staying, while another of their service is, too."""
     listed = scenario.platform.servers
-    found = sorted(name for name, server in scenario.servers.items()
-                   if scenario.world.nodes[name].alive
-                   and listed.get(server.address, {"leaving": True})["leaving"] is False)
+    found = sorted(
+        name
+        for name, server in scenario.servers.items()
+        if scenario.world.nodes[name].alive
+        and listed.get(server.address, {"leaving": True})["leaving"] is False
+    )
     services = [scenario.servers[name].service for name in found]
     return [name for name in found if services.count(scenario.servers[name].service) > 1]
 
@@ -244,14 +257,21 @@
 def kill_many(scenario: Scenario, random: Random, names: list[str]) -> None:
     for name in scenario.alive(names):
         scenario.world.kill(name, random.random() < 0.5)
-        scenario.world.later(0.5 + random.random() * 3, lambda name=name:  # type: ignore[misc]
-                             scenario.start(name))
+        scenario.world.later(
+            0.5 + random.random() * 3,
+            lambda name=name: (  # type: ignore[misc]
+                scenario.start(name)
+            ),
+        )
 
 
 def whole_zone(scenario: Scenario, random: Random) -> str:
     place = random.choice(scenario.zones)
-    kill_many(scenario, random, [name for name, (_, plain) in scenario.plans.items()
-                                 if plain["zone"] == place])
+    kill_many(
+        scenario,
+        random,
+        [name for name, (_, plain) in scenario.plans.items() if plain["zone"] == place],
+    )
     return f"all of {place} killed"
 
 
@@ -327,8 +347,7 @@
 
 
 def new_edge(scenario: Scenario, random: Random) -> str:
-    name = scenario.plan("edge", f"edge-{len(scenario.world.nodes)}",
-                         random.choice(scenario.zones))
+    name = scenario.plan("edge", f"edge-{len(scenario.world.nodes)}", random.choice(scenario.zones))
     scenario.edges.append(name)
     scenario.start(name)
     return f"{name} joins"
@@ -339,12 +358,14 @@
     number = len(scenario.world.events) + scenario.world.points
 
     def whole() -> Step[None]:
-        yield from scenario.operator("POST", "/drains", {"id": f"drain-{number}",
-                                                         "target": target})
+        yield from scenario.operator("POST", "/drains", {"id": f"drain-{number}", "target": target})
         yield from scenario.operators.scheduler.pause(0.5 + 3 * random.random())
         for turn in range(20):
-            status, _ = yield from scenario.operator("POST", "/recoveries", {
-                "id": f"recover-{number}-{turn}", "target": target, "force": True})
+            status, _ = yield from scenario.operator(
+                "POST",
+                "/recoveries",
+                {"id": f"recover-{number}-{turn}", "target": target, "force": True},
+            )
             if status in (200, 409, 422):
                 return
             yield from scenario.operators.scheduler.pause(0.5)
@@ -358,8 +379,9 @@
 
     def whole(turn: int) -> Step[None]:
         for count in range(6):
-            yield from scenario.renew_object(f"/covers/{(turn + count) % 8}",
-                                             f"flood-{number}-{turn}-{count}")
+            yield from scenario.renew_object(
+                f"/covers/{(turn + count) % 8}", f"flood-{number}-{turn}-{count}"
+            )
 
     for turn in range(4):
         scenario.operators.scheduler.spawn("flood", whole(turn))
@@ -374,8 +396,10 @@
         base = max((changed.version for changed in scenario.changes), default=1)
         for turn in range(3):
             name = f"gen-many-{number}-{turn}"
-            routes = {f"{name}-{count}": {"path": f"/{name}/{count}", "service": "pages"}
-                      for count in range(200)}
+            routes = {
+                f"{name}-{count}": {"path": f"/{name}/{count}", "service": "pages"}
+                for count in range(200)
+            }
             routes[name] = {"path": f"/{name}", "service": "pages"}
             changed = yield from scenario.change(name, base, {"routes": routes}, f"/{name}")
             base = changed.version or base
@@ -386,16 +410,18 @@
 
 def hang_ups(scenario: Scenario, random: Random) -> str:
     """Callers that leave in the middle: of their order, of its answer, or having read nothing."""
+
     def whole(turn: int) -> Step[None]:
         edges = scenario.ready_edges()
         if not edges:
             return
-        link = scenario.outside.network.connect(
-            f"{scenario.node(random.choice(edges)).host}:3")
+        link = scenario.outside.network.connect(f"{scenario.node(random.choice(edges)).host}:3")
         if (yield from link.open(1.0)):
-            order = (b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n"
-                     b"X-Order-Identity: hang-%d-%d\r\n\r\nbody" % (number, turn))
-            link.write(order[:random.randrange(1, len(order) + 1)])
+            order = (
+                b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n"
+                b"X-Order-Identity: hang-%d-%d\r\n\r\nbody" % (number, turn)
+            )
+            link.write(order[: random.randrange(1, len(order) + 1)])
             yield from scenario.outside.scheduler.pause(random.random() * 0.2)
         link.abort()
 
@@ -406,45 +432,93 @@
 
 
 FAULTS: tuple[Fault, ...] = (
-    kill_core, power_core, empty_core, kill_edge, kill_prober, all_cores, isolate, split_cores,
-    scatter_cores, cut_edge, freeze, mean_server, crash_server, hand_address, silent_platform,
-    wrong_clocks, slow_network, planned_stop, whole_zone, several_edges, freeze_prober,
-    cut_one_way, full_disk, damaged_tail, core_elsewhere, new_edge, drain_and_recover,
-    purge_flood, many_routes, hang_ups)
+    kill_core,
+    power_core,
+    empty_core,
+    kill_edge,
+    kill_prober,
+    all_cores,
+    isolate,
+    split_cores,
+    scatter_cores,
+    cut_edge,
+    freeze,
+    mean_server,
+    crash_server,
+    hand_address,
+    silent_platform,
+    wrong_clocks,
+    slow_network,
+    planned_stop,
+    whole_zone,
+    several_edges,
+    freeze_prober,
+    cut_one_way,
+    full_disk,
+    damaged_tail,
+    core_elsewhere,
+    new_edge,
+    drain_and_recover,
+    purge_flood,
+    many_routes,
+    hang_ups,
+)
 
 
 class Ended:
     """What a schedule came to."""
 
-    __slots__ = ("back_after", "counts", "digest", "false_downs", "findings", "happened",
-                 "scenario")
-
-    def __init__(self, scenario: Scenario, findings: Findings, happened: list[str],
-                 back_after: float | None) -> None:
+    __slots__ = (
+        "back_after",
+        "counts",
+        "digest",
+        "false_downs",
+        "findings",
+        "happened",
+        "scenario",
+    )
+
+    def __init__(
+        self, scenario: Scenario, findings: Findings, happened: list[str], back_after: float | None
+    ) -> None:
         self.scenario = scenario
         self.findings = findings
         self.happened = happened
         self.back_after = back_after
         self.digest = scenario.world.digest()
         self.counts: dict[str, int] = {}
-        self.false_downs = false_downs(scenario.downs, scenario.notes, {
-            name: f"{scenario.node(name).host}:3" for name in scenario.edges})
+        self.false_downs = false_downs(
+            scenario.downs,
+            scenario.notes,
+            {name: f"{scenario.node(name).host}:3" for name in scenario.edges},
+        )
 
 
 # Cores, zones, edges and probers a zone: the quick start's size, and the two deployments'.
 SIZES = {"small": (0, 2, 2, 2), "buchfalter": (6, 4, 3, 2), "wanjiru": (5, 3, 3, 2)}
 
 
-def run_schedule(seed: int, faults: int = 8, seconds: float = 24.0,
-                 pool: tuple[Fault, ...] = FAULTS, size: str = "small") -> Ended:
+def run_schedule(
+    seed: int,
+    faults: int = 8,
+    seconds: float = 24.0,
+    pool: tuple[Fault, ...] = FAULTS,
+    size: str = "small",
+) -> Ended:
     """One schedule from founding to the return after the last fault."""
     random = Random(f"schedule {seed}")
     drawn = random.choice([3, 3, 5])
     cores, zones, edges, probers = SIZES[size]
     cores = cores or drawn
     small = random.random() < 0.5
-    scenario = Scenario(seed, cores, zones, edges, probers, {
-        "image_records": 12 if small else 4000, "segment_bytes": 4096 if small else 1 << 20})
+    scenario = Scenario(
+        seed,
+        cores,
+        zones,
+        edges,
+        probers,
+        {"image_records": 12 if small else 4000, "segment_bytes": 4096 if small else 1 << 20},
+    )
     scenario.set_up()
     scenario.start_callers()
     scenario.operators.scheduler.spawn("verdicts", scenario.watch_verdicts())
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -184,15 +184,30 @@
         for name, data in self.files.items():
             synced = self.synced.get(name, 0)
             if len(data) > synced:
-                del data[synced + random.randrange(len(data) - synced + 1):]
+                del data[synced + random.randrange(len(data) - synced + 1) :]
                 self.synced[name] = len(data)
 
 
 class SimNode:
     """One process: a scheduler, a network, perhaps a folder, and what runs in it."""
 
-    __slots__ = ("alive", "clock", "folder", "frozen", "host", "inner", "links", "log", "machine",
-                 "name", "network", "power", "random", "scheduler", "world")
+    __slots__ = (
+        "alive",
+        "clock",
+        "folder",
+        "frozen",
+        "host",
+        "inner",
+        "links",
+        "log",
+        "machine",
+        "name",
+        "network",
+        "power",
+        "random",
+        "scheduler",
+        "world",
+    )
 
     def __init__(self, world: "World", name: str, machine: str, host: str) -> None:
         self.world = world
@@ -240,8 +255,22 @@
 class World:
     """Time, the network between all nodes, and the points at which faults are fired."""
 
-    __slots__ = ("cuts", "events", "faults", "fire", "listeners", "nodes", "points", "ports",
-                 "random", "seed", "sequence", "spikes", "time", "trace")
+    __slots__ = (
+        "cuts",
+        "events",
+        "faults",
+        "fire",
+        "listeners",
+        "nodes",
+        "points",
+        "ports",
+        "random",
+        "seed",
+        "sequence",
+        "spikes",
+        "time",
+        "trace",
+    )
 
     def __init__(self, seed: int) -> None:
         self.seed = seed
@@ -295,8 +324,7 @@
         if found.is_error():
             raise AssertionError(found.error.reason)
         disk, journal = found.ok
-        return ControlNode(env, node.scheduler, node.network, node.log, node.random, disk,
-                           journal)
+        return ControlNode(env, node.scheduler, node.network, node.log, node.random, disk, journal)
 
     def kill(self, name: str, power: bool = False) -> None:
         """End a process at once. Without power its machine says nothing more."""
@@ -365,13 +393,15 @@
 
     def try_open(self, link: SimLink, address: str) -> None:
         """A link that is asked for stands after a round trip, is declined, or hangs."""
+
         def act() -> None:
             if link.ended:
                 return
             found = self.listeners.get(address)
             owner = found[0] if found is not None else self.owner_of(address)
-            if owner is not None and (self.blocked(link.node, owner)
-                                      or self.blocked(owner, link.node) or not owner.power):
+            if owner is not None and (
+                self.blocked(link.node, owner) or self.blocked(owner, link.node) or not owner.power
+            ):
                 self.later(0.2, act)
                 return
             if found is None:
--- a/packages/proving/ryelock/proving/standins.py
+++ b/packages/proving/ryelock/proving/standins.py
@@ -15,7 +15,16 @@
 from ryelock.loop import Network, Scheduler, Step
 
 WHOLE, SLOW, CUT, SHORT, LONG, WRONG, LOST, FAILING, DEAF = (
-    "whole", "slow", "cut", "short", "long", "wrong", "lost", "failing", "deaf")
+    "whole",
+    "slow",
+    "cut",
+    "short",
+    "long",
+    "wrong",
+    "lost",
+    "failing",
+    "deaf",
+)
 MANNERS = (WHOLE, SLOW, CUT, SHORT, LONG, WRONG, LOST, FAILING, DEAF)
 
 
@@ -23,17 +32,37 @@
     """The one right body of an object at a revision."""
     seed = hashlib.sha256(f"{service} {target} {revision}".encode()).hexdigest()
     start = f"OBJECT {service} {target} {revision} {seed} ".encode()
-    return (start + seed.encode() * (size // len(seed) + 1))[:max(size, len(start))]
+    return (start + seed.encode() * (size // len(seed) + 1))[: max(size, len(start))]
 
 
 class Ran:
     """One order as a server saw it."""
 
-    __slots__ = ("address", "at", "identity", "key", "method", "probe", "retry", "revision",
-                 "service", "target")
+    __slots__ = (
+        "address",
+        "at",
+        "identity",
+        "key",
+        "method",
+        "probe",
+        "retry",
+        "revision",
+        "service",
+        "target",
+    )
 
-    def __init__(self, at: float, service: str, address: str, method: str, target: str,
-                 identity: str, key: str, probe: bool, revision: int) -> None:
+    def __init__(
+        self,
+        at: float,
+        service: str,
+        address: str,
+        method: str,
+        target: str,
+        identity: str,
+        key: str,
+        probe: bool,
+        revision: int,
+    ) -> None:
         self.at = at
         self.service = service
         self.address = address
@@ -67,11 +96,32 @@
 class ServerStandIn:
     """One server of a service."""
 
-    __slots__ = ("address", "clock_error", "dated", "delay", "door", "history", "lifetime",
-                 "manner", "modified", "objects", "scheduler", "service", "tagged")
+    __slots__ = (
+        "address",
+        "clock_error",
+        "dated",
+        "delay",
+        "door",
+        "history",
+        "lifetime",
+        "manner",
+        "modified",
+        "objects",
+        "scheduler",
+        "service",
+        "tagged",
+    )
 
-    def __init__(self, scheduler: Scheduler, network: Network, log: Log, service: str,
-                 address: str, objects: Objects, history: list[Ran]) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        log: Log,
+        service: str,
+        address: str,
+        objects: Objects,
+        history: list[Ran],
+    ) -> None:
         self.scheduler = scheduler
         self.service = service
         self.objects = objects
@@ -83,9 +133,14 @@
         self.tagged = True
         self.dated = True
         self.clock_error = 0.0
-        self.door = HttpDoor(scheduler, network, log, address,
-                             Limits(links_most=20_000, idle_seconds=60.0, order_seconds=60.0),
-                             self.serve)
+        self.door = HttpDoor(
+            scheduler,
+            network,
+            log,
+            address,
+            Limits(links_most=20_000, idle_seconds=60.0, order_seconds=60.0),
+            self.serve,
+        )
         self.address = self.door.address
 
     def close(self) -> None:
@@ -108,10 +163,17 @@
         revision = self.objects.revision(target)
         if self.delay:
             yield from self.scheduler.pause(self.delay)
-        ran = Ran(self.scheduler.now(), self.service, self.address, head.method.decode(), target,
-                  (field(head.fields, b"x-order-identity") or b"").decode(),
-                  (field(head.fields, b"idempotency-key") or b"").decode(),
-                  field(head.fields, b"x-ryelock-probe") is not None, revision)
+        ran = Ran(
+            self.scheduler.now(),
+            self.service,
+            self.address,
+            head.method.decode(),
+            target,
+            (field(head.fields, b"x-order-identity") or b"").decode(),
+            (field(head.fields, b"idempotency-key") or b"").decode(),
+            field(head.fields, b"x-ryelock-probe") is not None,
+            revision,
+        )
         ran.retry = field(head.fields, b"x-retry-count") is not None
         self.history.append(ran)
         if self.manner == SLOW:
@@ -135,8 +197,9 @@
             fields.append((b"Content-Range", b"bytes 0-1023/%d" % len(body)))
             body = body[:1024]
         if self.manner == WRONG:
-            exchange.link.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nContent-Length: 12\r\n"
-                                b"\r\n" + body)
+            exchange.link.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nContent-Length: 12\r\n\r\n" + body
+            )
             exchange.cut()
             return
         length = len(body)
@@ -144,7 +207,7 @@
             body += b"tail that belongs to nothing"
         exchange.begin(status, b"", fields, length + (50 if self.manner == SHORT else 0))
         if self.manner == CUT:
-            body = body[:length // 2]
+            body = body[: length // 2]
         yield from exchange.send(body, 30.0)
         if self.manner in (CUT, SHORT):
             yield from exchange.link.drain(0, 5.0)
@@ -177,14 +240,19 @@
         self.servers: dict[str, dict[str, object]] = {}
         self.shown_since: list[tuple[float, str, str, bool]] = []
         self.silent = False
-        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000),
-                             self.serve)
+        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000), self.serve)
         self.address = self.door.address
 
-    def show(self, service: str, address: str, zone: str, incarnation: int,
-             leaving: bool = False) -> None:
-        self.servers[address] = {"service": service, "address": address, "zone": zone,
-                                 "incarnation": incarnation, "leaving": leaving}
+    def show(
+        self, service: str, address: str, zone: str, incarnation: int, leaving: bool = False
+    ) -> None:
+        self.servers[address] = {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "incarnation": incarnation,
+            "leaving": leaving,
+        }
         self.shown_since.append((self.scheduler.now(), service, address, leaving))
 
     def hide(self, address: str) -> None:
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -25,11 +25,37 @@
 class Note:
     """One try of a caller and what it was told."""
 
-    __slots__ = ("at", "body", "deadline", "edge", "end", "fields", "host", "identity", "kind",
-                 "method", "order", "said", "seconds", "status", "target", "whole")
-
-    def __init__(self, at: float, edge: str, kind: str, method: str, host: str, target: str,
-                 identity: str, body: bytes, deadline: float) -> None:
+    __slots__ = (
+        "at",
+        "body",
+        "deadline",
+        "edge",
+        "end",
+        "fields",
+        "host",
+        "identity",
+        "kind",
+        "method",
+        "order",
+        "said",
+        "seconds",
+        "status",
+        "target",
+        "whole",
+    )
+
+    def __init__(
+        self,
+        at: float,
+        edge: str,
+        kind: str,
+        method: str,
+        host: str,
+        target: str,
+        identity: str,
+        body: bytes,
+        deadline: float,
+    ) -> None:
         self.at = at
         self.edge = edge
         self.kind = kind
@@ -80,8 +106,9 @@
             yield from self.scheduler.pause(1.0)
 
     def ask(self, name: str) -> Step[None]:
-        found = yield from call(self.scheduler, self.network, self.readiness[name], b"GET",
-                                b"/readiness", [], b"", 0.9)
+        found = yield from call(
+            self.scheduler, self.network, self.readiness[name], b"GET", b"/readiness", [], b"", 0.9
+        )
         self.asked += 1
         ready = found.is_ok() and found.ok[0].status == 200
         self.missed[name] = 0 if ready else self.missed[name] + 1
@@ -98,11 +125,31 @@
 class Client:
     """One caller; its first try may go over a kept link, each other over a new one."""
 
-    __slots__ = ("count", "entrance", "link", "name", "network", "notes", "random", "reader",
-                 "scheduler", "words", "zone")
-
-    def __init__(self, scheduler: Scheduler, network: Network, words: Words, entrance: Entrance,
-                 name: str, zone: str, notes: list[Note], seed: int = 0) -> None:
+    __slots__ = (
+        "count",
+        "entrance",
+        "link",
+        "name",
+        "network",
+        "notes",
+        "random",
+        "reader",
+        "scheduler",
+        "words",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        words: Words,
+        entrance: Entrance,
+        name: str,
+        zone: str,
+        notes: list[Note],
+        seed: int = 0,
+    ) -> None:
         self.scheduler = scheduler
         self.network = network
         self.words = words
@@ -120,9 +167,18 @@
             self.link.close()
             self.link = None
 
-    def order(self, kind: str, method: str, host: str, target: str, body: bytes = b"",
-              deadline: float = 1.0, fields: Fields | None = None, tries: int = TRIES_MOST,
-              edge: str = "") -> Step[Note]:
+    def order(
+        self,
+        kind: str,
+        method: str,
+        host: str,
+        target: str,
+        body: bytes = b"",
+        deadline: float = 1.0,
+        fields: Fields | None = None,
+        tries: int = TRIES_MOST,
+        edge: str = "",
+    ) -> Step[Note]:
         """One order and its further tries by the rules; the last try's note."""
         self.count += 1
         order = f"{self.name}.{self.count}"
@@ -132,8 +188,9 @@
             number += 1
             now = self.scheduler.now()
             name = edge or self.random.choice(self.entrance.taken(self.zone))
-            note = Note(now, name, kind, method, host, target, f"{order}-{number}", body,
-                        until - now)
+            note = Note(
+                now, name, kind, method, host, target, f"{order}-{number}", body, until - now
+            )
             self.notes.append(note)
             yield from self.one_try(note, until, fields or [])
             note.seconds = self.scheduler.now() - now
@@ -163,9 +220,18 @@
                 return
         dialect = self.words.dialect
         left = max(1, int((until - self.scheduler.now()) * 1000))
-        send_order(link, note.method.encode(), note.target.encode(), [
-            (b"Host", note.host.encode()), (dialect.identity, note.identity.encode()),
-            (dialect.deadline, b"%d" % left), *given], note.body)
+        send_order(
+            link,
+            note.method.encode(),
+            note.target.encode(),
+            [
+                (b"Host", note.host.encode()),
+                (dialect.identity, note.identity.encode()),
+                (dialect.deadline, b"%d" % left),
+                *given,
+            ],
+            note.body,
+        )
         try:
             found = yield from read_answer(reader, note.method.encode(), 65_536, until)
             if found.is_error():
@@ -195,14 +261,17 @@
         self.nodes: list[str] = []
         self.random = Random(f"operator {seed}")
 
-    def once(self, node: str, method: bytes, place: bytes, fields: Fields,
-             body: bytes) -> Step[tuple[int, bytes]]:
-        found = yield from call(self.scheduler, self.network, node, method, place, fields, body,
-                                5.0)
+    def once(
+        self, node: str, method: bytes, place: bytes, fields: Fields, body: bytes
+    ) -> Step[tuple[int, bytes]]:
+        found = yield from call(
+            self.scheduler, self.network, node, method, place, fields, body, 5.0
+        )
         return (found.ok[0].status, found.ok[1]) if found.is_ok() else (0, b"")
 
-    def send(self, method: bytes, place: bytes, fields: Fields, body: bytes = b"",
-             seconds: float = 20.0) -> Step[tuple[int, bytes]]:
+    def send(
+        self, method: bytes, place: bytes, fields: Fields, body: bytes = b"", seconds: float = 20.0
+    ) -> Step[tuple[int, bytes]]:
         until = self.scheduler.now() + seconds
         pause = 0.1
         status, said = 0, b""
@@ -220,8 +289,14 @@
 OwnRead = Callable[[Arrival], bool]
 
 
-def broken(notes: list[Note], arrivals: list[Arrival], services: dict[str, ServiceStandIn],
-           words: Words, allowed: Allowed, own_read: OwnRead) -> list[str]:
+def broken(
+    notes: list[Note],
+    arrivals: list[Arrival],
+    services: dict[str, ServiceStandIn],
+    words: Words,
+    allowed: Allowed,
+    own_read: OwnRead,
+) -> list[str]:
     """What of the rules on orders and answers is broken; empty where all held.
 
     `own_read` tells of an order that no caller sent whether the system may send it by itself.
@@ -254,8 +329,9 @@
     return found
 
 
-def mixed(note: Note, services: dict[str, ServiceStandIn], words: Words,
-          allowed: set[str]) -> list[str]:
+def mixed(
+    note: Note, services: dict[str, ServiceStandIn], words: Words, allowed: set[str]
+) -> list[str]:
     """Faults of one success: whose it is, its mark, and every byte of it."""
     if note.field(words.dialect.identity) != note.identity.encode():
         return [f"mixed: {note.identity} got an answer of another order"]
@@ -274,13 +350,14 @@
             place = (note.field(b"content-range") or b"").removeprefix(b"bytes ")
             first, _, rest = place.partition(b"-")
             if note.status == 206:
-                body = body[int(first):int(rest.partition(b"/")[0]) + 1]
+                body = body[int(first) : int(rest.partition(b"/")[0]) + 1]
             return [] if body == note.said else [f"mixed: {note.identity} got other bytes"]
     return [f"mixed: {note.identity} got another service's answer"]
 
 
-def over_ceiling(arrivals: list[Arrival], service: str, rate: float, seconds: float = 5.0,
-                 overshoot: float = 1.1) -> list[str]:
+def over_ceiling(
+    arrivals: list[Arrival], service: str, rate: float, seconds: float = 5.0, overshoot: float = 1.1
+) -> list[str]:
     """Spans in which a service got more orders than its rate allows."""
     times = sorted(arrival.at for arrival in arrivals if arrival.service == service)
     most = rate * seconds * overshoot + 5
@@ -294,9 +371,15 @@
     return found[:3]
 
 
-def over_budget(notes: list[Note], arrivals: list[Arrival], service: str,
-                routed: Callable[[Note], set[str]], ratio: float = 0.2, slack: float = 68,
-                seconds: float = 10.0) -> list[str]:
+def over_budget(
+    notes: list[Note],
+    arrivals: list[Arrival],
+    service: str,
+    routed: Callable[[Note], set[str]],
+    ratio: float = 0.2,
+    slack: float = 68,
+    seconds: float = 10.0,
+) -> list[str]:
     """Spans in which a service got more repeats than a part of its callers' orders allows.
 
     A read without a name is no caller's order, so it repeats none; every named one is counted.
@@ -313,8 +396,10 @@
     found: list[str] = []
     for until in repeats:
         count = sum(until - seconds < at <= until for at in repeats)
-        orders = max(sum(until - seconds - back < at <= until - back for at in sent)
-                     for back in (0.0, seconds / 2, seconds))
+        orders = max(
+            sum(until - seconds - back < at <= until - back for at in sent)
+            for back in (0.0, seconds / 2, seconds)
+        )
         if count > ratio * orders + slack:
             found.append(f"budget: {count} repeats to {service} until {until:.2f}, {orders} orders")
     return found[:3]
--- a/packages/register/ryelock/register/__init__.py
+++ b/packages/register/ryelock/register/__init__.py
@@ -27,6 +27,22 @@
 from ryelock.register.vector import Vector, vector_of
 
 __all__ = [
-    "DERIVED_MOST", "CallerLimits", "Configuration", "Purge", "Register", "Route", "Service",
-           "Vector", "Watch", "configuration_of", "derivable_routes", "derived_name",
-           "derived_watches", "encode_word", "merge_change", "places_of", "plan_of", "vector_of"]
+    "DERIVED_MOST",
+    "CallerLimits",
+    "Configuration",
+    "Purge",
+    "Register",
+    "Route",
+    "Service",
+    "Vector",
+    "Watch",
+    "configuration_of",
+    "derivable_routes",
+    "derived_name",
+    "derived_watches",
+    "encode_word",
+    "merge_change",
+    "places_of",
+    "plan_of",
+    "vector_of",
+]
--- a/packages/register/ryelock/register/configuration.py
+++ b/packages/register/ryelock/register/configuration.py
@@ -96,8 +96,10 @@
     limits: dict[str, CallerLimits] = field(default_factory=dict)
 
     def plain(self) -> dict[str, object]:
-        return {part: {name: asdict(value) for name, value in getattr(self, part).items()}
-                for part in PARTS}
+        return {
+            part: {name: asdict(value) for name, value in getattr(self, part).items()}
+            for part in PARTS
+        }
 
 
 Fault = dict[str, str]
@@ -110,9 +112,15 @@
 
 def whole_numbers_as_fractions(kind: type, plain: dict[str, object]) -> dict[str, object]:
     fractions = {part.name for part in fields(kind) if part.type in (float, "float")}
-    return {key: float(value) if key in fractions and isinstance(value, int)
-            and not isinstance(value, bool) and abs(value) < 1e15 else value
-            for key, value in plain.items()}
+    return {
+        key: float(value)
+        if key in fractions
+        and isinstance(value, int)
+        and not isinstance(value, bool)
+        and abs(value) < 1e15
+        else value
+        for key, value in plain.items()
+    }
 
 
 Part = Service | Route | Watch | CallerLimits
@@ -129,9 +137,12 @@
     faults.extend(fault(f"{path}.{key}", "unknown field") for key in unknown)
     try:
         return dacite.from_dict(
-            kind, whole_numbers_as_fractions(kind, {key: value for key, value in plain.items()
-                                                    if key in known}),
-            dacite.Config(strict=True, check_types=True))
+            kind,
+            whole_numbers_as_fractions(
+                kind, {key: value for key, value in plain.items() if key in known}
+            ),
+            dacite.Config(strict=True, check_types=True),
+        )
     except dacite.MissingValueError as error:
         faults.append(fault(f"{path}.{error.field_path}", "missing"))
     except dacite.WrongTypeError as error:
@@ -291,8 +302,15 @@
         return Error([fault("patch", "not a list of operations")])
     try:
         after = jsonpatch.JsonPatch(patch).apply(before)
-    except (jsonpatch.JsonPatchException, jsonpointer.JsonPointerException, KeyError, TypeError,
-            ValueError, IndexError, RecursionError) as error:
+    except (
+        jsonpatch.JsonPatchException,
+        jsonpointer.JsonPointerException,
+        KeyError,
+        TypeError,
+        ValueError,
+        IndexError,
+        RecursionError,
+    ) as error:
         return Error([fault("patch", str(error)[:300])])
     if not isinstance(after, dict):
         return Error([fault("patch", "does not leave an object")])
@@ -300,8 +318,10 @@
     for part in PARTS:
         values, known, old = after.get(part), getattr(current, part), before[part]
         if isinstance(values, dict) and isinstance(old, dict):
-            merged[part] = {name: known[name] if name in known and old[name] == value else value
-                            for name, value in values.items()}
+            merged[part] = {
+                name: known[name] if name in known and old[name] == value else value
+                for name, value in values.items()
+            }
     return configuration_of(merged)
 
 
@@ -313,11 +333,16 @@
         plan[part] = {
             "added": sorted(name for name in new if name not in old),
             "removed": sorted(name for name in old if name not in new),
-            "changed": {name: {field.name: [getattr(old[name], field.name),
-                                            getattr(new[name], field.name)]
-                               for field in fields(new[name])
-                               if getattr(old[name], field.name) != getattr(new[name], field.name)}
-                        for name in sorted(new) if name in old and old[name] != new[name]}}
+            "changed": {
+                name: {
+                    field.name: [getattr(old[name], field.name), getattr(new[name], field.name)]
+                    for field in fields(new[name])
+                    if getattr(old[name], field.name) != getattr(new[name], field.name)
+                }
+                for name in sorted(new)
+                if name in old and old[name] != new[name]
+            },
+        }
     return plan
 
 
@@ -333,12 +358,18 @@
     if isinstance(base, bool) or not isinstance(base, int) or base < 0:
         faults.append(fault("base", "not the version the change was made against"))
     version = change.get("version", 1 << 62)
-    if isinstance(version, bool) or not isinstance(version, int) or not (
-            isinstance(base, int) and base < version <= 1 << 62):
+    if (
+        isinstance(version, bool)
+        or not isinstance(version, int)
+        or not (isinstance(base, int) and base < version <= 1 << 62)
+    ):
         faults.append(fault("version", "not a number above the version it was made against"))
     if "patch" in change:
-        faults += [fault(key, "does not go with a patch") for key in ("put", "remove", "whole")
-                   if key in change]
+        faults += [
+            fault(key, "does not go with a patch")
+            for key in ("put", "remove", "whole")
+            if key in change
+        ]
         return Error(faults) if faults else patched(current, change["patch"])
     whole = change.get("whole", False)
     if not isinstance(whole, bool):
--- a/packages/register/ryelock/register/derived.py
+++ b/packages/register/ryelock/register/derived.py
@@ -24,12 +24,12 @@
     routes = configuration.routes
     watched = {routes[watch.route].service for watch in configuration.watches.values()}
     watched |= {routes[name].service for name in derived}
-    return frozenset(name for name, route in routes.items()
-                     if route.cached and route.service not in watched)
+    return frozenset(
+        name for name, route in routes.items() if route.cached and route.service not in watched
+    )
 
 
-def derived_watch(configuration: Configuration, name: str, target: str,
-                  host: str) -> Watch | None:
+def derived_watch(configuration: Configuration, name: str, target: str, host: str) -> Watch | None:
     """A watch of an object under a route; None where it is no object of that route.
 
     A copy may be as old as the route's lifetime allows, and is stale only behind that.
@@ -69,14 +69,25 @@
 
 def rests_on(route: Route) -> tuple[object, ...]:
     """What a watch of a route rests on; where it changes the watch ends."""
-    return (route.path, route.host, route.service, route.split, route.cached,
-            route.lifetime_seconds)
-
-
-def still_standing(derived: dict[str, Watch], before: Configuration,
-                   after: Configuration) -> dict[str, Watch]:
+    return (
+        route.path,
+        route.host,
+        route.service,
+        route.split,
+        route.cached,
+        route.lifetime_seconds,
+    )
+
+
+def still_standing(
+    derived: dict[str, Watch], before: Configuration, after: Configuration
+) -> dict[str, Watch]:
     """Those made-up watches that a change of the configuration leaves."""
     watched = {after.routes[watch.route].service for watch in after.watches.values()}
-    return {name: watch for name, watch in derived.items()
-            if name in after.routes and after.routes[name].service not in watched
-            and rests_on(after.routes[name]) == rests_on(before.routes[name])}
+    return {
+        name: watch
+        for name, watch in derived.items()
+        if name in after.routes
+        and after.routes[name].service not in watched
+        and rests_on(after.routes[name]) == rests_on(before.routes[name])
+    }
--- a/packages/register/ryelock/register/state.py
+++ b/packages/register/ryelock/register/state.py
@@ -74,8 +74,21 @@
     `derived` has a made-up watch by the name of its route, `derivable` the routes that may get one.
     """
 
-    __slots__ = ("claims", "configuration", "decisions", "derivable", "derived", "drains",
-                 "duties", "index", "outcomes", "purge_number", "purges", "verdict", "version")
+    __slots__ = (
+        "claims",
+        "configuration",
+        "decisions",
+        "derivable",
+        "derived",
+        "drains",
+        "duties",
+        "index",
+        "outcomes",
+        "purge_number",
+        "purges",
+        "verdict",
+        "version",
+    )
 
     def __init__(self) -> None:
         self.clear()
@@ -100,9 +113,16 @@
         word = cbor2.loads(data)
         if not isinstance(word, dict):
             return {"status": "malformed"}
-        handlers = {"change": self.change, "purge": self.purge, "drain": self.drain,
-                    "duty": self.duty, "decision": self.decision, "derived": self.derive,
-                    "claim": self.claim, "release": self.release}
+        handlers = {
+            "change": self.change,
+            "purge": self.purge,
+            "drain": self.drain,
+            "duty": self.duty,
+            "decision": self.decision,
+            "derived": self.derive,
+            "claim": self.claim,
+            "release": self.release,
+        }
         handler = handlers.get(str(word.get("word")))
         if handler is None:
             return {"status": "malformed"}
@@ -156,14 +176,23 @@
     def drain(self, word: Plain) -> Plain:
         target = str(word.get("target"))
         if word.get("on") is True:
-            self.drains[target] = {"index": self.index, "reason": str(word.get("reason", "")),
-                                   "forced": word.get("forced") is True}
+            self.drains[target] = {
+                "index": self.index,
+                "reason": str(word.get("reason", "")),
+                "forced": word.get("forced") is True,
+            }
         elif self.drains.pop(target, None) is None:
-            return {"status": "invalid",
-                    "faults": [{"path": "target", "fault": f"{target} is not drained"}]}
-        record: Plain = {"kind": "drain" if word.get("on") is True else "recover",
-                         "target": target, "index": self.index, "wall": word.get("wall"),
-                         "reason": word.get("reason", "")}
+            return {
+                "status": "invalid",
+                "faults": [{"path": "target", "fault": f"{target} is not drained"}],
+            }
+        record: Plain = {
+            "kind": "drain" if word.get("on") is True else "recover",
+            "target": target,
+            "index": self.index,
+            "wall": word.get("wall"),
+            "reason": word.get("reason", ""),
+        }
         self.keep_decision(record)
         return {"status": "accepted", "index": self.index}
 
@@ -181,17 +210,26 @@
         """A verdict, taken only from the present holder of the aggregator's duty."""
         duty = self.duties.get("aggregator")
         epoch = word.get("epoch")
-        if (duty is None or not isinstance(epoch, int)
-                or duty.fences(str(word.get("holder")), epoch)):
+        if (
+            duty is None
+            or not isinstance(epoch, int)
+            or duty.fences(str(word.get("holder")), epoch)
+        ):
             return {"status": "fenced"}
         verdict = word.get("verdict")
         if not isinstance(verdict, dict):
             return {"status": "malformed"}
         before = self.verdict
-        self.verdict = {**verdict, "index": self.index, "epoch": epoch,
-                        "holder": word.get("holder"), "wall": word.get("wall")}
-        if (before.get("network") != verdict.get("network")
-                or zone_words(before) != zone_words(verdict)):
+        self.verdict = {
+            **verdict,
+            "index": self.index,
+            "epoch": epoch,
+            "holder": word.get("holder"),
+            "wall": word.get("wall"),
+        }
+        if before.get("network") != verdict.get("network") or zone_words(before) != zone_words(
+            verdict
+        ):
             self.keep_decision({**self.verdict, "kind": "verdict"})
         return {"status": "accepted", "index": self.index}
 
@@ -236,13 +274,18 @@
 
     def shared(self) -> Plain:
         return {
-            "index": self.index, "version": self.version,
-            "configuration": self.configuration.plain(), "purge_number": self.purge_number,
-            "purges": [purge.plain() for purge in self.purges], "drains": self.drains,
+            "index": self.index,
+            "version": self.version,
+            "configuration": self.configuration.plain(),
+            "purge_number": self.purge_number,
+            "purges": [purge.plain() for purge in self.purges],
+            "drains": self.drains,
             "duties": {name: duty.plain() for name, duty in self.duties.items()},
-            "decisions": self.decisions, "verdict": self.verdict,
+            "decisions": self.decisions,
+            "verdict": self.verdict,
             "derived": places_of(self.derived),
-            "outcomes": list(self.outcomes.items())}
+            "outcomes": list(self.outcomes.items()),
+        }
 
     def restore(self, data: bytes) -> None:
         found = cbor2.loads(data)
@@ -258,8 +301,10 @@
         self.purge_number = found["purge_number"]
         self.purges = [Purge(*purge) for purge in found["purges"]]
         self.drains = found["drains"]
-        self.duties = {name: Duty(plain["name"], plain["holder"], plain["epoch"],
-                                  plain["successor"]) for name, plain in found["duties"].items()}
+        self.duties = {
+            name: Duty(plain["name"], plain["holder"], plain["epoch"], plain["successor"])
+            for name, plain in found["duties"].items()
+        }
         self.decisions = found["decisions"]
         self.verdict = found["verdict"]
         self.derived = derived_watches(self.configuration, found.get("derived", {}))
@@ -278,5 +323,6 @@
     zones = verdict.get("zones")
     if not isinstance(zones, dict):
         return {}
-    return {str(zone): found.get("verdict") for zone, found in zones.items()
-            if isinstance(found, dict)}
+    return {
+        str(zone): found.get("verdict") for zone, found in zones.items() if isinstance(found, dict)
+    }
--- a/packages/roster/ryelock/roster/servers.py
+++ b/packages/roster/ryelock/roster/servers.py
@@ -21,8 +21,16 @@
 
     __slots__ = ("address", "cold", "incarnation", "leaving", "service", "slots", "zone")
 
-    def __init__(self, service: str, address: str, zone: str, incarnation: str,
-                 leaving: bool, slots: int = 0, cold: bool = False) -> None:
+    def __init__(
+        self,
+        service: str,
+        address: str,
+        zone: str,
+        incarnation: str,
+        leaving: bool,
+        slots: int = 0,
+        cold: bool = False,
+    ) -> None:
         self.slots = slots
         self.cold = cold
         self.service = service
@@ -36,8 +44,15 @@
         return self.service, self.address, self.incarnation
 
     def plain(self) -> list[object]:
-        return [self.service, self.address, self.zone, self.incarnation, self.leaving,
-                self.slots, self.cold]
+        return [
+            self.service,
+            self.address,
+            self.zone,
+            self.incarnation,
+            self.leaving,
+            self.slots,
+            self.cold,
+        ]
 
 
 class Listing:
@@ -49,8 +64,15 @@
 
     __slots__ = ("seen", "servers", "since", "source", "until", "version")
 
-    def __init__(self, source: str, version: int, servers: list[Server], until: float,
-                 since: float = -1e18, seen: float = -1e18) -> None:
+    def __init__(
+        self,
+        source: str,
+        version: int,
+        servers: list[Server],
+        until: float,
+        since: float = -1e18,
+        seen: float = -1e18,
+    ) -> None:
         self.source = source
         self.version = version
         self.servers = servers
@@ -117,8 +139,15 @@
     found: list[Server] = []
     for item in plain:
         match item:
-            case [str(service), str(address), str(zone), str(incarnation), bool(leaving),
-                  int(slots), bool(cold)]:
+            case [
+                str(service),
+                str(address),
+                str(zone),
+                str(incarnation),
+                bool(leaving),
+                int(slots),
+                bool(cold),
+            ]:
                 found.append(Server(service, address, zone, incarnation, leaving, slots, cold))
             case _:
                 raise ValueError("not a server")
