--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -150,8 +150,13 @@
         notes: list[Note] = []
 
         def send() -> Step[None]:
-            notes.append((yield from client.order(UNSAFE, "POST", HOST, "/orders/1", b"body", 2.0,
-                                                  None, 4, premises.edges[0])))
+            notes.append(
+                (
+                    yield from client.order(
+                        UNSAFE, "POST", HOST, "/orders/1", b"body", 2.0, None, 4, premises.edges[0]
+                    )
+                )
+            )
 
         premises.outside.scheduler.spawn("one", send())
         premises.world.run(0.2)
@@ -285,12 +290,19 @@
     def test_the_order_reaches_its_server_unchanged_under_its_own_name(self) -> None:
         premises = Premises(41).set_up()
         target = "/orders/%7Ea//b;c=1/?q=/plain/1&x=%20y"
-        note = premises.ask(UNSAFE, "POST", target, b"\x00body\xff", fields=[
-            (b"X-Custom", b"kept"), (b"Connection", b"X-Hop"), (b"X-Hop", b"gone")])
+        note = premises.ask(
+            UNSAFE,
+            "POST",
+            target,
+            b"\x00body\xff",
+            fields=[(b"X-Custom", b"kept"), (b"Connection", b"X-Hop"), (b"X-Hop", b"gone")],
+        )
         self.assertEqual(200, note.status)
         (arrival,) = premises.arrivals(note)
-        self.assertEqual(("POST", target, b"\x00body\xff", HOST),
-                         (arrival.method, arrival.target, arrival.body, arrival.host))
+        self.assertEqual(
+            ("POST", target, b"\x00body\xff", HOST),
+            (arrival.method, arrival.target, arrival.body, arrival.host),
+        )
         self.assertEqual(arrival.identifier, arrival.expected)
         self.assertEqual([], premises.broken())
 
@@ -349,16 +361,18 @@
 
     def test_what_all_edges_save_up_is_no_more_than_the_rules_slack(self) -> None:
         premises = Premises(49).set_up()
-        self.assertEqual(200, premises.replace({**premises.configuration, "version": "r6"},
-                                               "r5")[0])
+        self.assertEqual(
+            200, premises.replace({**premises.configuration, "version": "r6"}, "r5")[0]
+        )
         for number in range(600):
             self.post(premises, number, edge=premises.edges[number % 6])
         for number in range(20):
             for edge in premises.edges:
                 manners(premises, "desks", FULL)
                 self.post(premises, 1000 + number, edge=edge)
-        self.assertEqual([], over_budget(premises.notes, premises.history, "desks",
-                                         premises.allowed))
+        self.assertEqual(
+            [], over_budget(premises.notes, premises.history, "desks", premises.allowed)
+        )
         self.assertEqual([], premises.broken())
 
     def test_a_body_in_chunks_reaches_its_server_whole(self) -> None:
@@ -371,10 +385,12 @@
         def send() -> Step[None]:
             link = outside.network.connect(front)
             yield from link.open(1.0)
-            link.write(b"POST /orders/1 HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\nAttempt-Id: x1"
-                       b"\r\nDeadline-Remaining: 5000\r\nTransfer-Encoding: chunked\r\n\r\n")
+            link.write(
+                b"POST /orders/1 HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\nAttempt-Id: x1"
+                b"\r\nDeadline-Remaining: 5000\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
             for start in range(0, len(whole), 10_000):
-                piece = whole[start:start + 10_000]
+                piece = whole[start : start + 10_000]
                 link.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
             link.write(b"0\r\n\r\n")
             reader = Reader(outside.scheduler, link)
@@ -395,9 +411,15 @@
     def test_without_a_route_the_answer_is_404_and_nothing_is_sent(self) -> None:
         premises = Premises(51).set_up()
         before = len(premises.history)
-        for host, target in ((HOST, "/"), (HOST, "/none/1"), (HOST, "/plainer/1"),
-                             ("other.example", "/plain/1"), (HOST, "/PLAIN/1"),
-                             (HOST, "/x/plain/1"), (HOST, "/none?/plain/1")):
+        for host, target in (
+            (HOST, "/"),
+            (HOST, "/none/1"),
+            (HOST, "/plainer/1"),
+            ("other.example", "/plain/1"),
+            (HOST, "/PLAIN/1"),
+            (HOST, "/x/plain/1"),
+            (HOST, "/none?/plain/1"),
+        ):
             for method, kind in (("GET", SAFE), ("POST", UNSAFE)):
                 note = premises.ask(kind, method, target, host=host, tries=4)
                 self.assertEqual(404, note.status, f"{host} {target}")
@@ -412,8 +434,10 @@
 
     def test_a_shorter_prefix_counts_where_the_longer_one_does_not_begin_the_path(self) -> None:
         premises = Premises(57, services=("one", "two"))
-        premises.configuration["routes"] = [route("all", "/", service="one"),
-                                            route("long", "/a/", service="two")]
+        premises.configuration["routes"] = [
+            route("all", "/", service="one"),
+            route("long", "/a/", service="two"),
+        ]
         premises.set_up()
         note = self.get(premises, "/a")
         self.assertEqual(["one"], [arrival.service for arrival in premises.arrivals(note)])
@@ -421,16 +445,27 @@
     def test_the_longest_prefix_that_begins_the_path_counts(self) -> None:
         premises = Premises(53, services=("one", "two", "three"))
         premises.configuration["routes"] = [
-            route("all", "/", service="one"), route("long", "/a/b/", service="three"),
+            route("all", "/", service="one"),
+            route("long", "/a/b/", service="three"),
             route("short", "/a/", service="two"),
-            {**route("other", "/a/b/", service="one"), "host": "other.example"}]
+            {**route("other", "/a/b/", service="one"), "host": "other.example"},
+        ]
         premises.set_up()
-        for target, service in (("/", "one"), ("/x", "one"), ("/a/", "two"), ("/a/x/b/", "two"),
-                                ("/a/b/", "three"), ("/a/b/c/d", "three"), ("/ab/", "one"),
-                                ("/a/bc", "two"), ("//a/", "one")):
+        for target, service in (
+            ("/", "one"),
+            ("/x", "one"),
+            ("/a/", "two"),
+            ("/a/x/b/", "two"),
+            ("/a/b/", "three"),
+            ("/a/b/c/d", "three"),
+            ("/ab/", "one"),
+            ("/a/bc", "two"),
+            ("//a/", "one"),
+        ):
             note = self.get(premises, target)
-            self.assertEqual([service], [arrival.service for arrival in premises.arrivals(note)],
-                             target)
+            self.assertEqual(
+                [service], [arrival.service for arrival in premises.arrivals(note)], target
+            )
         note = premises.ask(SAFE, "GET", "/a/b/c", host="other.example")
         self.assertEqual(["one"], [arrival.service for arrival in premises.arrivals(note)])
         self.assertEqual([], premises.broken())
@@ -443,15 +478,26 @@
     def test_a_split_is_kept_to_its_weights(self) -> None:
         premises = Premises(55, services=("pages", "desks", "idle"))
         routes: Any = premises.configuration["routes"]
-        routes[0] = route("plain", "/plain/", weighted_split=[
-            {"service": "pages", "weight": 80}, {"service": "idle", "weight": 0},
-            {"service": "desks", "weight": 20}])
+        routes[0] = route(
+            "plain",
+            "/plain/",
+            weighted_split=[
+                {"service": "pages", "weight": 80},
+                {"service": "idle", "weight": 0},
+                {"service": "desks", "weight": 20},
+            ],
+        )
         premises.set_up()
         for number in range(400):
-            self.assertTrue(self.get(premises, f"/plain/{number}", tries=4,
-                                     edge=premises.edges[number % 6]).served)
-        counts = {name: sum(arrival.ran and arrival.service == name
-                            for arrival in premises.history) for name in premises.services}
+            self.assertTrue(
+                self.get(
+                    premises, f"/plain/{number}", tries=4, edge=premises.edges[number % 6]
+                ).served
+            )
+        counts = {
+            name: sum(arrival.ran and arrival.service == name for arrival in premises.history)
+            for name in premises.services
+        }
         self.assertEqual(0, counts["idle"])
         self.assertTrue(0.13 < counts["desks"] / 400 < 0.28, str(counts))
         self.assertEqual([], premises.broken())
@@ -461,12 +507,16 @@
         premises.crowd(12, 8.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
         premises.world.run(3)
         moved = route("plain", "/plain/", service="desks")
-        self.assertEqual(200, premises.amend({"version": "r6", "upsert": {"routes": [moved]}},
-                                             "r5")[0])
+        self.assertEqual(
+            200, premises.amend({"version": "r6", "upsert": {"routes": [moved]}}, "r5")[0]
+        )
         acknowledged = premises.world.time
         premises.world.run(5)
-        old = [arrival for arrival in premises.history
-               if arrival.service == "pages" and arrival.at > acknowledged + 2.5]
+        old = [
+            arrival
+            for arrival in premises.history
+            if arrival.service == "pages" and arrival.at > acknowledged + 2.5
+        ]
         self.assertEqual([], old)
         fresh = [note for note in premises.notes if note.at > acknowledged + 0.5]
         self.assertGreater(sum(note.served for note in fresh), 0.98 * len(fresh))
@@ -485,8 +535,10 @@
                 premises.ask(CACHEABLE, "GET", target, edge=edge)
 
     def seen(self, premises: Premises, target: str) -> set[int]:
-        return {self.revision(premises.ask(CACHEABLE, "GET", target, edge=edge))
-                for edge in premises.edges}
+        return {
+            self.revision(premises.ask(CACHEABLE, "GET", target, edge=edge))
+            for edge in premises.edges
+        }
 
     def change(self, premises: Premises, *targets: str) -> None:
         for target in targets:
@@ -496,8 +548,9 @@
         premises = Premises(61).set_up()
         first = premises.ask(CACHEABLE, "GET", "/covers/1")
         again = premises.ask(CACHEABLE, "GET", "/covers/1")
-        self.assertEqual(1, len([arrival for arrival in premises.history
-                                 if arrival.target == "/covers/1"]))
+        self.assertEqual(
+            1, len([arrival for arrival in premises.history if arrival.target == "/covers/1"])
+        )
         self.assertEqual(first.said, again.said)
         self.assertNotEqual(first.identity, again.identity)
         self.assertEqual([], premises.broken())
@@ -517,8 +570,9 @@
         premises = Premises(63).set_up()
         routes: Any = premises.configuration["routes"]
         routes.append(route("rest", "/rest/", CACHEABLE))
-        self.assertEqual(200, premises.replace({**premises.configuration, "version": "r6"},
-                                               "r5")[0])
+        self.assertEqual(
+            200, premises.replace({**premises.configuration, "version": "r6"}, "r5")[0]
+        )
         targets = ("/covers/1", "/covers/2", "/rest/1")
         self.warm(premises, *targets)
         self.change(premises, *targets)
@@ -554,8 +608,11 @@
                 target = f"/covers/{turn % 6}"
                 self.change(premises, target)
                 revision = premises.services["pages"].objects.revision(target)
-                scope = {"label": f"own-covers-{turn % 6}"} if turn % 2 else {
-                    "host": HOST, "path": target}
+                scope = (
+                    {"label": f"own-covers-{turn % 6}"}
+                    if turn % 2
+                    else {"host": HOST, "path": target}
+                )
                 self.assertEqual(200, premises.purge(**scope))
                 purged.append((premises.world.time, target, revision))
             premises.world.run(3)
@@ -618,15 +675,21 @@
         whole = premises.ask(CACHEABLE, "GET", "/covers/1")
         size = len(whole.said)
         before = len(premises.history)
-        for asked, start, end in ((b"bytes=0-9", 0, 10), (b"bytes=100-", 100, size),
-                                  (b"bytes=5-5", 5, 6), (b"bytes=10-100000", 10, size)):
+        for asked, start, end in (
+            (b"bytes=0-9", 0, 10),
+            (b"bytes=100-", 100, size),
+            (b"bytes=5-5", 5, 6),
+            (b"bytes=10-100000", 10, size),
+        ):
             note = premises.ask(CACHEABLE, "GET", "/covers/1", fields=[(b"Range", asked)])
             self.assertEqual(206, note.status, str(asked))
             self.assertEqual(whole.said[start:end], note.said)
-            self.assertEqual(b"bytes %d-%d/%d" % (start, end - 1, size),
-                             note.field(b"Content-Range"))
-        beyond = premises.ask(CACHEABLE, "GET", "/covers/1", fields=[
-            (b"Range", b"bytes=%d-" % size)])
+            self.assertEqual(
+                b"bytes %d-%d/%d" % (start, end - 1, size), note.field(b"Content-Range")
+            )
+        beyond = premises.ask(
+            CACHEABLE, "GET", "/covers/1", fields=[(b"Range", b"bytes=%d-" % size)]
+        )
         self.assertEqual(416, beyond.status)
         self.assertEqual(before, len(premises.history))
         self.assertEqual([], premises.broken())
@@ -651,8 +714,9 @@
         premises = Premises(73).set_up()
         self.warm(premises, "/covers/1")
         moved = route("covers", "/covers/", CACHEABLE, "desks")
-        self.assertEqual(200, premises.amend({"version": "r6", "upsert": {"routes": [moved]}},
-                                             "r5")[0])
+        self.assertEqual(
+            200, premises.amend({"version": "r6", "upsert": {"routes": [moved]}}, "r5")[0]
+        )
         for edge in premises.edges:
             note = premises.ask(CACHEABLE, "GET", "/covers/1", edge=edge)
             self.assertTrue(note.said.startswith(b"OBJECT desks "))
@@ -673,14 +737,17 @@
             self.warm(premises, *targets)
             lapsed = self.cut_off(premises, seconds)
             moved = route("covers", "/covers/", CACHEABLE, "desks")
-            self.assertEqual(200, premises.amend({"version": "r6", "upsert": {
-                "routes": [moved]}}, "r5")[0])
+            self.assertEqual(
+                200, premises.amend({"version": "r6", "upsert": {"routes": [moved]}}, "r5")[0]
+            )
             for target in targets:
                 for edge in premises.edges:
                     if edge != lapsed:
                         note = premises.ask(CACHEABLE, "GET", target, edge=edge)
-                        self.assertTrue(note.said.startswith(b"OBJECT desks "),
-                                        f"{seconds} s: {edge} {note.said[:40]!r}")
+                        self.assertTrue(
+                            note.said.startswith(b"OBJECT desks "),
+                            f"{seconds} s: {edge} {note.said[:40]!r}",
+                        )
 
     def test_a_neighbour_without_news_gives_nobody_purged_copies(self) -> None:
         for seed, seconds in ((78, 0.0), (780, 0.5), (781, 1.5), (782, 3.0)):
@@ -701,8 +768,11 @@
         premises.world.freeze(premises.edges[1], True)
         for number in range(12):
             for edge in (premises.edges[0], premises.edges[2]):
-                self.assertTrue(premises.ask(CACHEABLE, "GET", f"/covers/{number}", edge=edge,
-                                             deadline=0.8).served)
+                self.assertTrue(
+                    premises.ask(
+                        CACHEABLE, "GET", f"/covers/{number}", edge=edge, deadline=0.8
+                    ).served
+                )
         self.assertEqual([], premises.broken())
 
     def test_many_who_ask_at_once_are_one_order_to_the_servers(self) -> None:
@@ -730,8 +800,9 @@
         for number, kind in enumerate((CACHEABLE, SAFE)):
             client = premises.client(f"midway{number}")
             target = "/covers/9" if kind == CACHEABLE else "/plain/9"
-            premises.outside.scheduler.spawn("midway", self.ask_midway(
-                client, kind, target, premises.edges[0]))
+            premises.outside.scheduler.spawn(
+                "midway", self.ask_midway(client, kind, target, premises.edges[0])
+            )
         premises.world.run(0.1)
         routes = [route("a-only", "/only/", SAFE, "desks")]
         plain = {**premises.configuration, "routes": routes, "version": "r90"}
@@ -778,8 +849,9 @@
             premises.world.run(15)
             premises.callers_on = False
             premises.world.run(3)
-            self.assertEqual([], over_budget(premises.notes, premises.history, "pages",
-                                             premises.allowed), manner)
+            self.assertEqual(
+                [], over_budget(premises.notes, premises.history, "pages", premises.allowed), manner
+            )
             self.assertEqual([], premises.broken())
 
     def test_a_service_that_was_gone_is_served_again(self) -> None:
@@ -826,15 +898,18 @@
             self.assertGreater(sum(note.served for note in fresh), 0.95 * len(fresh), f"{seed}")
 
     def test_under_twice_its_load_a_service_still_does_most_of_what_it_can(self) -> None:
-        for seed, kind, method, path, name in ((96, SAFE, "GET", "/plain/", "pages"),
-                                               (97, UNSAFE, "POST", "/orders/", "desks")):
+        for seed, kind, method, path, name in (
+            (96, SAFE, "GET", "/plain/", "pages"),
+            (97, UNSAFE, "POST", "/orders/", "desks"),
+        ):
             premises = Premises(seed).set_up()
             service = premises.services[name]
             service.work_seconds, service.slots, service.queue = 0.2, 2, 1
             most = len(premises.of_service(name)) * service.slots / service.work_seconds
 
-            def order(number: int, kind: str = kind, method: str = method,
-                      path: str = path) -> tuple[str, str, str]:
+            def order(
+                number: int, kind: str = kind, method: str = method, path: str = path
+            ) -> tuple[str, str, str]:
                 return kind, method, f"{path}{number}"
 
             premises.crowd(60, 2 * most / 60, order)
@@ -843,8 +918,9 @@
             premises.world.run(8)
             last = {note.order: note for note in premises.notes if note.at > since}
             self.assertGreater(sum(note.served for note in last.values()) / 8, 0.75 * most)
-            self.assertEqual([], over_budget(premises.notes, premises.history, name,
-                                             premises.allowed))
+            self.assertEqual(
+                [], over_budget(premises.notes, premises.history, name, premises.allowed)
+            )
             self.assertEqual([], premises.broken())
 
     def test_orders_with_little_time_left_do_not_set_sound_servers_aside(self) -> None:
@@ -867,8 +943,10 @@
         def leave(number: int) -> Step[None]:
             link = outside.network.connect(front)
             yield from link.open(1.0)
-            link.write(b"GET /plain/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: left-%d\r\n"
-                       b"Deadline-Remaining: 800\r\n\r\n" % (number, HOST.encode(), number))
+            link.write(
+                b"GET /plain/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: left-%d\r\n"
+                b"Deadline-Remaining: 800\r\n\r\n" % (number, HOST.encode(), number)
+            )
             yield from outside.scheduler.pause(0.0001 * (number % 40))
             link.abort()
 
@@ -883,9 +961,15 @@
     def test_an_edge_that_is_told_to_stop_loses_no_answer(self) -> None:
         premises = Premises(88).set_up()
         premises.services["desks"].work_seconds = 0.2
-        premises.crowd(18, 6.0, lambda number: (
-            (SAFE, "GET", f"/plain/{number}") if number % 2 else
-            (UNSAFE, "POST", f"/orders/{number}")))
+        premises.crowd(
+            18,
+            6.0,
+            lambda number: (
+                (SAFE, "GET", f"/plain/{number}")
+                if number % 2
+                else (UNSAFE, "POST", f"/orders/{number}")
+            ),
+        )
         premises.world.run(3)
         name = premises.edges[0]
         node = premises.node(name)
--- a/tests/test_platform_repository.py
+++ b/tests/test_platform_repository.py
@@ -12,13 +12,42 @@
 import testtools
 
 ROOT = Path(__file__).parent.parent
-WORDS = ("Attempt-Id", "Deadline-Remaining", "Server-Seal", "Expected-Instance", "Not-Executed",
-         "Object-Labels", "Instance-Id", "Based-On-Version", "/instances", "page_token",
-         "next_token", "slot_count", "cold_remaining", "cloud_api", "beat_lag", "seed_nodes",
-         "contract_parts", "tolerated_losses", "listen_addresses", "internal_port_range",
-         "data_directory", "RYELOCK_CONFIG", "node.conf", "weighted_split", "path_prefix",
-         "attempt_limit", "cache_lifetime", "connection_cap", "rate_per_s", "timeout_ms",
-         "/configuration/replace", "/configuration/amend", "drain_limit", "retry_slack")
+WORDS = (
+    "Attempt-Id",
+    "Deadline-Remaining",
+    "Server-Seal",
+    "Expected-Instance",
+    "Not-Executed",
+    "Object-Labels",
+    "Instance-Id",
+    "Based-On-Version",
+    "/instances",
+    "page_token",
+    "next_token",
+    "slot_count",
+    "cold_remaining",
+    "cloud_api",
+    "beat_lag",
+    "seed_nodes",
+    "contract_parts",
+    "tolerated_losses",
+    "listen_addresses",
+    "internal_port_range",
+    "data_directory",
+    "RYELOCK_CONFIG",
+    "node.conf",
+    "weighted_split",
+    "path_prefix",
+    "attempt_limit",
+    "cache_lifetime",
+    "connection_cap",
+    "rate_per_s",
+    "timeout_ms",
+    "/configuration/replace",
+    "/configuration/amend",
+    "drain_limit",
+    "retry_slack",
+)
 
 
 def pins(path: Path) -> dict[str, str]:
@@ -32,8 +61,14 @@
         self.assertFalse((ROOT / "platform.py").exists())
         code = "import platform; print(platform.__file__, platform.python_version())"
         for place in (ROOT, ROOT / "platform"):
-            found = subprocess.run([sys.executable, "-c", code], cwd=place, capture_output=True,
-                                   text=True, timeout=60, check=True).stdout.split()
+            found = subprocess.run(
+                [sys.executable, "-c", code],
+                cwd=place,
+                capture_output=True,
+                text=True,
+                timeout=60,
+                check=True,
+            ).stdout.split()
             self.assertTrue(found[0].endswith("platform.py"), found)
             self.assertFalse(Path(found[0]).is_relative_to(ROOT / "platform"), found)
 
@@ -42,8 +77,11 @@
             self.assertNotIn(file.stem, sys.stdlib_module_names)
 
     def test_nothing_under_packages_names_the_platforms_words(self) -> None:
-        sources = [file for file in (ROOT / "packages").rglob("*")
-                   if file.suffix in (".py", ".toml", ".md")]
+        sources = [
+            file
+            for file in (ROOT / "packages").rglob("*")
+            if file.suffix in (".py", ".toml", ".md")
+        ]
         self.assertGreater(len(sources), 80)
         for file in sources:
             text = file.read_text().lower()
@@ -97,23 +135,43 @@
             for part in plain["roles"].values():
                 flags = {"-S", *(word for word in part["run"].split()[1:] if word[0] == "-")}
                 ended = subprocess.run(
-                    [sys.executable, *sorted(flags), "-c",
-                     "import sys; sys.path.insert(0, 'platform')\n"
-                     "import control, traffic, jsonpatch\nprint(control.__file__)"],
-                    cwd=ROOT, capture_output=True, text=True, timeout=60, check=False,
-                    env={"PYTHONPATH": os.pathsep.join(path), "PATH": os.environ["PATH"]})
+                    [
+                        sys.executable,
+                        *sorted(flags),
+                        "-c",
+                        "import sys; sys.path.insert(0, 'platform')\n"
+                        "import control, traffic, jsonpatch\nprint(control.__file__)",
+                    ],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                    check=False,
+                    env={"PYTHONPATH": os.pathsep.join(path), "PATH": os.environ["PATH"]},
+                )
                 self.assertEqual("", ended.stderr if ended.returncode else "")
                 self.assertIn("control.py", ended.stdout)
 
     def test_a_start_without_proper_settings_ends_and_names_every_fault(self) -> None:
         path = os.pathsep.join(str(folder) for folder in (ROOT / "packages").iterdir())
-        for arguments, told in (([], "one role"), (["king"], "one role"),
-                                (["core"], "/nowhere/node.conf")):
+        for arguments, told in (
+            ([], "one role"),
+            (["king"], "one role"),
+            (["core"], "/nowhere/node.conf"),
+        ):
             found = subprocess.run(
-                [sys.executable, "platform/start.py", *arguments], cwd=ROOT, text=True,
-                capture_output=True, timeout=60, check=False,
-                env={"RYELOCK_CONFIG": "/nowhere/node.conf", "PYTHONPATH": path,
-                     "PATH": os.environ["PATH"]})
+                [sys.executable, "platform/start.py", *arguments],
+                cwd=ROOT,
+                text=True,
+                capture_output=True,
+                timeout=60,
+                check=False,
+                env={
+                    "RYELOCK_CONFIG": "/nowhere/node.conf",
+                    "PYTHONPATH": path,
+                    "PATH": os.environ["PATH"],
+                },
+            )
             self.assertEqual(2, found.returncode, found.stderr)
             self.assertIn(told, found.stderr)
             self.assertNotIn("Traceback", found.stderr)
--- a/tests/test_platform_schedules.py
+++ b/tests/test_platform_schedules.py
@@ -42,15 +42,17 @@
 class Schedule:
     """One run: its deployment, what happens to it, and what operators were told."""
 
-    __slots__ = ("acknowledged", "base", "ever", "happened", "number", "premises", "random",
-                 "told")
+    __slots__ = ("acknowledged", "base", "ever", "happened", "number", "premises", "random", "told")
 
     def __init__(self, seed: int) -> None:
         self.random = Random(f"schedule {seed}")
-        zones = self.random.choice(({"a": "north", "b": "north", "c": "north"},
-                                    {"a": "north", "b": "south", "c": "west"},
-                                    {"a": "north", "b": "north", "c": "south", "d": "south",
-                                     "e": "west"}))
+        zones = self.random.choice(
+            (
+                {"a": "north", "b": "north", "c": "north"},
+                {"a": "north", "b": "south", "c": "west"},
+                {"a": "north", "b": "north", "c": "south", "d": "south", "e": "west"},
+            )
+        )
         premises = self.premises = Premises(seed, zones, page_size=self.random.choice((5, 50)))
         plain: Any = premises.configuration
         plain["routes"].append(route("lookups", "/lookups/", SAFE, "desks"))
@@ -87,29 +89,42 @@
             service = self.random.choice(("pages", "desks"))
             plain["routes"][0] = route("plain", "/plain/", SAFE, service)
             if self.random.random() < 0.3:
-                plain["routes"][0] = route("plain", "/plain/", SAFE, weighted_split=[
-                    {"service": "pages", "weight": 3}, {"service": "desks", "weight": 1}])
+                plain["routes"][0] = route(
+                    "plain",
+                    "/plain/",
+                    SAFE,
+                    weighted_split=[
+                        {"service": "pages", "weight": 3},
+                        {"service": "desks", "weight": 1},
+                    ],
+                )
             self.ever.append(plain)
             place, body = b"/configuration/replace", plain
             if self.random.random() < 0.5:
                 place = b"/configuration/amend"
                 body = {"version": plain["version"], "upsert": {"routes": [plain["routes"][0]]}}
             status, _ = yield from premises.operator.send(
-                b"POST", place, [(b"Based-On-Version", self.base.encode())],
-                json.dumps(body).encode(), 60.0)
+                b"POST",
+                place,
+                [(b"Based-On-Version", self.base.encode())],
+                json.dumps(body).encode(),
+                60.0,
+            )
             self.told.append((plain["version"], status))
             if status == 200:
                 self.acknowledged, self.base = plain, plain["version"]
             target = f"/covers/{self.random.randrange(30)}"
             premises.services["pages"].objects.change(target, premises.world.time)
-            yield from premises.operator.send(b"POST", b"/purges", [], json.dumps(
-                {"host": HOST, "path": target}).encode(), 10.0)
+            yield from premises.operator.send(
+                b"POST", b"/purges", [], json.dumps({"host": HOST, "path": target}).encode(), 10.0
+            )
 
     # Faults.
 
     def live(self) -> list[ServerLife]:
-        return [life for life in self.premises.servers.values()
-                if not life.ended and not life.draining]
+        return [
+            life for life in self.premises.servers.values() if not life.ended and not life.draining
+        ]
 
     def crash_server(self) -> None:
         life = self.random.choice(self.live())
@@ -118,8 +133,10 @@
 
     def hand_address(self) -> None:
         """Two servers are gone, and each one's address is the other service's."""
-        lives = [self.random.choice([life for life in self.live() if life.service.name == name])
-                 for name in self.premises.services]
+        lives = [
+            self.random.choice([life for life in self.live() if life.service.name == name])
+            for name in self.premises.services
+        ]
         for life in lives:
             self.premises.landlord.crash(life)
         self.premises.world.run(2)
@@ -130,8 +147,9 @@
         life = self.random.choice(self.live())
         self.premises.landlord.drain(life)
         self.premises.add_server(life.service.name, life.zone)
-        self.premises.world.at(self.premises.world.time + 4.0,
-                               lambda: self.premises.landlord.end(life))
+        self.premises.world.at(
+            self.premises.world.time + 4.0, lambda: self.premises.landlord.end(life)
+        )
 
     def misbehave(self) -> None:
         life = self.random.choice(self.live())
@@ -199,10 +217,21 @@
         premises.crowd(15, 4.0, mix)
         premises.operator_node.scheduler.spawn("operates", self.operate())
         faults: list[Callable[[], None]] = [
-            self.crash_server, self.hand_address, self.drain_server, self.misbehave,
-            self.misbehave_all, self.behave, self.silent_list, self.list_over_rate,
-            self.kill_process, self.lose_power, self.kill_all_cores, self.cut_machine,
-            self.cut_zones, self.freeze]
+            self.crash_server,
+            self.hand_address,
+            self.drain_server,
+            self.misbehave,
+            self.misbehave_all,
+            self.behave,
+            self.silent_list,
+            self.list_over_rate,
+            self.kill_process,
+            self.lose_power,
+            self.kill_all_cores,
+            self.cut_machine,
+            self.cut_zones,
+            self.freeze,
+        ]
         for _ in range(FAULTS):
             fault = self.random.choice(faults)
             self.happened.append(f"{premises.world.time:.2f} {fault.__name__}")
@@ -226,8 +255,9 @@
         last = {note.order: note for note in premises.notes if since < note.at < since + 4}
         self.assertEqual([], premises.broken(schedule.allowed), told)
         for name in premises.services:
-            self.assertEqual([], over_budget(premises.notes, premises.history, name,
-                                             schedule.allowed), told)
+            self.assertEqual(
+                [], over_budget(premises.notes, premises.history, name, schedule.allowed), told
+            )
         self.assertEqual([], over_ceiling(premises.history, "desks", RATE), told)
         self.assertNotIn(412, [status for _, status in schedule.told], told)
         self.assertNotIn(400, [status for _, status in schedule.told], told)
@@ -236,8 +266,11 @@
         sent = {plain["version"]: plain for plain in schedule.ever}
         expected = sent[found["version"]]
         for part in ("routes", "services"):
-            self.assertEqual({item["name"]: item for item in expected[part]},
-                             {item["name"]: item for item in found[part]}, told)
+            self.assertEqual(
+                {item["name"]: item for item in expected[part]},
+                {item["name"]: item for item in found[part]},
+                told,
+            )
         self.assertGreater(sum(note.served for note in last.values()), 0.9 * len(last), told)
 
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -13,11 +13,13 @@
 SEEDS = ["10.1.0.1:8146", "10.2.0.1:8146", "10.3.0.1:8146"]
 
 
-def lines(zones: dict[str, str] | None = None, seeds: list[str] | None = None,
-          **changed: str) -> dict[str, str]:
+def lines(
+    zones: dict[str, str] | None = None, seeds: list[str] | None = None, **changed: str
+) -> dict[str, str]:
     zones = zones or THREE
-    found = premises.lines_for("edge-a-0", "10.1.0.1", next(iter(zones)), zones, seeds or SEEDS,
-                               "edge,control_plane")
+    found = premises.lines_for(
+        "edge-a-0", "10.1.0.1", next(iter(zones)), zones, seeds or SEEDS, "edge,control_plane"
+    )
     return {**found, **{key.replace("__", "."): value for key, value in changed.items()}}
 
 
@@ -40,21 +42,27 @@
             self.assertRaises(EnvError, settings.read_told, str(path))
             self.assertRaises(EnvError, settings.read_told, str(path / "none"))
         self.assertEqual(("edge-a-0.core", "edge-a-0", "a"), (core.name, core.machine, core.zone))
-        self.assertEqual(("10.1.0.1:8144", "/data/my-role", "10.200.0.4:8142"),
-                         (edge.order_address, core.data_folder, core.platform_address))
+        self.assertEqual(
+            ("10.1.0.1:8144", "/data/my-role", "10.200.0.4:8142"),
+            (edge.order_address, core.data_folder, core.platform_address),
+        )
         self.assertEqual(THREE, core.regions)
         self.assertTrue(core.may_found)
         self.assertTrue(edge.serve_lapsed)
 
     def test_the_processes_of_one_machine_have_ports_of_their_own_in_the_range(self) -> None:
         core, edge = env_of("core", lines()), env_of("edge", lines())
-        ports = [int(address.rpartition(":")[2]) for env in (core, edge)
-                 for address in (env.wire_address, env.control_address)]
+        ports = [
+            int(address.rpartition(":")[2])
+            for env in (core, edge)
+            for address in (env.wire_address, env.control_address)
+        ]
         self.assertEqual(4, len(set(ports)))
         self.assertTrue(all(7660 <= port <= 7675 for port in ports), ports)
         for env in (core, edge):
-            self.assertEqual(tuple(f"10.{number}.0.1:{ports[0]}" for number in (1, 2, 3)),
-                             env.seeds)
+            self.assertEqual(
+                tuple(f"10.{number}.0.1:{ports[0]}" for number in (1, 2, 3)), env.seeds
+            )
 
     def test_only_a_first_start_may_found(self) -> None:
         self.assertFalse(env_of("core", lines(first_start="false")).may_found)
@@ -68,22 +76,34 @@
         self.assertEqual("/data/my-role", env_of("core", lines()).data_folder)
 
     def test_every_fault_is_told_at_once(self) -> None:
-        plain = lines(internal_port_range="7660", bounds=premises.BOUNDS.replace(
-            "contact_ms=4000", "contact_ms=soon").replace(",drain_limit_ms=2500", ""))
+        plain = lines(
+            internal_port_range="7660",
+            bounds=premises.BOUNDS.replace("contact_ms=4000", "contact_ms=soon").replace(
+                ",drain_limit_ms=2500", ""
+            ),
+        )
         del plain["zone"]
         del plain["ip_address"]
         del plain["first_start"]
         plain["cloud_api.beat_lag_ms"] = "late"
         told = " ".join(self.faults("core", plain))
-        for key in ("zone", "first_start", "ip_address", "internal_port_range", "contact_ms",
-                    "drain_limit_ms", "beat_lag_ms"):
+        for key in (
+            "zone",
+            "first_start",
+            "ip_address",
+            "internal_port_range",
+            "contact_ms",
+            "drain_limit_ms",
+            "beat_lag_ms",
+        ):
             self.assertIn(key, told)
 
     def test_a_bound_that_a_rule_in_force_rests_on_has_no_default(self) -> None:
         for part, names in settings.NEEDED_BOUNDS.items():
             for name in names:
-                bounds = ",".join(pair for pair in premises.BOUNDS.split(",")
-                                  if not pair.startswith(f"{name}="))
+                bounds = ",".join(
+                    pair for pair in premises.BOUNDS.split(",") if not pair.startswith(f"{name}=")
+                )
                 for role in ("core", "edge"):
                     found = self.faults(role, lines(bounds=bounds, contract_parts=part))
                     self.assertIn(name, " ".join(found), role)
@@ -93,12 +113,17 @@
         for role in ("core", "edge"):
             self.assertEqual("a", env_of(role, lines(bounds=bounds, contract_parts="base")).zone)
             found = self.faults(role, lines(bounds=bounds, contract_parts="base,cache"))
-            self.assertEqual({"purge_limit_ms", "staleness_slack_s", "ceiling_window_s"},
-                             {fault.split(": ")[1] for fault in found})
+            self.assertEqual(
+                {"purge_limit_ms", "staleness_slack_s", "ceiling_window_s"},
+                {fault.split(": ")[1] for fault in found},
+            )
 
     def test_what_is_not_known_is_passed_over(self) -> None:
-        plain = lines(moon__phase="full", bounds=premises.BOUNDS + ",moon_s=4,tide=true",
-                      contract_parts="base,tides")
+        plain = lines(
+            moon__phase="full",
+            bounds=premises.BOUNDS + ",moon_s=4,tide=true",
+            contract_parts="base,tides",
+        )
         for role in ("core", "edge"):
             self.assertEqual(env_of(role, lines()).values, env_of(role, plain).values)
 
--- a/tests/test_platform_shapes.py
+++ b/tests/test_platform_shapes.py
@@ -23,8 +23,9 @@
 
 
 class ShapeTests(testtools.TestCase):
-    def serve(self, premises: Premises, seconds: float = 8.0, clients: int = 15,
-              targets: Any = mix) -> float:
+    def serve(
+        self, premises: Premises, seconds: float = 8.0, clients: int = 15, targets: Any = mix
+    ) -> float:
         """A crowd for a while; the part of its orders that was served."""
         premises.callers_on = True
         since = premises.world.time
@@ -95,7 +96,8 @@
         premises = Premises(8, services=names, servers=1)
         premises.configuration["routes"] = [
             route(name, f"/{name}/", (SAFE, UNSAFE, CACHEABLE)[number % 3], name)
-            for number, name in enumerate(names)]
+            for number, name in enumerate(names)
+        ]
         premises.set_up()
 
         def targets(number: int) -> tuple[str, str, str]:
@@ -104,8 +106,9 @@
             return kind, "POST" if kind == UNSAFE else "GET", f"/service{which}/{number % 500}"
 
         self.assertGreater(self.serve(premises, targets=targets), 0.98)
-        self.assertEqual(set(names), {arrival.service for arrival in premises.history
-                                      if arrival.ran})
+        self.assertEqual(
+            set(names), {arrival.service for arrival in premises.history if arrival.ran}
+        )
 
     def test_a_host_without_routes_is_told_404_and_others_are_served(self) -> None:
         premises = Premises(9).set_up()
@@ -189,8 +192,9 @@
         for number in range(5):
             self.assertTrue(premises.ask(SAFE, "GET", f"/plain/{number}", edge=edge).served)
             self.assertTrue(premises.ask(UNSAFE, "POST", f"/orders/{number}", edge=edge).served)
-        self.assertEqual(200, premises.amend({"version": "r6", "remove": {"routes": ["covers"]}},
-                                             "r5")[0])
+        self.assertEqual(
+            200, premises.amend({"version": "r6", "remove": {"routes": ["covers"]}}, "r5")[0]
+        )
         premises.world.heal()
         premises.world.run(3)
         self.assertEqual(404, premises.ask(CACHEABLE, "GET", "/covers/1", edge=edge).status)
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -41,11 +41,23 @@
         while True:
             yield from self.premises.outside.scheduler.pause(0.005)
 
-    def ask(self, target: str = "/plain/1", fields: Fields | None = None, method: str = "GET",
-            deadline: float = 1.0, client: Client | None = None) -> Note:
-        return self.premises.ask(SAFE if method == "GET" else UNSAFE, method, target,
-                                 edge="direct", fields=fields, deadline=deadline,
-                                 client=client or self.client)
+    def ask(
+        self,
+        target: str = "/plain/1",
+        fields: Fields | None = None,
+        method: str = "GET",
+        deadline: float = 1.0,
+        client: Client | None = None,
+    ) -> Note:
+        return self.premises.ask(
+            SAFE if method == "GET" else UNSAFE,
+            method,
+            target,
+            edge="direct",
+            fields=fields,
+            deadline=deadline,
+            client=client or self.client,
+        )
 
     def many(self, count: int, deadline: float = 1.0) -> list[Note]:
         """So many callers at once, each over a link of its own."""
@@ -76,8 +88,9 @@
         self.assertIsNotNone(note.field(b"Not-Executed"))
         self.assertEqual(self.life.identifier.encode(), note.field(b"Instance-Id"))
         self.assertEqual(0, self.premises.runs(note))
-        self.assertTrue(self.ask(fields=[
-            (b"Expected-Instance", self.life.identifier.encode())]).served)
+        self.assertTrue(
+            self.ask(fields=[(b"Expected-Instance", self.life.identifier.encode())]).served
+        )
 
     def test_slots_and_queue_are_kept_to(self) -> None:
         service = self.life.service
@@ -95,8 +108,9 @@
         self.many(2, 3.0)
         self.premises.history.clear()
         for deadline, client in ((0.9, "first"), (0.3, "second")):
-            self.premises.outside.scheduler.spawn(client, self.one(
-                self.premises.client(client), deadline))
+            self.premises.outside.scheduler.spawn(
+                client, self.one(self.premises.client(client), deadline)
+            )
             self.premises.world.run(0.05)
         self.premises.world.run(3)
         statuses = {arrival.status: arrival.ran for arrival in self.premises.history}
@@ -128,7 +142,8 @@
             CUT: lambda note: note.status == 200 and not note.whole,
             WRONG: lambda note: note.status == 0,
             UNSEALED: lambda note: note.served and note.field(b"Server-Seal") is None,
-            CLOSING: lambda note: note.served and note.field(b"Connection") == b"close"}
+            CLOSING: lambda note: note.served and note.field(b"Connection") == b"close",
+        }
         for manner, fits in shown.items():
             self.life.manners.append(manner)
             note = self.ask()
@@ -160,8 +175,9 @@
 
     def test_its_fitness_is_told_until_it_leaves(self) -> None:
         note = self.ask("/health")
-        self.assertEqual((200, self.life.identifier.encode()),
-                         (note.status, note.field(b"Instance-Id")))
+        self.assertEqual(
+            (200, self.life.identifier.encode()), (note.status, note.field(b"Instance-Id"))
+        )
         self.premises.landlord.drain(self.life)
         self.assertEqual(503, self.ask("/health").status)
 
@@ -175,22 +191,37 @@
         self.premises.notes.append(note)
         return note
 
-    def arrive(self, note: Note, ran: bool = True, at: float = 0.1, service: str = "desks",
-               **changed: Any) -> Arrival:
+    def arrive(
+        self, note: Note, ran: bool = True, at: float = 0.1, service: str = "desks", **changed: Any
+    ) -> Arrival:
         arrival = Arrival.__new__(Arrival)
         life: ServerLife = self.premises.of_service(service)[0]
-        plain = {"at": at, "service": service, "identifier": life.identifier, "method": note.method,
-                 "target": note.target, "host": note.host, "identity": note.identity,
-                 "expected": "", "deadline": 1.0, "body": note.body, "link": "", "ran": ran,
-                 "status": 200, **changed}
+        plain = {
+            "at": at,
+            "service": service,
+            "identifier": life.identifier,
+            "method": note.method,
+            "target": note.target,
+            "host": note.host,
+            "identity": note.identity,
+            "expected": "",
+            "deadline": 1.0,
+            "body": note.body,
+            "link": "",
+            "ran": ran,
+            "status": 200,
+            **changed,
+        }
         for name, value in plain.items():
             setattr(arrival, name, value)
         self.premises.history.append(arrival)
         return arrival
 
     def found(self, word: str) -> None:
-        self.assertTrue(any(line.startswith(word) for line in self.premises.broken()),
-                        f"{word}: {self.premises.broken()}")
+        self.assertTrue(
+            any(line.startswith(word) for line in self.premises.broken()),
+            f"{word}: {self.premises.broken()}",
+        )
 
     def test_a_second_run_is_found(self) -> None:
         note = self.note("x-1", status=502)
@@ -220,8 +251,12 @@
         own = Note(0.0, "", SAFE, "GET", HOST, "/covers/1", "nobody", b"", 1.0)
         self.arrive(own, service="pages")
         self.assertEqual([], self.premises.broken())
-        for method, target in (("POST", "/orders/1"), ("GET", "/plain/1"), ("POST", "/covers/1"),
-                               ("GET", "/none/1")):
+        for method, target in (
+            ("POST", "/orders/1"),
+            ("GET", "/plain/1"),
+            ("POST", "/covers/1"),
+            ("GET", "/none/1"),
+        ):
             self.premises.history.clear()
             self.arrive(Note(0.0, "", UNSAFE, method, HOST, target, "nobody", b"", 1.0))
             self.found("unasked")
@@ -234,11 +269,15 @@
         note = self.note("x-1")
         note.whole, note.fields, note.said = True, good, body
         self.assertEqual([], self.premises.broken())
-        for fields, said in ((good, body[:-1]), (good[:1], body), (good[1:], body),
-                             ([good[0], (dialect.seal, b"0.nobody")], body),
-                             ([(dialect.identity, b"x-2"), good[1]], body),
-                             ([good[0], (dialect.seal, service.seal("/orders/1", 1))], body),
-                             ([*good, (b"Content-Encoding", b"gzip")], body)):
+        for fields, said in (
+            (good, body[:-1]),
+            (good[:1], body),
+            (good[1:], body),
+            ([good[0], (dialect.seal, b"0.nobody")], body),
+            ([(dialect.identity, b"x-2"), good[1]], body),
+            ([good[0], (dialect.seal, service.seal("/orders/1", 1))], body),
+            ([*good, (b"Content-Encoding", b"gzip")], body),
+        ):
             note.fields, note.said = fields, said
             self.found("mixed")
 
--- a/tests/test_platform_takeouts.py
+++ b/tests/test_platform_takeouts.py
@@ -22,13 +22,15 @@
 
 def broken_by(manner: str, kind: str, method: str, target: str) -> Run:
     """Orders at servers of one manner, whatever rule that breaks."""
+
     def run() -> list[str]:
         premises = Premises(1, ONE_ZONE, edges=3, cores=3).set_up()
         for number in range(8):
             for life in premises.servers.values():
                 life.manner = manner
-            premises.ask(kind, method, f"{target}{number}", b"body" if method == "POST" else b"",
-                         tries=1)
+            premises.ask(
+                kind, method, f"{target}{number}", b"body" if method == "POST" else b"", tries=1
+            )
             premises.ask(kind, method, f"{target}more-{number}", tries=1)
         premises.world.run(2)
         return premises.broken()
@@ -38,9 +40,15 @@
 
 def handed_addresses() -> list[str]:
     premises = Premises(8, servers=1).set_up()
-    premises.crowd(12, 10.0, lambda number: (
-        (SAFE, "GET", f"/plain/{number}") if number % 2 else
-        (UNSAFE, "POST", f"/orders/{number}")))
+    premises.crowd(
+        12,
+        10.0,
+        lambda number: (
+            (SAFE, "GET", f"/plain/{number}")
+            if number % 2
+            else (UNSAFE, "POST", f"/orders/{number}")
+        ),
+    )
     premises.world.run(2)
     lives = [premises.of_service(name)[0] for name in ("pages", "desks")]
     for life in lives:
@@ -100,14 +108,26 @@
 ROUTE_OF = Way.find_route
 UNFIT = Way.unfit
 TAKEOUTS: dict[str, tuple[Run, Any, str, Any]] = {
-    "answers_names": (broken_by(TWIN, SAFE, "GET", "/plain/"), Way, "answers",
-                      lambda _self, _order, _head: True),
-    "seals": (broken_by(UNSEALED, SAFE, "GET", "/plain/"), Way, "sealed",
-              lambda _self, _head: True),
+    "answers_names": (
+        broken_by(TWIN, SAFE, "GET", "/plain/"),
+        Way,
+        "answers",
+        lambda _self, _order, _head: True,
+    ),
+    "seals": (
+        broken_by(UNSEALED, SAFE, "GET", "/plain/"),
+        Way,
+        "sealed",
+        lambda _self, _head: True,
+    ),
     "lives": (handed_addresses, DIALECT, "expected", b"X-Nothing"),
     "once": (broken_by(LOST, UNSAFE, "POST", "/orders/"), Way, "find_route", as_repeatable),
-    "only_what_is_said_not_to_have_run": (broken_by(VAGUE, UNSAFE, "POST", "/orders/"), Way,
-                                          "unfit", any_503),
+    "only_what_is_said_not_to_have_run": (
+        broken_by(VAGUE, UNSAFE, "POST", "/orders/"),
+        Way,
+        "unfit",
+        any_503,
+    ),
     "purges": (purged, Store, "take_purges", lambda _self, _purges, _number: None),
     "budgets": (failing, RepeatBudget, "repeat", lambda _self: True),
     "rates": (limited, Bucket, "allow", lambda _self, _now: True),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,17 +13,28 @@
 
 
 def program(*words: str) -> tuple[int, str, str]:
-    found = subprocess.run([sys.executable, "-m", "ryelock.program", *words],
-                           capture_output=True, text=True, timeout=60, check=False)
+    found = subprocess.run(
+        [sys.executable, "-m", "ryelock.program", *words],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     return found.returncode, found.stdout, found.stderr
 
 
 class ProgramTests(testtools.TestCase):
     def settings(self, **changed: object) -> str:
         folder = Path(tempfile.mkdtemp())
-        plain = {"name": "core-1", "zone": "north", "seeds": SEEDS.split(","),
-                 "wire_address": "127.0.0.1:0", "control_address": "127.0.0.1:0",
-                 "data_folder": str(folder / "data"), **changed}
+        plain = {
+            "name": "core-1",
+            "zone": "north",
+            "seeds": SEEDS.split(","),
+            "wire_address": "127.0.0.1:0",
+            "control_address": "127.0.0.1:0",
+            "data_folder": str(folder / "data"),
+            **changed,
+        }
         file = folder / "core.json"
         file.write_text(json.dumps(plain))
         return str(file)
@@ -31,16 +42,29 @@
     def test_help_names_every_subcommand(self) -> None:
         code, out, _ = program("--help")
         self.assertEqual(0, code)
-        for word in ("core", "edge", "prober", "apply", "read", "purge", "drain", "recover",
-                     "verdicts", "explain"):
+        for word in (
+            "core",
+            "edge",
+            "prober",
+            "apply",
+            "read",
+            "purge",
+            "drain",
+            "recover",
+            "verdicts",
+            "explain",
+        ):
             self.assertIn(word, out)
 
     def test_bad_settings_are_named_before_any_port_opens(self) -> None:
-        code, _, error = program("core", "--settings", self.settings(
-            zone="no rth", beat_seconds=0.5, listing="x"))
+        code, _, error = program(
+            "core", "--settings", self.settings(zone="no rth", beat_seconds=0.5, listing="x")
+        )
         self.assertEqual(2, code)
-        self.assertEqual(["zone", "listing", "election_seconds"],
-                         [line.split(": ")[1] for line in error.splitlines()])
+        self.assertEqual(
+            ["zone", "listing", "election_seconds"],
+            [line.split(": ")[1] for line in error.splitlines()],
+        )
         code, _, error = program("core", "--settings", "/nowhere.toml")
         self.assertEqual(2, code)
         self.assertIn("No such file", error)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -13,6 +13,7 @@
     def setUp(self) -> None:
         super().setUp()
         import tempfile
+
         self.path = Path(tempfile.mkdtemp())
         self.log = QuietLog("test")
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -62,8 +62,10 @@
 
 
 def boundless_repeats() -> list[Patch]:
-    return [mock.patch.object(RepeatBudget, "repeat", always(True)),
-            mock.patch("ryelock.allowance.divide.usable", lambda rate, _burst, _edges: rate)]
+    return [
+        mock.patch.object(RepeatBudget, "repeat", always(True)),
+        mock.patch("ryelock.allowance.divide.usable", lambda rate, _burst, _edges: rate),
+    ]
 
 
 def first_listing_for_ever() -> list[Patch]:
@@ -73,8 +75,10 @@
         if servers.listing is None:
             plain(servers, listing)
 
-    return [mock.patch.object(Servers, "take", take),
-            mock.patch.object(Servers, "live", always(True))]
+    return [
+        mock.patch.object(Servers, "take", take),
+        mock.patch.object(Servers, "live", always(True)),
+    ]
 
 
 def no_purges() -> list[Patch]:
@@ -103,8 +107,10 @@
         return True
         yield
 
-    return [mock.patch.object(Council, "confirm", confirm),
-            mock.patch.object(Council, "held_since", lambda council: council.scheduler.now())]
+    return [
+        mock.patch.object(Council, "confirm", confirm),
+        mock.patch.object(Council, "held_since", lambda council: council.scheduler.now()),
+    ]
 
 
 def alone_is_a_majority() -> list[Patch]:
@@ -136,8 +142,9 @@
 
 
 def keys_known_to_nobody() -> list[Patch]:
-    def claim(_member: Member, _key: bytes, _order: str,
-              _seconds: float) -> Generator[Any, None, str]:
+    def claim(
+        _member: Member, _key: bytes, _order: str, _seconds: float
+    ) -> Generator[Any, None, str]:
         return "claimed"
         yield
 
@@ -146,6 +153,7 @@
 
 def claims_of_one_disk() -> list[Patch]:
     """The leader's memory alone: lost with it."""
+
     def note(council: Council, data: bytes) -> Generator[Any, None, Any]:
         return Ok(council.machine.apply(council.applied, data))
         yield
@@ -158,13 +166,20 @@
 
 
 def orders_granted_as_wanted() -> list[Patch]:
-    return [mock.patch.object(Divider, "grant", lambda _divider, _service, rate, _edge, wanted,
-                              *_rest: (wanted, rate, 1.0))]
+    return [
+        mock.patch.object(
+            Divider,
+            "grant",
+            lambda _divider, _service, rate, _edge, wanted, *_rest: (wanted, rate, 1.0),
+        )
+    ]
 
 
 def no_service_is_narrow() -> list[Patch]:
-    return [mock.patch(f"ryelock.{place}.is_narrow", always(False))
-            for place in ("core.renewals", "edge.process")]
+    return [
+        mock.patch(f"ryelock.{place}.is_narrow", always(False))
+        for place in ("core.renewals", "edge.process")
+    ]
 
 
 def unmarked_taken_for_first() -> list[Patch]:
@@ -174,8 +189,9 @@
 def unsent_orders_earn_repeats() -> list[Patch]:
     plain = Way.enter
 
-    def enter(way: Way, exchange: Any, order: Any, route: Any,
-              key: Any) -> Generator[Any, None, Any]:
+    def enter(
+        way: Way, exchange: Any, order: Any, route: Any, key: Any
+    ) -> Generator[Any, None, Any]:
         way.gates[order.service].budget.first()
         return (yield from plain(way, exchange, order, route, key))
 
@@ -233,7 +249,8 @@
     ("repeated-keys", claims_of_one_disk): (4, 5, 6),
     # Of seeds 1 to 6: before an election soon after a start 1 and 3 broke of the first three,
     # now 4, 5 and 6 of all.
-    ("crash-image", no_sync): (4, 5, 6)}
+    ("crash-image", no_sync): (4, 5, 6),
+}
 
 
 class RuleTests(testtools.TestCase):
@@ -249,8 +266,9 @@
     return test
 
 
-def breaks(name: str, taken_out: Callable[[], list[Patch]],
-           rule: str) -> Callable[[RuleTests], None]:
+def breaks(
+    name: str, taken_out: Callable[[], list[Patch]], rule: str
+) -> Callable[[RuleTests], None]:
     def test(case: RuleTests) -> None:
         broken: set[str] = set()
         for seed in SEEDS.get((name, taken_out), (1, 2, 3)):
@@ -274,5 +292,8 @@
     for number in (1, 2):
         setattr(RuleTests, f"test_{one.replace('-', '_')}_{number}", holds(one, number))
 for one, out, broken_rule in TAKEN_OUT:
-    setattr(RuleTests, f"test_{one.replace('-', '_')}_without_{out.__name__}_{broken_rule}"
-            .replace(" ", "_"), breaks(one, out, broken_rule))
+    setattr(
+        RuleTests,
+        f"test_{one.replace('-', '_')}_without_{out.__name__}_{broken_rule}".replace(" ", "_"),
+        breaks(one, out, broken_rule),
+    )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,8 +23,12 @@
         (point,) = run_scale(sizes, fixed, 1, str(folder / "scale.json"))
         self.assertEqual([], point.faults)
         (figures,) = point.runs
-        for name in ("join sessions", "zone back sessions", "leader lost sessions",
-                     "all lost sessions"):
+        for name in (
+            "join sessions",
+            "zone back sessions",
+            "leader lost sessions",
+            "all lost sessions",
+        ):
             self.assertEqual(NODES, figures[name], name)
         self.assertEqual(NODES, figures["join images"])
         for kind in ("change", "purge"):
@@ -50,14 +54,17 @@
 class PieceTests(testtools.TestCase):
     def test_what_is_told_of_sessions_grows_in_step_with_them(self) -> None:
         small, large = measure_sessions(10, 2), measure_sessions(100, 2)
-        for name in ("leader: KB of sessions to a follower, each beat",
-                     "leader: KB of members to one node"):
+        for name in (
+            "leader: KB of sessions to a follower, each beat",
+            "leader: KB of members to one node",
+        ):
             self.assertAlmostEqual(10.0, large[name] / small[name], 0, name)
 
     def test_images_and_listings_grow_with_routes_and_servers(self) -> None:
         small, large = measure_configuration(10, 10), measure_configuration(100, 100)
-        self.assertAlmostEqual(10.0, large["KB of listing to one node"]
-                               / small["KB of listing to one node"], 0)
+        self.assertAlmostEqual(
+            10.0, large["KB of listing to one node"] / small["KB of listing to one node"], 0
+        )
         self.assertGreater(large["KB of image"], 5 * small["KB of image"])
         self.assertEqual(["edge: ms of a purge at 10 copies"], list(measure_purge(10)))
 
@@ -66,15 +73,18 @@
     def test_a_square_has_the_exponent_two(self) -> None:
         points = [Point(f"{nodes} nodes", Size(nodes, 1, 1, 1)) for nodes in (10, 40)]
         for point in points:
-            point.runs = [{"work": float(point.size.nodes ** 2), "still": 3.0},
-                          {"work": float(point.size.nodes ** 2), "still": 3.0}]
+            point.runs = [
+                {"work": float(point.size.nodes**2), "still": 3.0},
+                {"work": float(point.size.nodes**2), "still": 3.0},
+            ]
         self.assertAlmostEqual(2.0, growth(points[0], points[1], "work", "nodes") or 0.0)
         self.assertIn("| work | 100 | 1.6e+03 | 2.00 |", table(points, "nodes"))
         self.assertIn("| still | 3 | 3 | 0.00 |", table(points, "nodes"))
         folder = Path(tempfile.mkdtemp())
         plot(points, "nodes", folder)
-        self.assertEqual(["nodes-still.png", "nodes-work.png"],
-                         sorted(file.name for file in folder.iterdir()))
+        self.assertEqual(
+            ["nodes-still.png", "nodes-work.png"], sorted(file.name for file in folder.iterdir())
+        )
 
 
 class AccountTests(testtools.TestCase):
