--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -3,18 +3,28 @@
 import sys
 import time
 import warnings
+from pathlib import Path
 
 import defopt
 
 warnings.filterwarnings("ignore", message="pkg_resources is deprecated")
 
+from ryelock.proving.aimed import AIMS, draw_aimed  # noqa: E402
 from ryelock.proving.cases import CASES  # noqa: E402
+from ryelock.proving.dayfile import SiteError, read_site, write_day  # noqa: E402
+from ryelock.proving.days import (  # noqa: E402
+    CoverageError,
+    coverage,
+    coverage_lines,
+    draw_days,
+)
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
 from ryelock.proving.pieces import measure_pieces  # noqa: E402
 from ryelock.proving.run import run_fleet  # noqa: E402
 from ryelock.proving.scale import Point, Size, run_scale, table  # noqa: E402
 from ryelock.proving.schedules import run_schedule  # noqa: E402
+from ryelock.proving.troubles import KINDS, open_kinds  # noqa: E402
 
 
 def fleet(
@@ -272,8 +282,46 @@
     return 0
 
 
+def days(
+    *, site: str, out: str, count: int = 16, seed: int = 1, aim: str = "", kinds: str = ""
+) -> int:
+    """Write day files for the users' bench, drawn from a seed, and print what they cover.
+
+    Without an aim, each pair of kinds of trouble is on at least one of the days.
+
+    :param site: site file of the bench
+    :param out: folder for the day files
+    :param count: how many days
+    :param seed: seed of the days
+    :param aim: one of the aims in ryelock.proving.aimed in place of pairs of kinds
+    :param kinds: only these kinds, divided by commas
+    """
+    if aim and aim not in AIMS:
+        sys.stderr.write(f"no aim {aim!r}; there are {', '.join(AIMS)}\n")
+        return 2
+    chosen = kinds.split(",") if kinds else []
+    unknown = [name for name in chosen if name not in KINDS]
+    if unknown:
+        sys.stderr.write(f"no kinds {', '.join(unknown)}; there are {', '.join(KINDS)}\n")
+        return 2
+    try:
+        place = read_site(Path(site))
+        drawn = (
+            draw_aimed(place, aim, count, seed) if aim else draw_days(place, count, seed, chosen)
+        )
+    except (SiteError, CoverageError, OSError) as error:
+        sys.stderr.write(f"{error}\n")
+        return 2
+    note = f"Drawn for {place.name}: count {count}, seed {seed}" + (f", aim {aim}" if aim else "")
+    for day in drawn:
+        sys.stdout.write(f"{write_day(day, note, Path(out))}\n")
+    wanted = () if aim else chosen or open_kinds(place.contracts)
+    sys.stdout.writelines(f"{line}\n" for line in coverage_lines(coverage(drawn, wanted)))
+    return 0
+
+
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces], short={}))
+    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces, days], short={}))
 
 
 main()
