Isolated control nodes: no refusal and no renewal from old state; failed syncs unknown

(2) A leader whose proof of its majority was older than its lease still handed members, servers and log entries to edges.

Mended: a refusal is confirmed by a majority first; a renewal without a proof carries no state; a failed write is told as unknown, and a node whose disk refused a write stands for no election for 2 s.

Ruled out: reads and plans (confirmed already), changes and purges (refused by the log alone).

--- a/packages/core/ryelock/core/leading.py
+++ b/packages/core/ryelock/core/leading.py
@@ -21,6 +21,8 @@
 
 ID_MOST = 200
 LATE_SECONDS = 2.0
+CONFIRM_SECONDS = 2.0
+UNCONFIRMED = "no majority confirmed this leader"
 
 
 class Leading:
@@ -54,8 +56,8 @@
             return (yield from self.take("purge", given, {"scopes": scopes}))
         if what in ("drain", "recover"):
             return (yield from self.drain(what == "drain", given))
-        if not (yield from self.council.confirm(2.0)):
-            return {"status": "not-taken", "reason": "no majority confirmed this leader"}
+        if not (yield from self.council.confirm(CONFIRM_SECONDS)):
+            return {"status": "not-taken", "reason": UNCONFIRMED}
         if what == "read":
             return {
                 "version": self.register.version,
@@ -140,6 +142,11 @@
             }
         reason = self.against_drain(target) if on else self.against_recover(target)
         forced = given.get("force") is True
+        if reason and not forced:
+            # A refusal is final: it may rest only on state that is certainly the newest.
+            if not (yield from self.council.confirm(CONFIRM_SECONDS)):
+                return {"status": "not-taken", "reason": UNCONFIRMED}
+            reason = self.against_drain(target) if on else self.against_recover(target)
         if reason and not forced:
             return {"status": "declined", "reason": reason, "target": target}
         return (
--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -297,8 +297,10 @@
         now = self.scheduler.now()
         age = max(0.0, now - self.council.held_since())
         sure = age < 0.9 * self.council.pace.election
-        answer: Message = {"ok": True, "age": age, "term": sure, **self.words(vector)}
-        if sure and session.role == "edge":
+        if not sure:
+            return unconfirmed_renewal(vector, age)
+        answer: Message = {"ok": True, "age": age, "term": True, **self.words(vector)}
+        if session.role == "edge":
             self.terms.give(node, self.council.applied, now + self.term_length, now)
             edges = self.edges()
             answer["shares"], answer["grants"] = self.shares(session, edges, holding, wanted, now)
@@ -399,6 +401,15 @@
             yield from self.scheduler.pause(0.01)
 
 
+def unconfirmed_renewal(vector: dict[str, int], age: float) -> Message:
+    """An answer without any state: another leader may already hold a newer one.
+
+    `age` is the age of this leader's last proof of its majority, in seconds.
+    """
+    index = vector.get("register", 0)
+    return {"ok": True, "age": age, "term": False, "words": [], "index": index}
+
+
 def callers_of(plain: object) -> list[bytes]:
     """Callers who were told of failures, as an edge tells them on; raises ValueError."""
     if not isinstance(plain, list) or len(plain) > FAILED_KEPT:
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -50,6 +50,8 @@
 
 BATCH_BYTES = 1_048_576
 VOTERS_MOST = 5
+DISK_RETRY_SECONDS = 2.0
+"""A node whose disk refused a write stands for no election for so long."""
 
 
 class CouncilError(Exception):
@@ -140,6 +142,7 @@
         "commands",
         "commit",
         "disk",
+        "disk_failed_at",
         "elected_at",
         "election_at",
         "entries",
@@ -210,6 +213,7 @@
         self.election_at = 0.0
         self.last_round_failed = -1e9
         self.reach_at = -1e9
+        self.disk_failed_at = -1e9
         self.tries = 0
         self.peers: dict[str, Peer] = {}
         self.learners: dict[str, tuple[str, float]] = {}
@@ -324,7 +328,7 @@
         if now - self.leader_heard > 0.5 * pace and now - self.reach_at > 0.6 * pace:
             self.reach_at = now
             self.scheduler.spawn("council reach", self.reach())
-        if now < self.election_at:
+        if now < self.election_at or now < self.disk_failed_at + DISK_RETRY_SECONDS:
             return
         self.put_off_election()
         self.tries += 1
@@ -387,6 +391,7 @@
 
     def save_vote(self, epoch: int, voted: str) -> bool:
         if self.journal.write([vote_record(epoch, voted)]).is_error():
+            self.disk_failed_at = self.scheduler.now()
             return False
         self.epoch = epoch
         self.voted = voted
@@ -669,6 +674,7 @@
         self.log.write(LEADING, epoch=epoch)
         entry = Entry(self.last_index + 1, epoch, NOTHING, b"")
         if not self.store([entry]):
+            self.disk_failed_at = self.scheduler.now()
             self.drop_leading("its disk failed")
             return
         for disk, address in self.voters.items():
@@ -893,7 +899,9 @@
             )
         if not self.store(entries):
             for proposal in proposals:
-                proposal.box.put(Error(CouncilError("the leader's disk takes no more", True)))
+                # The records may be found on the disk after a restart, so this is not certain.
+                proposal.box.put(Error(CouncilError("the leader's disk takes no more", False)))
+            self.disk_failed_at = self.scheduler.now()
             self.drop_leading("its disk failed")
             return
         for entry, proposal in zip(entries, proposals, strict=True):
--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -7,6 +7,7 @@
 from ryelock.loop import Step
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings
+from ryelock.proving.control_cases import CONTROL_CASES
 from ryelock.proving.scenario import Scenario
 from ryelock.proving.simulated import SimNode
 from ryelock.proving.standins import CUT, DEAF, FAILING, LONG, LOST, SHORT, WRONG
@@ -705,4 +706,5 @@
     "crash-claim": crash_claim,
     "crash-image": crash_image,
     "crash-voters": crash_voters,
+    **CONTROL_CASES,
 }
--- /dev/null
+++ b/packages/proving/ryelock/proving/control_cases.py
@@ -0,0 +1,408 @@
+"""Simulated runs aimed at the control plane: isolation, racing changes, lost acknowledgements.
+
+Each case takes a seed and returns findings made from what the operators and edges of the run were
+told, never from the control nodes' own state. `python -m ryelock.proving case NAME` runs one.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from ryelock.loop import Step
+from ryelock.proving.checks import Findings
+from ryelock.proving.scenario import Scenario
+from ryelock.register import Register
+from ryelock.roster import Session
+from ryelock.wire import Lines, Message
+
+ISOLATION_SECONDS = 20.0
+SUCCESSION_SECONDS = 5.0
+"""The other control nodes have a leader this long after theirs was isolated."""
+ANSWER_SECONDS_MOST = 8.0
+"""Any request to an isolated control node is answered within this time (seconds)."""
+RETURN_SECONDS = 3.0
+"""An isolated control node serves again this long after it was reconnected."""
+PAUSE_SECONDS = 0.7
+RENEWAL_SECONDS = 0.1
+
+OK = 200
+CONFLICT = 409
+UNREADABLE = 400
+UNKNOWN = 504
+UNANSWERED = 0
+UNPROCESSABLE = 422
+FINAL_REFUSALS = (UNREADABLE, CONFLICT, UNPROCESSABLE)
+
+READS = ("/configuration", "/verdicts", "/members")
+ROUTE_SERVICE = "pages"
+SOFT_STATE = ("words", "listing", "shares", "grants", "members")
+
+
+@dataclass(slots=True)
+class Answered:
+    """One request to the isolated node and its answer; times in seconds of the run."""
+
+    method: str
+    target: str
+    asked: float
+    answered: float
+    status: int
+
+
+@dataclass(slots=True)
+class Renewed:
+    """One lease renewal that the isolated node answered."""
+
+    asked: float
+    answer: Message
+
+
+@dataclass(slots=True)
+class Superseded:
+    """What the other control nodes agreed on while one was isolated; times in seconds."""
+
+    at: float
+    version: int
+
+
+@dataclass(slots=True)
+class Watcher:
+    """What clients that reach only one control node were told while it was isolated."""
+
+    name: str
+    drained: str
+    answers: list[Answered] = field(default_factory=list)
+    renewals: list[Renewed] = field(default_factory=list)
+    running: bool = True
+
+
+def route_change(identity: str, base: int) -> dict[str, object]:
+    """A change that adds one route of its own name on top of a base version."""
+    route = {"path": f"/{identity}", "service": ROUTE_SERVICE}
+    return {"id": identity, "base": base, "put": {"routes": {identity: route}}}
+
+
+def isolate_both_ways(scenario: Scenario, name: str) -> None:
+    for other in scenario.cores:
+        if other != name:
+            scenario.world.cut(name, other)
+
+
+def isolate_outgoing(scenario: Scenario, name: str) -> None:
+    for other in scenario.cores:
+        if other != name:
+            scenario.world.cut(name, other, False)
+
+
+def isolate_incoming(scenario: Scenario, name: str) -> None:
+    for other in scenario.cores:
+        if other != name:
+            scenario.world.cut(other, name, False)
+
+
+def freeze(scenario: Scenario, name: str) -> None:
+    scenario.world.freeze(name, True)
+
+
+def fill_disk(scenario: Scenario, name: str) -> None:
+    folder = scenario.node(name).folder
+    assert folder is not None
+    folder.full = True
+    isolate_both_ways(scenario, name)
+
+
+def step_clock(scenario: Scenario, name: str) -> None:
+    scenario.node(name).clock.error += 3600.0
+    isolate_both_ways(scenario, name)
+
+
+ISOLATIONS: dict[str, Callable[[Scenario, str], None]] = {
+    "both ways": isolate_both_ways,
+    "outgoing": isolate_outgoing,
+    "incoming": isolate_incoming,
+    "frozen": freeze,
+    "full disk": fill_disk,
+    "clock stepped": step_clock,
+}
+
+
+def reconnect(scenario: Scenario, name: str) -> None:
+    folder = scenario.node(name).folder
+    assert folder is not None
+    folder.full = False
+    scenario.world.freeze(name, False)
+    scenario.world.heal()
+
+
+def isolated_leader(seed: int) -> Findings:
+    """The leader is isolated for twenty seconds in each way, while clients go on asking it."""
+    return isolated_member(seed, leading=True)
+
+
+def isolated_follower(seed: int) -> Findings:
+    """A follower is isolated for twenty seconds in each way, while clients go on asking it."""
+    return isolated_member(seed, leading=False)
+
+
+def isolated_member(seed: int, leading: bool) -> Findings:
+    """Isolate one control node in one of the ways, picked by the seed, and judge its answers."""
+    isolations = sorted(ISOLATIONS)
+    way = isolations[seed % len(isolations)]
+    scenario = Scenario(seed, edges=1, probers=1)
+    scenario.set_up()
+    scenario.world.run(2)
+    found = Findings()
+    leader = scenario.leader()
+    name = leader if leading else next(core for core in scenario.cores if core != leader)
+    others = [core for core in scenario.cores if core != name]
+    stale_base = scenario.node(name).core.register.version
+    watcher = Watcher(name, scenario.edges[0])
+    in_flight = send_in_flight(scenario, name, stale_base)
+    ISOLATIONS[way](scenario, name)
+    cut_at = scenario.world.time
+    scenario.operators.scheduler.spawn("asks", ask_isolated(scenario, watcher, stale_base))
+    scenario.operators.scheduler.spawn("renews", renew_isolated(scenario, watcher))
+    superseded = change_elsewhere(scenario, others, watcher.drained, found)
+    scenario.world.run(cut_at + ISOLATION_SECONDS - scenario.world.time)
+    epoch = scenario.node(others[0]).core.council.epoch
+    watcher.running = False
+    reconnect(scenario, name)
+    healed_at = scenario.world.time
+    judge_return(scenario, name, epoch, healed_at, found, way)
+    scenario.world.run(12)
+    judge_answers(watcher, cut_at, healed_at, found, way)
+    if superseded is not None:
+        judge_refusals(watcher, superseded, healed_at, found, way)
+        judge_recoveries(watcher, superseded, found, way)
+        judge_renewals(watcher, superseded, found, way)
+    judge_in_flight(scenario, in_flight, superseded is not None, found)
+    return found
+
+
+def send_in_flight(scenario: Scenario, name: str, base: int) -> list[int]:
+    """A change that is on its way when the node is isolated; its statuses are collected."""
+    statuses: list[int] = []
+
+    def send() -> Step[None]:
+        status, _ = yield from scenario.operator(
+            "POST", "/changes", route_change("in-flight", base), name
+        )
+        statuses.append(status)
+
+    scenario.operators.scheduler.spawn("in flight", send())
+    scenario.world.run(Random(f"in flight {scenario.world.seed}").random() * 0.02)
+    return statuses
+
+
+def change_elsewhere(
+    scenario: Scenario, others: list[str], drained: str, found: Findings
+) -> Superseded | None:
+    """Have the other control nodes take a change and a drain that the isolated one cannot know."""
+
+    def led() -> bool:
+        return any(scenario.node(other).core.council.settled for other in others)
+
+    found.look("majority serves")
+    if not scenario.world.run_until(led, SUCCESSION_SECONDS):
+        found.broken("majority serves", f"no leader {SUCCESSION_SECONDS} s after the isolation")
+        return None
+    status, answer = scenario.ask_now("GET", "/configuration", None, others[0])
+    base = answer.get("version")
+    if status != OK or not isinstance(base, int):
+        found.broken("majority serves", f"read was answered {status}")
+        return None
+    status, answer = scenario.ask_now(
+        "POST", "/changes", route_change("elsewhere", base), others[1]
+    )
+    version = answer.get("version")
+    if status != OK or not isinstance(version, int):
+        found.broken("majority serves", f"change was answered {status}")
+        return None
+    drain = {"id": "drain-elsewhere", "target": drained, "force": True}
+    status, _ = scenario.ask_now("POST", "/drains", drain, others[0])
+    if status != OK:
+        found.broken("majority serves", f"drain was answered {status}")
+        return None
+    return Superseded(scenario.world.time, version)
+
+
+def ask_isolated(scenario: Scenario, watcher: Watcher, base: int) -> Step[None]:
+    """Operators that reach only the isolated node: reads, changes, purges, drains, plans."""
+    count = 0
+    while watcher.running:
+        count += 1
+        requests: list[tuple[str, str, object]] = [
+            ("GET", READS[count % len(READS)], None),
+            ("POST", "/changes", route_change(f"isolated-{count}", base)),
+            ("POST", "/plans", route_change(f"planned-{count}", base)),
+            ("POST", "/purges", {"id": f"purge-{count}", "scopes": [{"path": "/covers/1"}]}),
+            ("POST", "/drains", {"id": f"drain-{count}", "target": "zone:nowhere"}),
+            ("POST", "/recoveries", {"id": f"recover-{count}", "target": watcher.drained}),
+        ]
+        for method, target, given in requests:
+            scenario.operators.scheduler.spawn(
+                target, ask_once(scenario, watcher, method, target, given)
+            )
+        yield from scenario.operators.scheduler.pause(PAUSE_SECONDS)
+
+
+def ask_once(
+    scenario: Scenario, watcher: Watcher, method: str, target: str, given: object
+) -> Step[None]:
+    asked = scenario.world.time
+    status, _ = yield from scenario.operator(method, target, given, watcher.name)
+    watcher.answers.append(Answered(method, target, asked, scenario.world.time, status))
+
+
+def renew_isolated(scenario: Scenario, watcher: Watcher) -> Step[None]:
+    """Edges without any state that reach only the isolated node, as after a restart."""
+    node = scenario.operators
+    lines = Lines(node.scheduler, node.network, node.log)
+    count = 0
+    while watcher.running:
+        count += 1
+        node.scheduler.spawn("renewal", renew_once(scenario, watcher, lines, count))
+        yield from node.scheduler.pause(RENEWAL_SECONDS)
+
+
+def renew_once(scenario: Scenario, watcher: Watcher, lines: Lines, count: int) -> Step[None]:
+    session = Session()
+    session.name = f"returned{count}"
+    session.role = "edge"
+    session.incarnation = str(count)
+    message: Message = {
+        "kind": "renew",
+        "hold": 0.0,
+        "session": session.plain(),
+        "sequence": 1,
+        "vector": {},
+        "demand": {},
+        "holding": {},
+        "wanted": {},
+        "failed": [],
+        "objects": [],
+    }
+    asked = scenario.world.time
+    address = f"{scenario.node(watcher.name).host}:1"
+    answer = yield from lines.ask(address, message, 2 * ISOLATION_SECONDS)
+    if answer.is_ok():
+        watcher.renewals.append(Renewed(asked, answer.ok))
+
+
+def judge_answers(
+    watcher: Watcher, cut_at: float, healed_at: float, found: Findings, way: str
+) -> None:
+    """Nothing is read or acknowledged without a majority, and no request waits without bound."""
+    for answered in watcher.answers:
+        if answered.asked <= cut_at or answered.answered >= healed_at:
+            continue
+        place = f"{way}: {answered.method} {answered.target} at {answered.asked - cut_at:.2f} s"
+        found.look("isolated answers")
+        if answered.status == OK:
+            found.broken("isolated answers", f"{place} was served")
+        found.look("bounded answers")
+        seconds = answered.answered - answered.asked
+        if seconds > ANSWER_SECONDS_MOST:
+            found.broken("bounded answers", f"{place} took {seconds:.1f} s")
+
+
+def judge_refusals(
+    watcher: Watcher, superseded: Superseded, healed_at: float, found: Findings, way: str
+) -> None:
+    """No request is refused for good by a node that no longer has its majority."""
+    for answered in watcher.answers:
+        if answered.asked < superseded.at or answered.answered >= healed_at:
+            continue
+        found.look("isolated refusals")
+        if answered.status in FINAL_REFUSALS:
+            after = answered.asked - superseded.at
+            found.broken(
+                "isolated refusals",
+                f"{way}: {answered.target} refused ({answered.status}) {after:.2f} s after",
+            )
+
+
+def judge_recoveries(watcher: Watcher, superseded: Superseded, found: Findings, way: str) -> None:
+    """A recovery of what was drained elsewhere is never refused from old state.
+
+    A refusal is right only where another recovery may have been taken before it.
+    """
+    recoveries = [answered for answered in watcher.answers if answered.target == "/recoveries"]
+    taken = [
+        answered.asked for answered in recoveries if answered.status in (OK, UNKNOWN, UNANSWERED)
+    ]
+    for answered in recoveries:
+        if answered.asked < superseded.at:
+            continue
+        found.look("stale recoveries")
+        refused = answered.status in FINAL_REFUSALS
+        if refused and not any(asked < answered.answered for asked in taken):
+            found.broken("stale recoveries", f"{way}: refused ({answered.status}) from old state")
+
+
+def judge_renewals(watcher: Watcher, superseded: Superseded, found: Findings, way: str) -> None:
+    """An edge that asks after a change was acknowledged gets that change or nothing."""
+    for renewed in watcher.renewals:
+        if renewed.asked < superseded.at or renewed.answer.get("ok") is not True:
+            continue
+        after = f"asked {renewed.asked - superseded.at:.2f} s after the change elsewhere"
+        found.look("isolated renewals")
+        image = renewed.answer.get("image")
+        if isinstance(image, bytes):
+            register = Register()
+            register.restore(image)
+            if register.version < superseded.version:
+                found.broken("isolated renewals", f"{way}: version {register.version}, {after}")
+        elif any(renewed.answer.get(part) for part in SOFT_STATE):
+            found.broken("isolated renewals", f"{way}: soft state without a version, {after}")
+
+
+def judge_return(
+    scenario: Scenario, name: str, epoch: int, healed_at: float, found: Findings, way: str
+) -> None:
+    """The isolated node is of use again soon, and its return disturbs nobody's leadership."""
+    node = scenario.node(name)
+
+    def serves() -> bool:
+        return bool(node.core.leader()) and node.core.council.epoch >= epoch
+
+    found.look("return")
+    if not scenario.world.run_until(serves, RETURN_SECONDS):
+        found.broken("return", f"{way}: no leader known {RETURN_SECONDS} s after the cut healed")
+    found.look("undisturbed")
+    now = max(scenario.node(core).core.council.epoch for core in scenario.cores)
+    if now != epoch and way != "outgoing":
+        found.broken("undisturbed", f"{way}: epoch {epoch} became {now} on the return")
+    status, _ = scenario.ask_now("GET", "/configuration", None, name)
+    found.look("return")
+    if status != OK:
+        seconds = scenario.world.time - healed_at
+        found.broken("return", f"{way}: read answered {status}, {seconds:.1f} s after the cut")
+
+
+def judge_in_flight(
+    scenario: Scenario, statuses: list[int], advanced: bool, found: Findings
+) -> None:
+    """A change that was on its way is in force if it was acknowledged, and not if refused."""
+    found.look("in flight")
+    if not statuses:
+        found.broken("in flight", "a change that was on its way was never answered")
+        return
+    status, answer = scenario.ask_now("GET", "/configuration")
+    configuration = answer.get("configuration")
+    routes = configuration.get("routes", {}) if isinstance(configuration, dict) else {}
+    present = "in-flight" in routes
+    if status != OK:
+        found.broken("in flight", f"the last read was answered {status}")
+    elif statuses[0] == OK and not present:
+        found.broken("in flight", "an acknowledged change is lost")
+    elif statuses[0] in FINAL_REFUSALS and present:
+        found.broken("in flight", f"a change that was refused ({statuses[0]}) is in force")
+    if advanced and status == OK and "elsewhere" not in routes:
+        found.broken("in flight", "the change that the majority took is lost")
+
+
+CONTROL_CASES: dict[str, Callable[[int], Findings]] = {
+    "isolated-leader": isolated_leader,
+    "isolated-follower": isolated_follower,
+}
--- /dev/null
+++ b/tests/test_control_cases.py
@@ -0,0 +1,116 @@
+"""The control plane under isolation: each case holds, and fails without its mechanism."""
+
+from collections.abc import Callable, Generator
+from contextlib import AbstractContextManager, ExitStack
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from ryelock.core import renewals
+from ryelock.core.leading import Leading
+from ryelock.council import Council
+from ryelock.journal import FolderError
+from ryelock.proving.control_cases import CONTROL_CASES, ISOLATIONS, route_change
+from ryelock.proving.scenario import Scenario
+from ryelock.proving.simulated import SimFolder
+
+Patch = AbstractContextManager[Any]
+SEEDS = range(len(ISOLATIONS))
+
+
+def confirmed_at_once(_council: Council, _seconds: float) -> Generator[Any, None, bool]:
+    """A leader that trusts its own word instead of a majority's answer."""
+    return True
+    yield
+
+
+def never_deposed() -> list[Patch]:
+    """A leader that believes in its majority for ever."""
+
+    def held_since(council: Council) -> float:
+        return council.scheduler.now()
+
+    return [mock.patch.object(Council, "held_since", held_since)]
+
+
+def refusals_without_confirmation() -> list[Patch]:
+    plain = Leading.drain
+
+    def drain(leading: Leading, on: bool, given: Any) -> Generator[Any, None, Any]:
+        with mock.patch.object(Council, "confirm", confirmed_at_once):
+            return (yield from plain(leading, on, given))
+
+    return [mock.patch.object(Leading, "drain", drain)]
+
+
+class ControlCaseTests(testtools.TestCase):
+    def found(self, name: str, seed: int, patches: list[Patch]) -> list[str]:
+        with ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            return CONTROL_CASES[name](seed).violations
+
+    def breaks(self, name: str, patches: Callable[[], list[Patch]], rule: str) -> None:
+        found: list[str] = []
+        for seed in SEEDS:
+            found += self.found(name, seed, patches())
+        self.assertTrue([text for text in found if text.startswith(rule)], found[:5])
+
+    def test_an_isolated_leader_answers_nothing_from_old_state(self) -> None:
+        for seed in SEEDS:
+            self.assertEqual([], self.found("isolated-leader", seed, []))
+
+    def test_an_isolated_follower_answers_nothing_from_old_state(self) -> None:
+        for seed in SEEDS:
+            self.assertEqual([], self.found("isolated-follower", seed, []))
+
+    def test_reads_without_confirmation_are_served_in_isolation(self) -> None:
+        patches = [mock.patch.object(Council, "confirm", confirmed_at_once)]
+        self.breaks("isolated-leader", lambda: [*never_deposed(), *patches], "isolated answers")
+
+    def test_a_leader_that_is_never_deposed_hands_out_old_state(self) -> None:
+        self.breaks("isolated-leader", never_deposed, "isolated renewals")
+
+    def test_refusals_without_confirmation_come_from_old_state(self) -> None:
+        self.breaks("isolated-leader", refusals_without_confirmation, "stale recoveries")
+
+
+class UnconfirmedRenewalTests(testtools.TestCase):
+    def test_it_carries_no_state(self) -> None:
+        answer = renewals.unconfirmed_renewal({"register": 7}, 0.9)
+        self.assertEqual({"ok": True, "age": 0.9, "term": False, "words": [], "index": 7}, answer)
+
+
+class FailedSyncTests(testtools.TestCase):
+    def test_a_change_whose_sync_failed_may_be_in_force_and_is_told_unknown(self) -> None:
+        """The record of a failed sync is found after a restart and agreed on by the next leader."""
+        scenario = Scenario(1, edges=1, probers=0)
+        scenario.set_up()
+        leader = scenario.leader()
+        other, third = [core for core in scenario.cores if core != leader]
+        folder = scenario.node(leader).folder
+        assert folder is not None
+        with mock.patch.object(SimFolder, "sync", failing_sync(folder)):
+            change = route_change("unsynced", 1)
+            status, _ = scenario.ask_now("POST", "/changes", change, leader)
+            for core in scenario.cores:
+                scenario.world.kill(core)
+        self.assertEqual(504, status)
+        scenario.start(leader)
+        scenario.start(other)
+        self.assertTrue(scenario.world.run_until(lambda: bool(scenario.leader()), 15))
+        _, answer = scenario.ask_now("GET", "/configuration", None, other)
+        self.assertEqual(2, answer["version"])
+        self.assertFalse(scenario.node(third).alive)
+
+
+def failing_sync(failing: SimFolder) -> Callable[[SimFolder, str], None]:
+    plain = SimFolder.sync
+
+    def sync(folder: SimFolder, name: str) -> None:
+        if folder is failing:
+            raise FolderError("input/output error")
+        plain(folder, name)
+
+    return sync
