--- /dev/null
+++ b/packages/council/ryelock/council/log.py
@@ -0,0 +1,152 @@
+"""The durable replicated log of one member: epoch, vote, snapshot and the entries behind it.
+
+`ReplicatedLog` holds what Raft calls persistent state and nothing else: it knows no network, no
+clock and no role, so that it can be tested alone. Each method that changes the log writes it to
+the journal first; where the journal fails, the log in memory stays as it was and the method
+returns False.
+"""
+
+from ryelock.council.entries import (
+    VOTERS,
+    WORD,
+    Entry,
+    Image,
+    Stored,
+    Voters,
+    entry_record,
+    promise_record,
+    vote_record,
+    voters_of,
+)
+from ryelock.journal import Journal
+
+
+class ReplicatedLog:
+    """Entries with indexes from `snapshot.index + 1` up to `last_index`, without a gap.
+
+    `epoch` and `voted` are the current epoch and the disk that got this member's vote in it
+    (empty: none). `promise_noted` says that the member may have promised to follow no leader.
+    """
+
+    __slots__ = ("entries", "epoch", "journal", "promise_noted", "restored", "snapshot", "voted")
+
+    def __init__(self, journal: Journal) -> None:
+        stored = Stored(journal.image, journal.records)
+        self.journal = journal
+        self.restored = journal.image is not None or bool(journal.records)
+        journal.image = None
+        journal.records = []
+        self.snapshot = stored.image
+        self.entries = stored.entries
+        self.epoch = stored.epoch
+        self.voted = stored.voted
+        self.promise_noted = stored.promised
+
+    # Reading.
+
+    @property
+    def last_index(self) -> int:
+        return self.snapshot.index + len(self.entries)
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing was ever written to this disk."""
+        return not self.restored and not self.entries and self.epoch == 0
+
+    def epoch_at(self, index: int) -> int:
+        """The epoch of the entry at an index from `snapshot.index` to `last_index`."""
+        if index == self.snapshot.index:
+            return self.snapshot.epoch
+        return self.entry_at(index).epoch
+
+    def entry_at(self, index: int) -> Entry:
+        """The entry at an index behind the snapshot."""
+        return self.entries[index - self.snapshot.index - 1]
+
+    def entries_from(self, index: int) -> list[Entry]:
+        """All entries from an index on; the index lies behind the snapshot."""
+        return self.entries[index - self.snapshot.index - 1 :]
+
+    def holds(self, index: int, epoch: int) -> bool:
+        """Whether the log has an entry of that epoch at that index, or its snapshot ends there."""
+        return self.snapshot.index <= index <= self.last_index and self.epoch_at(index) == epoch
+
+    def voters_at(self, index: int) -> Voters:
+        """The voters as the entries up to an index name them, agreed or not."""
+        for entry in reversed(self.entries[: index - self.snapshot.index]):
+            if entry.kind == VOTERS:
+                return voters_of(entry.data)
+        return self.snapshot.voters
+
+    def words_between(self, index: int, last: int) -> list[tuple[int, bytes]]:
+        """The words behind an index, up to and with the last; both lie within the log."""
+        between = self.entries[index - self.snapshot.index : last - self.snapshot.index]
+        return [(entry.index, entry.data) for entry in between if entry.kind == WORD]
+
+    def last_word(self) -> int:
+        """The index of the last word, agreed or not."""
+        for entry in reversed(self.entries):
+            if entry.kind == WORD:
+                return entry.index
+        return self.snapshot.word
+
+    # Changing.
+
+    def save_vote(self, epoch: int, voted: str) -> bool:
+        """Enter an epoch, with the vote given in it."""
+        if self.journal.write([vote_record(epoch, voted)]).is_error():
+            return False
+        self.epoch = epoch
+        self.voted = voted
+        return True
+
+    def save_promise(self, noted: bool) -> bool:
+        """Note on disk that a promise may stand, or that none does."""
+        if self.journal.write([promise_record(noted)]).is_error():
+            return False
+        self.promise_noted = noted
+        return True
+
+    def begin(self, epoch: int, entry: Entry) -> bool:
+        """Write the first epoch and entry of an empty log in one."""
+        if self.journal.write([vote_record(epoch, ""), entry_record(entry)]).is_error():
+            return False
+        self.epoch = epoch
+        self.entries = [entry]
+        return True
+
+    def append(self, entries: list[Entry]) -> bool:
+        """Write the entries that are lacking; the first one of another epoch cuts the tail off."""
+        lacking = list(entries)
+        while lacking and lacking[0].index <= self.last_index:
+            first = lacking[0]
+            if first.index > self.snapshot.index and self.epoch_at(first.index) != first.epoch:
+                break
+            lacking.pop(0)
+        if not lacking:
+            return True
+        if self.journal.write([entry_record(entry) for entry in lacking]).is_error():
+            return False
+        del self.entries[lacking[0].index - self.snapshot.index - 1 :]
+        self.entries += lacking
+        return True
+
+    def compact(self, snapshot: Image) -> bool:
+        """Put a snapshot of this log's own entries in their place."""
+        return self.replace_start(snapshot, self.entries_from(snapshot.index + 1))
+
+    def install(self, snapshot: Image) -> bool:
+        """Take a leader's snapshot, which reaches farther than what this member has applied."""
+        return self.replace_start(snapshot, [])
+
+    def replace_start(self, snapshot: Image, kept: list[Entry]) -> bool:
+        records = [
+            vote_record(self.epoch, self.voted),
+            promise_record(self.promise_noted),
+            *(entry_record(entry) for entry in kept),
+        ]
+        if self.journal.write_image(snapshot.encode(), records).is_error():
+            return False
+        self.snapshot = snapshot
+        self.entries = kept
+        return True
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -24,16 +24,12 @@
     WORD,
     Entry,
     Image,
-    Stored,
     Voters,
     entry_of,
-    entry_record,
     image_of,
     majority_of,
-    promise_record,
-    vote_record,
-    voters_of,
 )
+from ryelock.council.log import ReplicatedLog
 from ryelock.events import (
     FOLLOWING,
     FOUNDED,
@@ -136,16 +132,12 @@
         "applied",
         "applied_news",
         "applied_word",
-        "base",
         "commands",
         "commit",
         "disk",
         "elected_at",
         "election_at",
-        "entries",
-        "epoch",
         "hear",
-        "journal",
         "last_round_failed",
         "leader",
         "leader_address",
@@ -157,11 +149,10 @@
         "name",
         "pace",
         "peers",
-        "promise_noted",
         "promised",
         "random",
         "reach_at",
-        "restarted",
+        "replicated_log",
         "role",
         "say",
         "scheduler",
@@ -169,7 +160,6 @@
         "settled_at",
         "tasks",
         "tries",
-        "voted",
         "voters",
         "waiting",
     )
@@ -191,7 +181,7 @@
         self.scheduler = scheduler
         self.lines = lines
         self.log = log
-        self.journal = journal
+        self.replicated_log = ReplicatedLog(journal)
         self.machine = machine
         self.name = name
         self.disk = disk
@@ -217,15 +207,6 @@
         self.tasks: list[Running] = []
         self.say: Said = dict
         self.hear: Hears = lambda _disk, _message, _since: None
-        stored = Stored(journal.image, journal.records)
-        self.promise_noted = stored.promised
-        self.restarted = journal.image is not None or bool(journal.records)
-        journal.image = None
-        journal.records = []
-        self.base = stored.image
-        self.entries = stored.entries
-        self.epoch = stored.epoch
-        self.voted = stored.voted
         self.commit = self.base.index
         self.applied = self.base.index
         self.applied_word = self.base.word
@@ -233,29 +214,48 @@
         self.find_voters()
         if self.base.index:
             machine.restore(self.base.machine)
-        self.promised = scheduler.now() + pace.promise * 1.1 if stored.promised else -1e9
+        self.promised = scheduler.now() + pace.promise * 1.1 if self.promise_noted else -1e9
         self.put_off_election()
 
     # The log.
 
+    @property
+    def journal(self) -> Journal:
+        return self.replicated_log.journal
+
+    @property
+    def base(self) -> Image:
+        """The snapshot that the entries follow."""
+        return self.replicated_log.snapshot
+
+    @property
+    def entries(self) -> list[Entry]:
+        return self.replicated_log.entries
+
+    @property
+    def epoch(self) -> int:
+        return self.replicated_log.epoch
+
+    @property
+    def voted(self) -> str:
+        return self.replicated_log.voted
+
+    @property
+    def promise_noted(self) -> bool:
+        return self.replicated_log.promise_noted
+
     @property
     def last_index(self) -> int:
-        return self.base.index + len(self.entries)
+        return self.replicated_log.last_index
 
     def epoch_at(self, index: int) -> int:
-        if index == self.base.index:
-            return self.base.epoch
-        return self.entries[index - self.base.index - 1].epoch
+        return self.replicated_log.epoch_at(index)
 
     def entry_at(self, index: int) -> Entry:
-        return self.entries[index - self.base.index - 1]
+        return self.replicated_log.entry_at(index)
 
     def find_voters(self) -> None:
-        self.voters = self.base.voters
-        for entry in reversed(self.entries):
-            if entry.kind == VOTERS:
-                self.voters = voters_of(entry.data)
-                break
+        self.voters = self.replicated_log.voters_at(self.last_index)
 
     @property
     def majority(self) -> int:
@@ -263,24 +263,17 @@
 
     @property
     def empty(self) -> bool:
-        return not self.restarted and not self.entries and self.epoch == 0
+        return self.replicated_log.empty
 
     def words_since(self, index: int) -> list[tuple[int, bytes]] | None:
         """Applied words behind an index, or None where only an image can tell."""
         if index < self.base.index or index > self.applied:
             return None
-        return [
-            (entry.index, entry.data)
-            for entry in self.entries[index - self.base.index : self.applied - self.base.index]
-            if entry.kind == WORD
-        ]
+        return self.replicated_log.words_between(index, self.applied)
 
     def last_word(self) -> int:
         """The index of the log's last word, applied or not; notes are passed by."""
-        for entry in reversed(self.entries):
-            if entry.kind == WORD:
-                return entry.index
-        return self.base.word
+        return self.replicated_log.last_word()
 
     # Running.
 
@@ -386,11 +379,7 @@
         }
 
     def save_vote(self, epoch: int, voted: str) -> bool:
-        if self.journal.write([vote_record(epoch, voted)]).is_error():
-            return False
-        self.epoch = epoch
-        self.voted = voted
-        return True
+        return self.replicated_log.save_vote(epoch, voted)
 
     def on_vote(self, message: Message) -> Message:
         epoch = whole(message["epoch"])
@@ -471,8 +460,8 @@
         if self.role == "leader":
             self.drop_leading("another leads")
         self.role = "follower"
-        if self.promise_noted and self.journal.write([promise_record(False)]).is_ok():
-            self.promise_noted = False
+        if self.promise_noted:
+            self.replicated_log.save_promise(False)
         if leader != self.leader:
             self.log.write(FOLLOWING, leader=leader, epoch=epoch)
         self.leader = leader
@@ -483,17 +472,8 @@
 
     def store(self, entries: list[Entry]) -> bool:
         """Write the entries this log lacks; one that differs replaces the tail."""
-        fresh = list(entries)
-        while fresh and fresh[0].index <= self.last_index:
-            if fresh[0].index > self.base.index and self.epoch_at(fresh[0].index) != fresh[0].epoch:
-                break
-            fresh.pop(0)
-        if not fresh:
-            return True
-        if self.journal.write([entry_record(entry) for entry in fresh]).is_error():
+        if not self.replicated_log.append(entries):
             return False
-        del self.entries[fresh[0].index - self.base.index - 1 :]
-        self.entries += fresh
         before = self.voters
         self.find_voters()
         if before != self.voters:
@@ -513,12 +493,8 @@
             return answer
         if image.index <= self.applied:
             return {**answer, "ok": True, "epoch": self.epoch, "last": self.applied}
-        if self.journal.write_image(
-            data, [vote_record(self.epoch, self.voted), promise_record(self.promise_noted)]
-        ).is_error():
+        if not self.replicated_log.install(image):
             return answer
-        self.base = image
-        self.entries = []
         self.commit = self.applied = image.index
         self.applied_word = image.word
         self.find_voters()
@@ -547,8 +523,7 @@
             and now - self.last_round_failed < 3 * self.pace.election
         )
         if granted and not self.promise_noted:
-            granted = self.journal.write([promise_record(True)]).is_ok()
-            self.promise_noted = granted
+            granted = self.replicated_log.save_promise(True)
         if granted:
             self.promised = max(self.promised, now + float(str(seconds)))
         return {
@@ -827,26 +802,14 @@
             tell()
 
     def write_image(self) -> None:
-        voters = self.base.voters
-        for entry in self.entries[: self.applied - self.base.index]:
-            if entry.kind == VOTERS:
-                voters = voters_of(entry.data)
         image = Image(
             self.applied,
             self.epoch_at(self.applied),
-            voters,
+            self.replicated_log.voters_at(self.applied),
             self.machine.image(),
             self.applied_word,
         )
-        kept = self.entries[self.applied - self.base.index :]
-        records = [
-            vote_record(self.epoch, self.voted),
-            promise_record(self.promise_noted),
-            *(entry_record(entry) for entry in kept),
-        ]
-        if self.journal.write_image(image.encode(), records).is_ok():
-            self.base = image
-            self.entries = kept
+        if self.replicated_log.compact(image):
             self.log.write(IMAGE_WRITTEN, index=image.index)
 
     def held_since(self) -> float:
@@ -1019,9 +982,7 @@
         if not self.empty:
             return
         entry = Entry(1, 1, VOTERS, cbor2.dumps(dict(sorted(voters.items()))))
-        if self.journal.write([vote_record(1, ""), entry_record(entry)]).is_ok():
-            self.epoch = 1
-            self.entries = [entry]
+        if self.replicated_log.begin(1, entry):
             self.find_voters()
             self.put_off_election()
             self.log.write(FOUNDED, voters=sorted(voters.values()))
--- /dev/null
+++ b/tests/test_replicated_log.py
@@ -0,0 +1,84 @@
+"""The durable log of one member, without a network: appends, conflicts, snapshots, restarts."""
+
+import testtools
+
+from ryelock.council.entries import VOTERS, WORD, Entry, Image
+from ryelock.council.log import ReplicatedLog
+from ryelock.events import QuietLog
+from ryelock.journal import Journal, open_journal
+from ryelock.proving.simulated import SimFolder
+
+
+def word(index: int, epoch: int) -> Entry:
+    return Entry(index, epoch, WORD, b"%d in %d" % (index, epoch))
+
+
+def positions(log: ReplicatedLog) -> list[tuple[int, int]]:
+    return [(entry.index, entry.epoch) for entry in log.entries]
+
+
+class ReplicatedLogTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = SimFolder()
+        self.log = self.reopened()
+
+    def journal(self) -> Journal:
+        found = open_journal(self.folder, QuietLog("test"), 4096)
+        assert found.is_ok()
+        return found.ok
+
+    def reopened(self) -> ReplicatedLog:
+        return ReplicatedLog(self.journal())
+
+    def fill(self, last: int, epoch: int = 1) -> None:
+        self.assertTrue(self.log.save_vote(epoch, "disk"))
+        self.assertTrue(self.log.append([word(index, epoch) for index in range(1, last + 1)]))
+
+    def snapshot(self, index: int, epoch: int = 1) -> Image:
+        return Image(index, epoch, {"disk": "address"}, b"state", index)
+
+    def test_a_new_log_is_empty_until_something_is_written(self) -> None:
+        self.assertTrue(self.log.empty)
+        self.assertEqual((0, 0), (self.log.last_index, self.log.epoch_at(0)))
+        self.fill(3)
+        self.assertFalse(self.log.empty)
+        self.assertFalse(self.reopened().empty)
+
+    def test_an_append_skips_what_is_there_and_replaces_what_differs(self) -> None:
+        self.fill(5)
+        self.assertTrue(self.log.append([word(2, 1), word(3, 1)]))
+        self.assertEqual(5, self.log.last_index)
+        self.assertTrue(self.log.append([word(3, 1), word(4, 2)]))
+        expected = [(1, 1), (2, 1), (3, 1), (4, 2)]
+        self.assertEqual(expected, positions(self.log))
+        self.assertEqual(expected, positions(self.reopened()))
+
+    def test_a_failed_write_leaves_the_log_as_it_was(self) -> None:
+        self.fill(5)
+        self.folder.full = True
+        self.assertFalse(self.log.append([word(4, 2)]))
+        self.assertFalse(self.log.save_vote(7, "other"))
+        self.assertFalse(self.log.compact(self.snapshot(3)))
+        self.assertFalse(self.log.install(self.snapshot(9)))
+        self.assertEqual([(index, 1) for index in range(1, 6)], positions(self.log))
+        self.assertEqual((1, "disk", 0), (self.log.epoch, self.log.voted, self.log.snapshot.index))
+
+    def test_compaction_keeps_the_entries_behind_and_the_vote(self) -> None:
+        self.fill(5, epoch=3)
+        self.assertTrue(self.log.save_promise(True))
+        self.assertTrue(self.log.compact(self.snapshot(3, 3)))
+        for log in (self.log, self.reopened()):
+            self.assertEqual([(4, 3), (5, 3)], positions(log))
+            self.assertEqual((3, 3, 5), (log.snapshot.index, log.epoch_at(3), log.last_index))
+            self.assertEqual((3, "disk", True), (log.epoch, log.voted, log.promise_noted))
+
+    def test_voters_are_those_of_the_last_entry_that_names_some(self) -> None:
+        self.fill(2)
+        named = Entry(3, 1, VOTERS, b"\xa1\x61a\x61b")
+        self.assertTrue(self.log.append([named, word(4, 1)]))
+        self.assertEqual({}, self.log.voters_at(2))
+        self.assertEqual({"a": "b"}, self.log.voters_at(3))
+        self.assertEqual({"a": "b"}, self.log.voters_at(self.log.last_index))
+        self.assertTrue(self.log.compact(Image(4, 1, {"a": "b"}, b"", 4)))
+        self.assertEqual({"a": "b"}, self.reopened().voters_at(4))
