--- a/packages/journal/ryelock/journal/__init__.py
+++ b/packages/journal/ryelock/journal/__init__.py
@@ -7,20 +7,14 @@
 and only then is what it stands for deleted.
 """
 
-import struct
-import zlib
-
 from expression import Error, Ok, Result
 
 from ryelock.events import JOURNAL_FULL, JOURNAL_TORN, Log
 from ryelock.journal.folder import Folder, FolderError, MachineFolder
+from ryelock.journal.frames import pack_batch, read_frames, sound_behind
 
 __all__ = ["Folder", "FolderError", "Journal", "JournalError", "MachineFolder", "open_journal"]
 
-MARK = b"\xa5\x52"
-HEADER = struct.Struct(">2sII")
-RECORD_MOST = 134_217_728
-
 
 class JournalError(Exception):
     """The journal could not be read or written; damaged tells which."""
@@ -31,41 +25,6 @@
         self.damaged = damaged
 
 
-def pack(record: bytes) -> bytes:
-    return HEADER.pack(MARK, len(record), zlib.crc32(record)) + record
-
-
-def sound_at(data: bytes, place: int) -> bytes | None:
-    """The record that starts at a place, or None."""
-    if place + HEADER.size > len(data):
-        return None
-    mark, size, checksum = HEADER.unpack_from(data, place)
-    if mark != MARK or size > RECORD_MOST or place + HEADER.size + size > len(data):
-        return None
-    record = data[place + HEADER.size : place + HEADER.size + size]
-    return record if zlib.crc32(record) == checksum else None
-
-
-def read_records(data: bytes) -> tuple[list[bytes], int]:
-    """Sound records from the start, and where they end."""
-    records: list[bytes] = []
-    place = 0
-    while (record := sound_at(data, place)) is not None:
-        records.append(record)
-        place += HEADER.size + len(record)
-    return records, place
-
-
-def sound_behind(data: bytes, place: int) -> bool:
-    """Whether any sound record stands behind a bad one."""
-    found = data.find(MARK, place + 1)
-    while found >= 0:
-        if sound_at(data, found) is not None:
-            return True
-        found = data.find(MARK, found + 1)
-    return False
-
-
 def segment_name(number: int) -> str:
     return f"segment-{number:010d}"
 
@@ -110,7 +69,7 @@
 
     def write(self, records: list[bytes]) -> Result[None, JournalError]:
         """Append records and sync them; on an error none of them counts."""
-        data = b"".join(pack(record) for record in records)
+        data = pack_batch(records)
         try:
             if self.broken:
                 self.repair()
@@ -139,10 +98,10 @@
     def write_image(self, image: bytes, records: list[bytes]) -> Result[None, JournalError]:
         """Start a segment with the records still needed, then let an image replace the past."""
         number = self.segment + 1
-        data = b"".join(pack(record) for record in records)
+        data = pack_batch(records)
         try:
             self.folder.write_whole(segment_name(number), data)
-            self.folder.write_whole(image_name(number), pack(image))
+            self.folder.write_whole(image_name(number), pack_batch([image]))
         except FolderError as error:
             self.log.write(JOURNAL_FULL, fault=str(error))
             return Error(JournalError(str(error), False))
@@ -173,7 +132,7 @@
         first = 0
         if images:
             first = images[-1]
-            found, end = read_records(folder.read(image_name(first)))
+            found, end = read_frames(folder.read(image_name(first)))
             if len(found) != 1:
                 return Error(JournalError(f"{image_name(first)} is damaged", True))
             journal.image = found[0]
@@ -187,7 +146,7 @@
         for number in segments:
             name = segment_name(number)
             data = folder.read(name)
-            found, end = read_records(data)
+            found, end = read_frames(data)
             if end < len(data):
                 if number != segments[-1] or sound_behind(data, end):
                     return Error(JournalError(f"{name} is damaged at byte {end}", True))
--- a/packages/journal/ryelock/journal/folder.py
+++ b/packages/journal/ryelock/journal/folder.py
@@ -1,10 +1,15 @@
 """The one data folder, as the journal needs it; the simulator has another that loses things."""
 
 import os
+from contextlib import suppress
 from pathlib import Path
 from typing import Protocol
 
 
+PARTIAL_SUFFIX = ".new"
+"""Ends the name of a file that is not whole yet; it counts for nothing."""
+
+
 class FolderError(Exception):
     """The folder could not be read or written."""
 
@@ -59,6 +64,12 @@
             self.open_name = name
         return self.open_file
 
+    def close_file(self, name: str) -> None:
+        """Forget the open file of that name, which is about to be another or none."""
+        if self.open_name == name:
+            file, self.open_file, self.open_name = self.open_file, -1, ""
+            os.close(file)
+
     def append(self, name: str, data: bytes) -> None:
         try:
             file = self.file_for(name)
@@ -81,8 +92,9 @@
             raise FolderError(f"{name}: {error.strerror}") from error
 
     def write_whole(self, name: str, data: bytes) -> None:
-        beside = self.path / f"{name}.new"
+        beside = self.path / f"{name}{PARTIAL_SUFFIX}"
         try:
+            self.close_file(name)
             with open(beside, "wb") as file:
                 file.write(data)
                 file.flush()
@@ -90,6 +102,8 @@
             os.replace(beside, self.path / name)
             self.sync_folder()
         except OSError as error:
+            with suppress(OSError):
+                beside.unlink(missing_ok=True)
             raise FolderError(f"{name}: {error.strerror}") from error
 
     def sync_folder(self) -> None:
@@ -108,10 +122,7 @@
 
     def delete(self, name: str) -> None:
         try:
-            if self.open_name == name:
-                os.close(self.open_file)
-                self.open_name = ""
-                self.open_file = -1
+            self.close_file(name)
             os.unlink(self.path / name)
         except OSError as error:
             raise FolderError(f"{name}: {error.strerror}") from error
