Outcomes of changes have room of their own; the standing change is never forgotten

Cause: outcomes of changes, purges and drains shared one list of 2,000; after 2,001 purges (48 s at 42 a second) a change that was acknowledged, and sent again after a lost answer, was told 'conflict' though it stood (seen on the code before: conflict at version 1). Refused changes pushed it out the same way.

Take-outs: no version check, no memory, no standing outcome.

--- a/packages/proving/ryelock/proving/control_cases.py
+++ b/packages/proving/ryelock/proving/control_cases.py
@@ -24,6 +24,14 @@
 """An isolated control node serves again this long after it was reconnected."""
 PAUSE_SECONDS = 0.7
 RENEWAL_SECONDS = 0.1
+RACERS_MOST = 8
+RACE_SECONDS = 25.0
+RACE_ROUNDS = 5
+LOST_SHARE = 0.5
+NOISE_PURGES = 40
+RESEND_SECONDS = 0.15
+LOST_ROUNDS = 4
+LOST_PURGES = 60
 
 OK = 200
 CONFLICT = 409
@@ -402,7 +410,244 @@
         found.broken("in flight", "the change that the majority took is lost")
 
 
+@dataclass(slots=True)
+class Racer:
+    """One operator's change in a race: how it ended and how often it was acknowledged.
+
+    `final` is the status that ended it, 0 as long as it had no clear answer.
+    """
+
+    identity: str
+    base: int
+    final: int = 0
+    acknowledged: int = 0
+    refused_after: bool = False
+
+
+def racing_changes(seed: int) -> Findings:
+    """Up to eight operators race for one number, beside faults and with lost acknowledgements."""
+    scenario = Scenario(seed, edges=1, probers=0)
+    scenario.set_up()
+    found = Findings()
+    random = Random(f"races {seed}")
+    racers: list[Racer] = []
+    for number in range(RACE_ROUNDS):
+        base = newest_version(scenario)
+        found.look("race")
+        if base < 0:
+            found.broken("race", "the version could not be read before a race")
+            return found
+        racing = [
+            Racer(f"race-{number}-{place}", base)
+            for place in range(random.randrange(2, RACERS_MOST + 1))
+        ]
+        racers += racing
+        run_race(scenario, random, number, racing)
+        judge_race(number, racing, found)
+    judge_races(scenario, racers, found)
+    return found
+
+
+def newest_version(scenario: Scenario) -> int:
+    """The version as read through any control node, or -1 where nobody answers in time."""
+    versions: list[int] = []
+
+    def read() -> Step[None]:
+        while not versions:
+            status, answer = yield from scenario.operator("GET", "/configuration")
+            version = answer.get("version")
+            if status == OK and isinstance(version, int):
+                versions.append(version)
+            yield from scenario.operators.scheduler.pause(RESEND_SECONDS)
+
+    running = scenario.operators.scheduler.spawn("read", read())
+    scenario.world.run_until(lambda: bool(versions), RACE_SECONDS)
+    running.cancel()
+    return versions[0] if versions else -1
+
+
+def run_race(scenario: Scenario, random: Random, number: int, racing: list[Racer]) -> None:
+    """Let all racers send at once, strike the control plane meanwhile, and wait for all ends."""
+    running = [
+        scenario.operators.scheduler.spawn(racer.identity, race(scenario, random, racer))
+        for racer in racing
+    ]
+    strike = random.choice(sorted(STRIKES))
+    scenario.world.later(random.random() * 0.3, lambda: STRIKES[strike](scenario))
+    scenario.operators.scheduler.spawn("noise", make_noise(scenario, number))
+    scenario.world.run(3.0)
+    scenario.mend_all()
+    scenario.world.run_until(lambda: all(task.over for task in running), RACE_SECONDS)
+    for task in running:
+        task.cancel()
+    scenario.world.run(1.0)
+
+
+def strike_nothing(_scenario: Scenario) -> None:
+    """No fault at all."""
+
+
+def kill_leader(scenario: Scenario) -> None:
+    leader = scenario.leader()
+    if leader:
+        scenario.world.kill(leader)
+
+
+def cut_leader_power(scenario: Scenario) -> None:
+    leader = scenario.leader()
+    if leader:
+        scenario.world.kill(leader, True)
+
+
+def cut_leader_off(scenario: Scenario) -> None:
+    leader = scenario.leader()
+    if leader:
+        isolate_both_ways(scenario, leader)
+
+
+def cut_all_power(scenario: Scenario) -> None:
+    for name in scenario.cores:
+        scenario.world.kill(name, True)
+    scenario.world.later(0.5, lambda: restart_all(scenario))
+
+
+def restart_all(scenario: Scenario) -> None:
+    for name in scenario.cores:
+        if not scenario.node(name).alive:
+            scenario.start(name)
+
+
+STRIKES: dict[str, Callable[[Scenario], None]] = {
+    "nothing": strike_nothing,
+    "leader killed": kill_leader,
+    "leader without power": cut_leader_power,
+    "leader cut off": cut_leader_off,
+    "all without power": cut_all_power,
+}
+
+
+def make_noise(scenario: Scenario, number: int) -> Step[None]:
+    """Purges beside the race: entries that change no configuration."""
+    for count in range(NOISE_PURGES):
+        given = {"id": f"noise-{number}-{count}", "scopes": [{"path": f"/covers/{count}"}]}
+        yield from scenario.operator("POST", "/purges", given)
+
+
+def race(scenario: Scenario, random: Random, racer: Racer) -> Step[None]:
+    """Send one change until its answer is clear; at times lose the answer and send it again."""
+    while not racer.final:
+        names = scenario.alive(scenario.cores)
+        if names:
+            through = random.choice(names)
+            change = route_change(racer.identity, racer.base)
+            change["version"] = racer.base + 1
+            status, _ = yield from scenario.operator("POST", "/changes", change, through)
+            if status == OK:
+                racer.acknowledged += 1
+                if random.random() >= LOST_SHARE:
+                    racer.final = status
+            elif status in FINAL_REFUSALS:
+                racer.refused_after = racer.acknowledged > 0
+                racer.final = status
+        yield from scenario.operators.scheduler.pause(RESEND_SECONDS * random.random())
+
+
+def judge_race(number: int, racing: list[Racer], found: Findings) -> None:
+    """Exactly one racer of a round is acknowledged, also when it is sent again."""
+    winners = [racer.identity for racer in racing if racer.acknowledged]
+    found.look("one winner")
+    if len(winners) != 1:
+        found.broken("one winner", f"round {number}: acknowledged were {winners}")
+    for racer in racing:
+        found.look("sent again")
+        if racer.refused_after:
+            found.broken("sent again", f"{racer.identity} was acknowledged and then refused")
+        if not racer.final:
+            found.broken("sent again", f"{racer.identity} never had a clear answer")
+
+
+def judge_races(scenario: Scenario, racers: list[Racer], found: Findings) -> None:
+    """What was acknowledged is in force, and nothing that was refused is."""
+    status, answer = scenario.ask_now("GET", "/configuration")
+    configuration = answer.get("configuration")
+    routes = configuration.get("routes", {}) if isinstance(configuration, dict) else {}
+    found.look("in force")
+    if status != OK:
+        found.broken("in force", f"the last read was answered {status}")
+        return
+    for racer in racers:
+        present = racer.identity in routes
+        if racer.acknowledged and not present:
+            found.broken("in force", f"{racer.identity} was acknowledged and is not in force")
+        if present and racer.final in FINAL_REFUSALS:
+            found.broken("in force", f"{racer.identity} was refused and is in force")
+
+
+def lost_acknowledgement(seed: int) -> Findings:
+    """A change is sent again, to every node, long after it was acknowledged.
+
+    Meanwhile come more purges and refused changes than are remembered, snapshots, restarts, a
+    wiped disk and new leaders, but no other change.
+    """
+    settings: dict[str, object] = {"image_records": 50}
+    scenario = Scenario(seed, edges=1, probers=0, settings=settings)
+    scenario.set_up()
+    found = Findings()
+    random = Random(f"lost {seed}")
+    version = 1
+    for number in range(LOST_ROUNDS):
+        change = route_change(f"lost-{number}", version)
+        send_again(scenario, change, version + 1, found, "at first")
+        version += 1
+        scenario.world.task(scenario.operators, make_much_noise(scenario, number), 120)
+        strike = random.choice(sorted(LOST_STRIKES))
+        LOST_STRIKES[strike](scenario)
+        scenario.world.run(2.0)
+        scenario.mend_all()
+        scenario.world.run_until(lambda: bool(scenario.leader()), RACE_SECONDS)
+        scenario.world.run(4.0)
+        send_again(scenario, change, version, found, strike)
+    return found
+
+
+def send_again(
+    scenario: Scenario, change: dict[str, object], version: int, found: Findings, when: str
+) -> None:
+    """The same change through every control node and edge is acknowledged with its version."""
+    for name in scenario.alive(scenario.cores + scenario.edges):
+        found.look("sent again")
+        status, answer = scenario.ask_now("POST", "/changes", change, name)
+        if status != OK or answer.get("version") != version:
+            text = f"{change['id']} through {name}, {when}: {status} {answer}"
+            found.broken("sent again", text)
+
+
+def make_much_noise(scenario: Scenario, number: int) -> Step[None]:
+    """More purges and refused changes than are remembered of each."""
+    for count in range(LOST_PURGES):
+        given = {"id": f"noise-{number}-{count}", "scopes": [{"path": f"/covers/{count}"}]}
+        yield from scenario.operator("POST", "/purges", given)
+        if count % 2:
+            refused = route_change(f"refused-{number}-{count}", 0)
+            yield from scenario.operator("POST", "/changes", refused)
+
+
+def wipe_follower(scenario: Scenario) -> None:
+    leader = scenario.leader()
+    scenario.lose_disk(next(name for name in scenario.cores if name != leader))
+
+
+LOST_STRIKES: dict[str, Callable[[Scenario], None]] = {
+    "leader killed": kill_leader,
+    "leader without power": cut_leader_power,
+    "all without power": cut_all_power,
+    "follower wiped": wipe_follower,
+}
+
+
 CONTROL_CASES: dict[str, Callable[[int], Findings]] = {
     "isolated-leader": isolated_leader,
     "isolated-follower": isolated_follower,
+    "racing-changes": racing_changes,
+    "lost-acknowledgement": lost_acknowledgement,
 }
--- a/packages/register/ryelock/register/state.py
+++ b/packages/register/ryelock/register/state.py
@@ -25,12 +25,13 @@
     places_of,
     still_standing,
 )
+from ryelock.register.outcomes import Outcomes, outcomes_of
 
-REMEMBERED = 2000
 PURGES_KEPT = 2000
 DECISIONS_KEPT = 500
 PURGE_KINDS = ("route", "prefix", "path", "label")
 CLAIMS_KEPT = 50_000
+CHANGE = "change"
 Plain = dict[str, object]
 
 
@@ -105,10 +106,11 @@
         self.verdict: Plain = {}
         self.derived: dict[str, Watch] = {}
         self.derivable: frozenset[str] = frozenset()
-        self.outcomes: OrderedDict[str, Plain] = OrderedDict()
+        self.outcomes = Outcomes()
         self.claims: OrderedDict[bytes, str] = OrderedDict()
 
-    def apply(self, index: int, data: bytes) -> object:
+    def apply(self, index: int, data: bytes) -> Plain:
+        """Apply one log entry; the outcome tells whether it was accepted, and why not."""
         self.index = index
         word = cbor2.loads(data)
         if not isinstance(word, dict):
@@ -126,17 +128,16 @@
         handler = handlers.get(str(word.get("word")))
         if handler is None:
             return {"status": "malformed"}
-        identity = word.get("id")
+        kind, identity = str(word["word"]), word.get("id")
         if not isinstance(identity, str):
             return self.guarded(handler, word)
-        key = f"{word['word']}:{identity}"
-        known = self.outcomes.get(key)
+        known = self.outcomes.find(kind, identity)
         if known is not None:
             return {**known, "again": True}
         outcome = self.guarded(handler, word)
-        self.outcomes[key] = outcome
-        while len(self.outcomes) > REMEMBERED:
-            self.outcomes.popitem(last=False)
+        if kind == CHANGE and outcome.get("status") == "accepted":
+            self.outcomes.stand(kind, identity)
+        self.outcomes.remember(kind, identity, outcome)
         return outcome
 
     def guarded(self, handler: Callable[[Plain], Plain], word: Plain) -> Plain:
@@ -266,7 +267,13 @@
 
     def image(self) -> bytes:
         """All of it, as the council's disks keep it."""
-        return cbor2.dumps({**self.shared(), "claims": list(self.claims.items())})
+        whole = {
+            **self.shared(),
+            "decisions": self.decisions,
+            "outcomes": self.outcomes.plain(),
+            "claims": list(self.claims.items()),
+        }
+        return cbor2.dumps(whole)
 
     def image_for_edges(self) -> bytes:
         """What edges need of it: no outcomes of old words and no past decisions."""
@@ -281,10 +288,8 @@
             "purges": [purge.plain() for purge in self.purges],
             "drains": self.drains,
             "duties": {name: duty.plain() for name, duty in self.duties.items()},
-            "decisions": self.decisions,
             "verdict": self.verdict,
             "derived": places_of(self.derived),
-            "outcomes": list(self.outcomes.items()),
         }
 
     def restore(self, data: bytes) -> None:
@@ -309,7 +314,7 @@
         self.verdict = found["verdict"]
         self.derived = derived_watches(self.configuration, found.get("derived", {}))
         self.derivable = derivable_routes(self.configuration, self.derived)
-        self.outcomes = OrderedDict((key, value) for key, value in found["outcomes"])
+        self.outcomes = outcomes_of(found["outcomes"])
         self.claims = OrderedDict((key, value) for key, value in found.get("claims", ()))
 
 
--- a/tests/test_control_cases.py
+++ b/tests/test_control_cases.py
@@ -14,6 +14,8 @@
 from ryelock.proving.control_cases import CONTROL_CASES, ISOLATIONS, route_change
 from ryelock.proving.scenario import Scenario
 from ryelock.proving.simulated import SimFolder
+from ryelock.register import Register, outcomes
+from ryelock.register.outcomes import Outcomes
 
 Patch = AbstractContextManager[Any]
 SEEDS = range(len(ISOLATIONS))
@@ -76,6 +78,61 @@
         self.breaks("isolated-leader", refusals_without_confirmation, "stale recoveries")
 
 
+def no_version_check() -> list[Patch]:
+    """A change is taken whatever version it builds on."""
+    plain = Register.change
+
+    def change(register: Register, word: Any) -> Any:
+        asked = dict(word["change"])
+        asked["base"] = register.version
+        asked["version"] = register.version + 1
+        return plain(register, {**word, "change": asked})
+
+    return [mock.patch.object(Register, "change", change)]
+
+
+def no_memory() -> list[Patch]:
+    """Nothing is known of a change that was taken before."""
+    return [mock.patch.object(Outcomes, "find", lambda *_: None)]
+
+
+def small_memory() -> list[Patch]:
+    return [mock.patch.object(outcomes, "REMEMBERED_MOST", 20)]
+
+
+def nothing_stands() -> list[Patch]:
+    """The outcome of the standing change is forgotten like any other."""
+    return [*small_memory(), mock.patch.object(Outcomes, "stand", lambda *_: None)]
+
+
+class RaceTests(testtools.TestCase):
+    def found(self, name: str, seed: int, patches: list[Patch]) -> list[str]:
+        with ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            return CONTROL_CASES[name](seed).violations
+
+    def test_one_of_racing_changes_is_acknowledged(self) -> None:
+        for seed in range(20):
+            self.assertEqual([], self.found("racing-changes", seed, []))
+
+    def test_without_the_version_check_several_are(self) -> None:
+        found = self.found("racing-changes", 1, no_version_check())
+        self.assertTrue([text for text in found if text.startswith("one winner")], found[:5])
+
+    def test_without_memory_a_repeated_change_is_refused(self) -> None:
+        found = self.found("racing-changes", 1, no_memory())
+        self.assertTrue([text for text in found if text.startswith("sent again")], found[:5])
+
+    def test_a_change_is_acknowledged_again_as_long_as_it_stands(self) -> None:
+        for seed in range(4):
+            self.assertEqual([], self.found("lost-acknowledgement", seed, small_memory()))
+
+    def test_a_standing_change_that_is_forgotten_is_refused(self) -> None:
+        found = self.found("lost-acknowledgement", 1, nothing_stands())
+        self.assertTrue([text for text in found if text.startswith("sent again")], found[:5])
+
+
 class UnconfirmedRenewalTests(testtools.TestCase):
     def test_it_carries_no_state(self) -> None:
         answer = renewals.unconfirmed_renewal({"register": 7}, 0.9)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,64 @@
+"""What came of a change is known as long as that change stands, whatever else was agreed on."""
+
+import testtools
+
+from ryelock.register import Register, encode_word
+from ryelock.register.outcomes import REMEMBERED_MOST, outcomes_of
+
+PURGE = [{"path": "/covers/1"}]
+SERVICE = {"pages": {"rate": 10, "answer_seconds": 2}}
+
+
+def change_word(identity: str, base: int) -> bytes:
+    return encode_word(
+        "change", id=identity, change={"id": identity, "base": base, "put": {"services": SERVICE}}
+    )
+
+
+class OutcomeTests(testtools.TestCase):
+    def register_with_change(self) -> Register:
+        register = Register()
+        outcome = register.apply(1, change_word("the change", 0))
+        self.assertEqual("accepted", outcome["status"])
+        return register
+
+    def assert_known(self, register: Register, index: int) -> None:
+        again = register.apply(index, change_word("the change", 0))
+        self.assertEqual(
+            ("accepted", 1, True), (again["status"], again["version"], again.get("again"))
+        )
+
+    def test_a_stream_of_purges_does_not_push_out_the_standing_change(self) -> None:
+        register = self.register_with_change()
+        for number in range(REMEMBERED_MOST + 1):
+            register.apply(2 + number, encode_word("purge", id=f"purge {number}", scopes=PURGE))
+        self.assert_known(register, 3 + REMEMBERED_MOST)
+
+    def test_refused_changes_do_not_push_it_out_either(self) -> None:
+        register = self.register_with_change()
+        for number in range(REMEMBERED_MOST + 1):
+            outcome = register.apply(2 + number, change_word(f"late {number}", 0))
+            self.assertEqual("conflict", outcome["status"])
+        self.assert_known(register, 3 + REMEMBERED_MOST)
+
+    def test_a_snapshot_keeps_it(self) -> None:
+        register = self.register_with_change()
+        copy = Register()
+        copy.restore(register.image())
+        for number in range(REMEMBERED_MOST + 1):
+            copy.apply(2 + number, change_word(f"late {number}", 0))
+        self.assert_known(copy, 3 + REMEMBERED_MOST)
+
+    def test_outcomes_of_a_snapshot_written_before_are_read(self) -> None:
+        outcomes = outcomes_of([["change:one", {"status": "accepted"}], ["purge:two", {}]])
+        self.assertEqual({"status": "accepted"}, outcomes.find("change", "one"))
+        self.assertEqual({}, outcomes.find("purge", "two"))
+
+    def test_what_is_no_list_of_outcomes_is_refused(self) -> None:
+        self.assertRaises(ValueError, outcomes_of, {"change": 1})
+
+    def test_room_is_bounded_for_each_kind(self) -> None:
+        register = self.register_with_change()
+        for number in range(REMEMBERED_MOST + 10):
+            register.apply(2 + number, change_word(f"late {number}", 0))
+        self.assertEqual(REMEMBERED_MOST, len(register.outcomes.by_kind["change"]))
