--- a/packages/core/ryelock/core/identity.py
+++ b/packages/core/ryelock/core/identity.py
@@ -1,5 +1,6 @@
 """Which disk this is. A folder that lost its journal, or whose journal is damaged, is another
-disk from then on: it has no vote until it was taken in anew."""
+disk from then on: it has no vote until it was taken in anew. The identity
+is written last and taken away first, so that it never stands without the whole journal."""
 
 import json
 from random import Random
@@ -11,6 +12,7 @@
 
 IDENTITY = "identity"
 ASIDE = "damaged-"
+JOURNAL_FILES = ("segment-", "image-")
 
 
 def open_disk(
@@ -19,7 +21,9 @@
     """The disk's name and its journal; a damaged journal is set aside for a fresh one."""
     try:
         disk = read_identity(folder)
-        if disk:
+        if disk and not has_journal(folder):
+            log.write(JOURNAL_DAMAGED, fault="the journal is gone", disk=disk)
+        elif disk:
             found = open_journal(folder, log, segment_bytes)
             if found.is_ok():
                 return Ok((disk, found.ok))
@@ -28,10 +32,10 @@
             log.write(JOURNAL_DAMAGED, fault=found.error.reason, disk=disk)
         set_aside(folder)
         disk = f"{random.getrandbits(64):016x}"
-        folder.write_whole(IDENTITY, json.dumps({"disk": disk}).encode())
         found = open_journal(folder, log, segment_bytes)
         if found.is_error():
             return Error(found.error)
+        folder.write_whole(IDENTITY, json.dumps({"disk": disk}).encode())
         return Ok((disk, found.ok))
     except FolderError as error:
         return Error(JournalError(str(error), False))
@@ -47,13 +51,21 @@
         return ""
 
 
+def has_journal(folder: Folder) -> bool:
+    return any(name.startswith(JOURNAL_FILES) for name in folder.names())
+
+
 def set_aside(folder: Folder) -> None:
-    """Keep what is damaged for a look, one generation of it."""
+    """Keep what is damaged for a look, one generation of it.
+
+    The identity goes first and lastingly: a part of a journal must never stand under a name that
+    still has a vote.
+    """
+    if IDENTITY in folder.names():
+        folder.write_whole(IDENTITY, b"")
     for name in folder.names():
         if name.startswith(ASIDE):
             folder.delete(name)
     for name in folder.names():
-        if name.startswith(("segment-", "image-")):
+        if name.startswith(JOURNAL_FILES):
             folder.rename(name, ASIDE + name)
-        elif name == IDENTITY:
-            folder.delete(name)
--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -1,4 +1,4 @@
-"""The durable replicated log of one member: epoch, vote, snapshot and the entries behind it.
+"""The durable replicated log of one member: epoch, vote, image and the entries behind it.
 
 `ReplicatedLog` holds what Raft calls persistent state and nothing else: it knows no network, no
 clock and no role, so that it can be tested alone. Each method that changes the log writes it to
@@ -22,13 +22,13 @@
 
 
 class ReplicatedLog:
-    """Entries with indexes from `snapshot.index + 1` up to `last_index`, without a gap.
+    """Entries with indexes from `image.index + 1` up to `last_index`, without a gap.
 
     `epoch` and `voted` are the current epoch and the disk that got this member's vote in it
     (empty: none). `promise_noted` says that the member may have promised to follow no leader.
     """
 
-    __slots__ = ("entries", "epoch", "journal", "promise_noted", "restored", "snapshot", "voted")
+    __slots__ = ("entries", "epoch", "image", "journal", "promise_noted", "restored", "voted")
 
     def __init__(self, journal: Journal) -> None:
         stored = Stored(journal.image, journal.records)
@@ -36,7 +36,7 @@
         self.restored = journal.image is not None or bool(journal.records)
         journal.image = None
         journal.records = []
-        self.snapshot = stored.image
+        self.image = stored.image
         self.entries = stored.entries
         self.epoch = stored.epoch
         self.voted = stored.voted
@@ -46,7 +46,7 @@
 
     @property
     def last_index(self) -> int:
-        return self.snapshot.index + len(self.entries)
+        return self.image.index + len(self.entries)
 
     @property
     def empty(self) -> bool:
@@ -54,33 +54,33 @@
         return not self.restored and not self.entries and self.epoch == 0
 
     def epoch_at(self, index: int) -> int:
-        """The epoch of the entry at an index from `snapshot.index` to `last_index`."""
-        if index == self.snapshot.index:
-            return self.snapshot.epoch
+        """The epoch of the entry at an index from `image.index` to `last_index`."""
+        if index == self.image.index:
+            return self.image.epoch
         return self.entry_at(index).epoch
 
     def entry_at(self, index: int) -> Entry:
-        """The entry at an index behind the snapshot."""
-        return self.entries[index - self.snapshot.index - 1]
+        """The entry at an index behind the image."""
+        return self.entries[index - self.image.index - 1]
 
     def entries_from(self, index: int) -> list[Entry]:
-        """All entries from an index on; the index lies behind the snapshot."""
-        return self.entries[index - self.snapshot.index - 1 :]
+        """All entries from an index on; the index lies behind the image."""
+        return self.entries[index - self.image.index - 1 :]
 
     def holds(self, index: int, epoch: int) -> bool:
-        """Whether the log has an entry of that epoch at that index, or its snapshot ends there."""
-        return self.snapshot.index <= index <= self.last_index and self.epoch_at(index) == epoch
+        """Whether the log has an entry of that epoch at that index, or its image ends there."""
+        return self.image.index <= index <= self.last_index and self.epoch_at(index) == epoch
 
     def voters_at(self, index: int) -> Voters:
         """The voters as the entries up to an index name them, agreed or not."""
-        for entry in reversed(self.entries[: index - self.snapshot.index]):
+        for entry in reversed(self.entries[: index - self.image.index]):
             if entry.kind == VOTERS:
                 return voters_of(entry.data)
-        return self.snapshot.voters
+        return self.image.voters
 
     def words_between(self, index: int, last: int) -> list[tuple[int, bytes]]:
         """The words behind an index, up to and with the last; both lie within the log."""
-        between = self.entries[index - self.snapshot.index : last - self.snapshot.index]
+        between = self.entries[index - self.image.index : last - self.image.index]
         return [(entry.index, entry.data) for entry in between if entry.kind == WORD]
 
     def last_word(self) -> int:
@@ -88,7 +88,7 @@
         for entry in reversed(self.entries):
             if entry.kind == WORD:
                 return entry.index
-        return self.snapshot.word
+        return self.image.word
 
     # Changing.
 
@@ -120,33 +120,33 @@
         lacking = list(entries)
         while lacking and lacking[0].index <= self.last_index:
             first = lacking[0]
-            if first.index > self.snapshot.index and self.epoch_at(first.index) != first.epoch:
+            if first.index > self.image.index and self.epoch_at(first.index) != first.epoch:
                 break
             lacking.pop(0)
         if not lacking:
             return True
         if self.journal.write([entry_record(entry) for entry in lacking]).is_error():
             return False
-        del self.entries[lacking[0].index - self.snapshot.index - 1 :]
+        del self.entries[lacking[0].index - self.image.index - 1 :]
         self.entries += lacking
         return True
 
-    def compact(self, snapshot: Image) -> bool:
-        """Put a snapshot of this log's own entries in their place."""
-        return self.replace_start(snapshot, self.entries_from(snapshot.index + 1))
+    def compact(self, image: Image) -> bool:
+        """Put an image of this log's own entries in their place."""
+        return self.replace_start(image, self.entries_from(image.index + 1))
 
-    def install(self, snapshot: Image) -> bool:
-        """Take a leader's snapshot, which reaches farther than what this member has applied."""
-        return self.replace_start(snapshot, [])
+    def install(self, image: Image) -> bool:
+        """Take a leader's image, which reaches farther than what this member has applied."""
+        return self.replace_start(image, [])
 
-    def replace_start(self, snapshot: Image, kept: list[Entry]) -> bool:
+    def replace_start(self, image: Image, kept: list[Entry]) -> bool:
         records = [
             vote_record(self.epoch, self.voted),
             promise_record(self.promise_noted),
             *(entry_record(entry) for entry in kept),
         ]
-        if self.journal.write_image(snapshot.encode(), records).is_error():
+        if self.journal.write_image(image.encode(), records).is_error():
             return False
-        self.snapshot = snapshot
+        self.image = image
         self.entries = kept
         return True
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -225,8 +225,8 @@
 
     @property
     def base(self) -> Image:
-        """The snapshot that the entries follow."""
-        return self.replicated_log.snapshot
+        """The image that the entries follow."""
+        return self.replicated_log.image
 
     @property
     def entries(self) -> list[Entry]:
--- a/packages/journal/ryelock/journal/__init__.py
+++ b/packages/journal/ryelock/journal/__init__.py
@@ -1,16 +1,27 @@
-"""A log in segments with images beside it; a record counts once it was synced.
+"""A log in segments with an image of its start; a record counts once it was synced.
 
-Each record carries a mark, its length and a checksum. A bad record at the very end of the
-last segment, with nothing sound behind it, is a write that lost power: it is cut. A bad
-record anywhere else is damage, and the journal does not open. An image with number N stands
-for everything before segment N; it is written whole under another name, synced and renamed,
-and only then is what it stands for deleted.
+Files, by number: `segment-N` holds frames in the order of their writes; `image-N` is one frame
+that stands for everything before segment N: the image itself and the records behind it that were
+still needed. Opening replays the newest image and then all segments from its number on.
+
+Order of writing an image, and why a replay is right after a failure or crash at any point:
+
+1. Cut what a failed write may have left in the current segment.
+2. Make the empty segment N durable and go on in it, whatever comes of the image. No older segment
+   is appended to again, so that it does not matter from when on they are ignored.
+3. Write image N whole under another name, sync it, rename it, sync the folder. Whether a failed
+   attempt left its name behind or not, image N and all that it replaces say the same.
+4. Only then delete older files. A name that comes back after a loss of power is ignored.
+
+A bad frame at the very end of the last segment, with nothing sound behind it, is a write that
+lost power: it is cut. A bad frame anywhere else is damage, and the journal does not open. See
+frames.py for the format and docs/consensus-log.md for the argument.
 """
 
 from expression import Error, Ok, Result
 
 from ryelock.events import JOURNAL_FULL, JOURNAL_TORN, Log
-from ryelock.journal.folder import Folder, FolderError, MachineFolder
+from ryelock.journal.folder import PARTIAL_SUFFIX, Folder, FolderError, MachineFolder
 from ryelock.journal.frames import pack_batch, read_frames, sound_behind
 
 __all__ = ["Folder", "FolderError", "Journal", "JournalError", "MachineFolder", "open_journal"]
@@ -42,7 +53,11 @@
 
 
 class Journal:
-    """The open journal of one process; every write blocks until it is synced."""
+    """The open journal of one process; every write blocks until it is synced.
+
+    `size` is the length of the current segment that is known to be good. `written` counts the
+    records that a replay would read besides the image.
+    """
 
     __slots__ = (
         "broken",
@@ -50,6 +65,7 @@
         "image",
         "log",
         "records",
+        "rotation_due",
         "segment",
         "segment_bytes",
         "size",
@@ -66,61 +82,73 @@
         self.size = 0
         self.written = 0
         self.broken = False
+        self.rotation_due = False
 
     def write(self, records: list[bytes]) -> Result[None, JournalError]:
-        """Append records and sync them; on an error none of them counts."""
+        """Append records as one batch and sync them; on an error none of them counts."""
         data = pack_batch(records)
         try:
-            if self.broken:
-                self.repair()
-            if self.size >= self.segment_bytes:
-                self.folder.write_whole(segment_name(self.segment + 1), b"")
-                self.segment += 1
-                self.size = 0
+            self.repair()
+            if self.rotation_due or self.size >= self.segment_bytes:
+                self.start_segment()
             name = segment_name(self.segment)
+            self.broken = True
             self.folder.append(name, data)
             self.folder.sync(name)
+            self.broken = False
         except FolderError as error:
-            self.broken = True
-            self.log.write(JOURNAL_FULL, fault=str(error))
-            return Error(JournalError(str(error), False))
+            return self.failed(error)
         self.size += len(data)
         self.written += len(records)
         return Ok(None)
 
+    def failed(self, error: FolderError) -> Result[None, JournalError]:
+        self.log.write(JOURNAL_FULL, fault=str(error))
+        return Error(JournalError(str(error), False))
+
     def repair(self) -> None:
-        """Cut what an unfinished write may have left, before the next one."""
+        """Cut what a failed write may have left behind the last good one."""
+        if not self.broken:
+            return
         name = segment_name(self.segment)
         self.folder.truncate(name, self.size)
         self.folder.sync(name)
         self.broken = False
 
+    def start_segment(self) -> None:
+        """Go on in a new, empty segment; the current one must be repaired.
+
+        Where this fails the name may be there or not: the old segment gets no more frames, since
+        a torn one in it would not be the last of the journal, and the next write tries again.
+        """
+        self.rotation_due = True
+        self.folder.write_whole(segment_name(self.segment + 1), b"")
+        self.rotation_due = False
+        self.segment += 1
+        self.size = 0
+
     def write_image(self, image: bytes, records: list[bytes]) -> Result[None, JournalError]:
-        """Start a segment with the records still needed, then let an image replace the past."""
-        number = self.segment + 1
-        data = pack_batch(records)
+        """Put an image and the records still needed in place of all that was written."""
         try:
-            self.folder.write_whole(segment_name(number), data)
-            self.folder.write_whole(image_name(number), pack_batch([image]))
+            self.repair()
+            if self.rotation_due or self.size > 0:
+                self.start_segment()
+            self.folder.write_whole(image_name(self.segment), pack_batch([image, *records]))
         except FolderError as error:
-            self.log.write(JOURNAL_FULL, fault=str(error))
-            return Error(JournalError(str(error), False))
-        self.segment = number
-        self.size = len(data)
+            return self.failed(error)
         self.written = len(records)
-        self.broken = False
+        self.delete_before(self.segment)
+        return Ok(None)
+
+    def delete_before(self, number: int) -> None:
+        """Delete the files that an image replaced; what stays behind is ignored."""
         for name in self.folder.names():
-            old = (
-                name.startswith(("segment-", "image-"))
-                and name[-10:].isdigit()
-                and int(name[-10:]) < number
-            )
-            if old:
+            kind, _, text = name.partition("-")
+            if kind in ("segment", "image") and text.isdigit() and int(text) < number:
                 try:
                     self.folder.delete(name)
                 except FolderError:
-                    break
-        return Ok(None)
+                    return
 
 
 def open_journal(folder: Folder, log: Log, segment_bytes: int) -> Result[Journal, JournalError]:
@@ -128,21 +156,22 @@
     journal = Journal(folder, log, segment_bytes)
     try:
         names = folder.names()
+        for name in names:
+            if name.endswith(PARTIAL_SUFFIX):
+                folder.delete(name)
         images = numbers(names, "image")
-        first = 0
+        first = images[-1] if images else 0
         if images:
-            first = images[-1]
-            found, end = read_frames(folder.read(image_name(first)))
-            if len(found) != 1:
+            data = folder.read(image_name(first))
+            found, end = read_frames(data)
+            if not found or end < len(data):
                 return Error(JournalError(f"{image_name(first)} is damaged", True))
-            journal.image = found[0]
+            journal.image, *journal.records = found
         segments = [number for number in numbers(names, "segment") if number >= first]
-        if segments != list(
-            range(segments[0] if segments else 0, (segments[-1] + 1) if segments else 0)
-        ):
-            return Error(JournalError("a segment is missing", True))
-        if (images and not segments) or (segments and segments[0] != first):
+        if images and not segments:
             return Error(JournalError("the first segment is missing", True))
+        if segments != list(range(first, first + len(segments))):
+            return Error(JournalError("a segment is missing", True))
         for number in segments:
             name = segment_name(number)
             data = folder.read(name)
--- a/packages/journal/ryelock/journal/folder.py
+++ b/packages/journal/ryelock/journal/folder.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import Protocol
 
-
 PARTIAL_SUFFIX = ".new"
 """Ends the name of a file that is not whole yet; it counts for nothing."""
 
--- a/tests/test_replicated_log.py
+++ b/tests/test_replicated_log.py
@@ -5,7 +5,7 @@
 from ryelock.council.entries import VOTERS, WORD, Entry, Image
 from ryelock.council.log import ReplicatedLog
 from ryelock.events import QuietLog
-from ryelock.journal import Journal, open_journal
+from ryelock.journal import FolderError, Journal, open_journal
 from ryelock.proving.simulated import SimFolder
 
 
@@ -17,6 +17,15 @@
     return [(entry.index, entry.epoch) for entry in log.entries]
 
 
+class NoImageFolder(SimFolder):
+    """A disk that has room for small files only."""
+
+    def write_whole(self, name: str, data: bytes) -> None:
+        if name.startswith("image-"):
+            raise FolderError("no space left on device")
+        super().write_whole(name, data)
+
+
 class ReplicatedLogTests(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -62,7 +71,7 @@
         self.assertFalse(self.log.compact(self.snapshot(3)))
         self.assertFalse(self.log.install(self.snapshot(9)))
         self.assertEqual([(index, 1) for index in range(1, 6)], positions(self.log))
-        self.assertEqual((1, "disk", 0), (self.log.epoch, self.log.voted, self.log.snapshot.index))
+        self.assertEqual((1, "disk", 0), (self.log.epoch, self.log.voted, self.log.image.index))
 
     def test_compaction_keeps_the_entries_behind_and_the_vote(self) -> None:
         self.fill(5, epoch=3)
@@ -70,7 +79,7 @@
         self.assertTrue(self.log.compact(self.snapshot(3, 3)))
         for log in (self.log, self.reopened()):
             self.assertEqual([(4, 3), (5, 3)], positions(log))
-            self.assertEqual((3, 3, 5), (log.snapshot.index, log.epoch_at(3), log.last_index))
+            self.assertEqual((3, 3, 5), (log.image.index, log.epoch_at(3), log.last_index))
             self.assertEqual((3, "disk", True), (log.epoch, log.voted, log.promise_noted))
 
     def test_voters_are_those_of_the_last_entry_that_names_some(self) -> None:
@@ -82,3 +91,14 @@
         self.assertEqual({"a": "b"}, self.log.voters_at(self.log.last_index))
         self.assertTrue(self.log.compact(Image(4, 1, {"a": "b"}, b"", 4)))
         self.assertEqual({"a": "b"}, self.reopened().voters_at(4))
+
+    def test_a_snapshot_that_failed_brings_back_no_older_vote_or_entry(self) -> None:
+        self.folder = NoImageFolder()
+        self.log = self.reopened()
+        self.fill(5, epoch=3)
+        self.assertFalse(self.log.compact(self.snapshot(3, 3)))
+        self.assertTrue(self.log.save_vote(8, "another"))
+        self.assertTrue(self.log.append([word(6, 8), word(7, 8)]))
+        again = self.reopened()
+        self.assertEqual((8, "another"), (again.epoch, again.voted))
+        self.assertEqual([3, 3, 3, 3, 3, 8, 8], [entry.epoch for entry in again.entries])
