--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -95,14 +95,20 @@
         return self.files[name].content
 
     def append(self, name: str, data: bytes) -> None:
-        file = self.files[name]
+        file = self.files.setdefault(name, File())
         self.step(lambda: file.append(data), lambda: file.append(data[: len(data) // 2]))
 
     def sync(self, name: str) -> None:
-        self.step(self.files[name].sync)
+        file = self.files[name]
+
+        def act() -> None:
+            file.sync()
+            self.durable[name] = file
+
+        self.step(act)
 
     def truncate(self, name: str, size: int) -> None:
-        file = self.files[name]
+        file = self.files.setdefault(name, File())
         self.step(lambda: file.truncate(size))
 
     def write_whole(self, name: str, data: bytes) -> None:
