Council: an installed image keeps the acknowledged entries behind it

Cause: on_image dropped all entries, also those behind the image that this member had acknowledged, so that an agreed entry could stand on fewer disks than the leader counted.

--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -136,8 +136,13 @@
         return self.replace_start(image, self.entries_from(image.index + 1))
 
     def install(self, image: Image) -> bool:
-        """Take a leader's image, which reaches farther than what this member has applied."""
-        return self.replace_start(image, [])
+        """Take a leader's image, which reaches farther than what this member has applied.
+
+        Where the entry at its end has its epoch the logs agree up to there, and the entries behind
+        it stay: they were acknowledged, and a leader may count on them.
+        """
+        agrees = self.holds(image.index, image.epoch)
+        return self.replace_start(image, self.entries_from(image.index + 1) if agrees else [])
 
     def replace_start(self, image: Image, kept: list[Entry]) -> bool:
         records = [
--- a/tests/test_replicated_log.py
+++ b/tests/test_replicated_log.py
@@ -102,3 +102,23 @@
         again = self.reopened()
         self.assertEqual((8, "another"), (again.epoch, again.voted))
         self.assertEqual([3, 3, 3, 3, 3, 8, 8], [entry.epoch for entry in again.entries])
+
+    def test_an_image_keeps_the_acknowledged_entries_behind_it(self) -> None:
+        """Of entries to 10 and an image at 7, entries 8 to 10 stay: a leader may count on them."""
+        self.fill(10, epoch=2)
+        self.assertTrue(self.log.install(self.snapshot(7, 2)))
+        for log in (self.log, self.reopened()):
+            self.assertEqual([(8, 2), (9, 2), (10, 2)], positions(log))
+            self.assertEqual((7, 10), (log.image.index, log.last_index))
+
+    def test_an_image_of_another_epoch_at_its_end_replaces_the_log(self) -> None:
+        self.fill(10, epoch=2)
+        self.assertTrue(self.log.install(self.snapshot(7, 3)))
+        for log in (self.log, self.reopened()):
+            self.assertEqual([], log.entries)
+            self.assertEqual((7, 3), (log.last_index, log.epoch_at(7)))
+
+    def test_an_image_beyond_the_log_replaces_it(self) -> None:
+        self.fill(5, epoch=2)
+        self.assertTrue(self.log.install(self.snapshot(7, 2)))
+        self.assertEqual((7, []), (self.log.last_index, self.reopened().entries))
