Council: a follower that is behind is found level in a few rounds, also over a slow link

(2) A follower that compacted while its answers were lost was walked back one a round to an image; it now says that its image ends there.

--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -6,6 +6,8 @@
 returns False.
 """
 
+from bisect import bisect_left, bisect_right
+
 from ryelock.council.entries import (
     VOTERS,
     WORD,
@@ -21,6 +23,11 @@
 from ryelock.journal import Journal
 
 
+def epoch_of(entry: Entry) -> int:
+    """The key by which a log's entries are in order."""
+    return entry.epoch
+
+
 class ReplicatedLog:
     """Entries with indexes from `image.index + 1` up to `last_index`, without a gap.
 
@@ -71,6 +78,15 @@
         """Whether the log has an entry of that epoch at that index, or its image ends there."""
         return self.image.index <= index <= self.last_index and self.epoch_at(index) == epoch
 
+    def first_of_epoch_at(self, index: int) -> int:
+        """The first index behind the image whose entry has the epoch of the one at an index."""
+        epoch = self.epoch_at(index)
+        return self.image.index + 1 + bisect_left(self.entries, epoch, key=epoch_of)
+
+    def last_of_epochs_until(self, epoch: int) -> int:
+        """The last index whose entry's epoch is not above one; the image's end if there is none."""
+        return self.image.index + bisect_right(self.entries, epoch, key=epoch_of)
+
     def voters_at(self, index: int) -> Voters:
         """The voters as the entries up to an index name them, agreed or not."""
         for entry in reversed(self.entries[: index - self.image.index]):
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -45,6 +45,9 @@
 from ryelock.wire import Lines, Message, Reply, WireError
 
 BATCH_BYTES = 1_048_576
+"""The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
+BATCH_BYTES_LEAST = 16_384
+ENTRY_OVERHEAD_BYTES = 32
 VOTERS_MOST = 5
 
 
@@ -90,13 +93,24 @@
 class Peer:
     """Another disk as the leader sees it."""
 
-    __slots__ = ("address", "disk", "gone", "heard", "match", "news", "next", "running")
+    __slots__ = (
+        "address",
+        "batch_bytes",
+        "disk",
+        "gone",
+        "heard",
+        "match",
+        "news",
+        "next",
+        "running",
+    )
 
     def __init__(self, disk: str, address: str, following: int, scheduler: Scheduler) -> None:
         self.disk = disk
         self.address = address
         self.next = following
         self.match = 0
+        self.batch_bytes = BATCH_BYTES
         self.heard = -1e9
         self.gone = False
         self.news: Mailbox[bool] = Mailbox(scheduler)
@@ -441,9 +455,9 @@
         if previous > self.last_index:
             return {**answer, "last": self.last_index}
         if previous < self.base.index:
-            return {**answer, "last": self.base.index}
-        if self.epoch_at(previous) != whole(message["previous_epoch"]):
-            return {**answer, "last": previous - 1}
+            return {**answer, "last": self.base.index, "agreed": True}
+        if not self.replicated_log.holds(previous, whole(message["previous_epoch"])):
+            return {**answer, **self.conflict_at(previous)}
         entries = [entry_of(plain) for plain in listed(message["entries"])]
         if not self.store(entries):
             return answer
@@ -454,6 +468,11 @@
             self.hear(str(message["disk"]), said, None)
         return {**answer, "ok": True, "last": reached, "said": self.say()}
 
+    def conflict_at(self, index: int) -> Message:
+        """What a leader needs to pass by all entries of the epoch that differs at an index."""
+        first = self.replicated_log.first_of_epoch_at(index)
+        return {"last": first - 1, "conflict": self.epoch_at(index)}
+
     def follow(self, epoch: int, leader: str, address: str) -> bool:
         if epoch > self.epoch and not self.save_vote(epoch, ""):
             return False
@@ -676,24 +695,7 @@
         while self.role == "leader" and self.epoch == epoch:
             sent = self.scheduler.now()
             image = peer.next <= self.base.index
-            common: Message = {
-                "to": peer.disk,
-                "disk": self.disk,
-                "address": self.address,
-                "epoch": epoch,
-            }
-            if image:
-                message: Message = {**common, "kind": "council.image", "image": self.base.encode()}
-            else:
-                message = {
-                    **common,
-                    "kind": "council.beat",
-                    "previous": peer.next - 1,
-                    "previous_epoch": self.epoch_at(peer.next - 1),
-                    "entries": self.batch(peer.next),
-                    "commit": self.commit,
-                    "said": self.say(),
-                }
+            message = self.image_message(peer) if image else self.beat_message(peer)
             found = yield from self.lines.ask(
                 peer.address, message, 15.0 if image else self.pace.election
             )
@@ -707,20 +709,48 @@
             peer.news.items.clear()
             yield from peer.news.take(self.pace.beat)
 
-    def batch(self, start: int) -> list[object]:
+    def message_to(self, peer: Peer, kind: str) -> Message:
+        return {
+            "kind": kind,
+            "to": peer.disk,
+            "disk": self.disk,
+            "address": self.address,
+            "epoch": self.epoch,
+        }
+
+    def image_message(self, peer: Peer) -> Message:
+        return {**self.message_to(peer, "council.image"), "image": self.base.encode()}
+
+    def beat_message(self, peer: Peer) -> Message:
+        """A heartbeat with as many entries as the peer takes in time."""
+        return {
+            **self.message_to(peer, "council.beat"),
+            "previous": peer.next - 1,
+            "previous_epoch": self.epoch_at(peer.next - 1),
+            "entries": self.batch(peer.next, peer.batch_bytes),
+            "commit": self.commit,
+            "said": self.say(),
+        }
+
+    def batch(self, start: int, most: int) -> list[object]:
+        """Entries from an index on, at least one if there is any, of about so many bytes."""
         found: list[object] = []
         size = 0
-        for entry in self.entries[start - self.base.index - 1 :]:
-            size += len(entry.data) + 32
-            found.append(entry.plain())
-            if size > BATCH_BYTES:
+        for index in range(start, self.last_index + 1):
+            entry = self.entry_at(index)
+            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if found and size > most:
                 break
+            found.append(entry.plain())
         return found
 
     def heard_peer(
         self, peer: Peer, epoch: int, sent: float, found: Result[Message, WireError]
     ) -> None:
-        if self.role != "leader" or self.epoch != epoch or found.is_error():
+        if self.role != "leader" or self.epoch != epoch:
+            return
+        if found.is_error():
+            peer.batch_bytes = max(BATCH_BYTES_LEAST, peer.batch_bytes // 2)
             return
         answer = found.ok
         if answer.get("stranger") is True:
@@ -739,12 +769,13 @@
         if answer.get("ok") is not True:
             if theirs == epoch:
                 peer.heard = max(peer.heard, sent)
-            following = max(1, min(peer.next - 1, last + 1))
+            following = self.next_for(peer, answer, last)
             if following != peer.next:
                 peer.next = following
                 peer.news.put(True)
             return
         peer.heard = max(peer.heard, sent)
+        peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
         peer.match = max(peer.match, last)
         peer.next = peer.match + 1
         said = answer.get("said")
@@ -754,6 +785,21 @@
         if peer.next <= self.last_index:
             peer.news.put(True)
 
+    def next_for(self, peer: Peer, answer: Message, last: int) -> int:
+        """The index to go on from after a peer declined; `last` is how far its log may agree.
+
+        `agreed` tells that the peer's image ends there, so all before is the same. A `conflict`
+        names the epoch of its entries behind `last`: where this log has a later epoch at the place
+        in question, the two agree at most up to its last entry that is not of a later one.
+        """
+        if answer.get("agreed") is True:
+            return max(peer.next, min(last, self.last_index) + 1)
+        conflict = answer.get("conflict")
+        if isinstance(conflict, int):
+            reaches = self.replicated_log.last_of_epochs_until(conflict)
+            last = reaches if reaches < peer.next - 1 else last
+        return max(1, min(peer.next - 1, last + 1))
+
     def count_commit(self) -> None:
         matches = sorted(
             (
