--- a/packages/journal/ryelock/journal/__init__.py
+++ b/packages/journal/ryelock/journal/__init__.py
@@ -180,8 +180,9 @@
                 if number != segments[-1] or sound_behind(data, end):
                     return Error(JournalError(f"{name} is damaged at byte {end}", True))
                 folder.truncate(name, end)
-                folder.sync(name)
                 log.write(JOURNAL_TORN, segment=name, at=end, lost=len(data) - end)
+            # A process that was killed may have written this without syncing it.
+            folder.sync(name)
             journal.records += found
             journal.segment = number
             journal.size = end
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -3,12 +3,15 @@
 import struct
 import zlib
 from pathlib import Path
+from random import Random
+from unittest import mock
 
 import testtools
 
 from ryelock.events import JOURNAL_TORN, QuietLog
 from ryelock.journal import MachineFolder, open_journal
 from ryelock.journal.folder import FolderError
+from ryelock.proving.simulated import SimFolder
 
 
 class JournalTests(testtools.TestCase):
@@ -91,3 +94,25 @@
         file = self.path / "file"
         file.write_text("")
         self.assertRaises(FolderError, MachineFolder, str(file / "below"))
+
+
+class UnsyncedAtOpenTests(testtools.TestCase):
+    """A process that is killed between a write and its sync leaves a record that only looks safe."""
+
+    def test_what_a_journal_gave_back_outlasts_a_later_loss_of_power(self) -> None:
+        folder = SimFolder()
+        journal = open_journal(folder, QuietLog("journal"), 1 << 20).ok
+        with (
+            mock.patch.object(SimFolder, "sync", side_effect=KeyboardInterrupt),
+            testtools.ExpectedException(KeyboardInterrupt),
+        ):
+            journal.write([b"written, not synced"])
+        reopened = open_journal(folder, QuietLog("journal"), 1 << 20).ok
+        self.assertEqual([b"written, not synced"], reopened.records)
+        for seed in range(20):
+            lost = SimFolder()
+            lost.files = {name: bytearray(data) for name, data in folder.files.items()}
+            lost.synced = dict(folder.synced)
+            lost.lose_power(Random(seed))
+            again = open_journal(lost, QuietLog("journal"), 1 << 20).ok
+            self.assertEqual([b"written, not synced"], again.records)
