--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -94,6 +94,13 @@
                 return voters_of(entry.data)
         return self.image.voters
 
+    def configuration_place(self) -> tuple[int, int]:
+        """Epoch and index up to which this log certainly names the newest voters it knows."""
+        for entry in reversed(self.entries):
+            if entry.kind == VOTERS:
+                return entry.epoch, entry.index
+        return self.image.epoch, self.image.index
+
     def words_between(self, index: int, last: int) -> list[tuple[int, bytes]]:
         """The words behind an index, up to and with the last; both lie within the log."""
         between = self.entries[index - self.image.index : last - self.image.index]
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -476,7 +476,7 @@
             return {**answer, **self.conflict_at(previous)}
         entries = [entry_of(plain) for plain in listed(message["entries"])]
         if not self.store(entries):
-            return answer
+            return {**answer, "failed": True}
         reached = previous + len(entries)
         self.advance(min(whole(message["commit"]), reached))
         said = message.get("said")
@@ -566,6 +566,7 @@
             "disk": self.disk,
             "voters": sorted(self.voters),
             "last": self.last_word(),
+            "configuration": list(self.replicated_log.configuration_place()),
         }
 
     def on_takeover(self, message: Message) -> Message:
@@ -806,10 +807,13 @@
     def next_for(self, peer: Peer, answer: Message, last: int) -> int:
         """The index to go on from after a peer declined; `last` is how far its log may agree.
 
+        `failed` tells that its disk took nothing; the logs may well agree.
         `agreed` tells that the peer's image ends there, so all before is the same. A `conflict`
         names the epoch of its entries behind `last`: where this log has a later epoch at the place
         in question, the two agree at most up to its last entry that is not of a later one.
         """
+        if answer.get("failed") is True:
+            return peer.next
         if answer.get("agreed") is True:
             return max(peer.next, min(last, self.last_index) + 1)
         conflict = answer.get("conflict")
--- a/packages/edge/ryelock/edge/member.py
+++ b/packages/edge/ryelock/edge/member.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from ryelock.council import majority_of
+from ryelock.edge.promises import Promise, are_enough, promise_of
 from ryelock.events import TERM_HELD, TERM_LAPSED, TERM_PROMISED, Log
 from ryelock.loop import Mailbox, Running, Scheduler, Step
 from ryelock.register import Register
@@ -31,11 +31,6 @@
 Grants = Callable[[dict[str, tuple[int, float, float]], float], None]
 
 
-def needed_of(voters: list[str]) -> int:
-    """So many voters that no majority can do without one of them."""
-    return len(voters) - majority_of(len(voters)) + 1
-
-
 class Member:
     """What this node knows of the control plane, and its right to serve."""
 
@@ -388,28 +383,19 @@
         }
         for address in addresses:
             self.scheduler.spawn("promise", self.ask_promise(address, message, box))
-        granted: dict[str, int] = {}
-        voters: list[str] = []
+        promises: list[Promise] = []
         soft: Message | None = None
         for _ in addresses:
             found = yield from box.take(max(0.0, asked + ROUND_SECONDS - self.scheduler.now()))
-            if found is None:
-                continue
-            said, last = found.get("voters"), found.get("last")
-            if found.get("granted") is not True or not isinstance(said, list):
-                continue
-            if not isinstance(last, int):
+            promise = None if found is None else promise_of(found)
+            if promise is None:
                 continue
-            granted[str(found.get("disk"))] = last
-            if len(said) > len(voters):
-                voters = [str(disk) for disk in said]
+            promises.append(promise)
             soft = found
-            if len([disk for disk in granted if disk in voters]) >= needed_of(voters):
+            if are_enough(promises):
                 break
-        promised = [disk for disk in granted if disk in voters]
-        needed = needed_of(voters)
-        behind = max(granted.values(), default=0) > self.register.index
-        if not voters or len(promised) < needed or behind:
+        behind = any(promise.last > self.register.index for promise in promises)
+        if behind or not are_enough(promises):
             return
         until = asked + self.term_seconds
         self.term_until = max(self.term_until, until)
@@ -419,7 +405,7 @@
                 self.take_soft(soft, asked)
             except (KeyError, TypeError, ValueError):
                 pass
-        self.log.write(TERM_PROMISED, voters=sorted(promised))
+        self.log.write(TERM_PROMISED, voters=sorted({promise.disk for promise in promises}))
         self.tell_term()
 
     def ask_promise(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,7 +60,7 @@
             voters = next_voters(membership)
             if voters is None:
                 continue
-            self.assertEqual(1, len(set(voters) ^ set(membership.voters)), membership)
+            self.assertEqual(1, len(set(voters) ^ set(membership.voters)), str(membership))
             self.assertIn(membership.own, voters)
             self.assertTrue(len(voters) <= VOTERS_MOST + 1)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 
 from ryelock.allowance import Divider, RepeatBudget
 from ryelock.cache import Store
-from ryelock.core.keeper import Keeper
+from ryelock.core.voters import VoterKeeper
 from ryelock.council import Council
 from ryelock.edge.member import Member
 from ryelock.edge.orders import Failed
@@ -199,7 +199,7 @@
 
 
 def no_spare_voter() -> list[Patch]:
-    return [mock.patch.object(Keeper, "spares", always([]))]
+    return [mock.patch.object(VoterKeeper, "spares", always([]))]
 
 
 def no_promises() -> list[Patch]:
