--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -200,6 +200,8 @@
             self.scheduler.spawn("renewal", self.renewals.renew(message, reply))
         elif kind == "leave":
             self.renewals.leave(message, reply)
+        elif kind == LEAVE:
+            reply(self.keeper.voters.on_leave(message))
         elif kind == OPERATOR:
             self.scheduler.spawn("operator", self.answer_operator(message, reply))
         elif kind in ("claim", "release"):
--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -8,6 +8,7 @@
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings
 from ryelock.proving.control_cases import CONTROL_CASES
+from ryelock.proving.loss_cases import LOSS_CASES
 from ryelock.proving.scenario import Scenario
 from ryelock.proving.simulated import SimNode
 from ryelock.proving.standins import CUT, DEAF, FAILING, LONG, LOST, SHORT, WRONG
@@ -707,4 +708,5 @@
     "crash-image": crash_image,
     "crash-voters": crash_voters,
     **CONTROL_CASES,
+    **LOSS_CASES,
 }
--- /dev/null
+++ b/tests/test_loss_cases.py
@@ -0,0 +1,56 @@
+"""Second losses: every pair of them is borne, and not without the mechanisms that bear them."""
+
+from typing import Any
+from unittest import mock
+
+import pytest
+import testtools
+
+from ryelock.core.voters import VoterKeeper
+from ryelock.proving import loss_cases
+from ryelock.proving.loss_cases import every_loss, leaving_member, play_losses, second_loss
+
+LEAVING_SEEDS = range(12)
+
+
+@pytest.mark.parametrize("disks", [3, 4, 5])
+@pytest.mark.parametrize("first", every_loss(), ids=lambda loss: f"{loss.kind}-{loss.role}")
+def test_any_two_losses_one_after_the_other_are_borne(first: Any, disks: int) -> None:
+    for seed, second in enumerate(every_loss()):
+        found = play_losses(seed, disks, [[first], [second]])
+        assert found.violations == [], second
+
+
+@pytest.mark.parametrize("first", every_loss(), ids=lambda loss: f"{loss.kind}-{loss.role}")
+def test_two_losses_at_once_of_eight_disks_are_borne_twice(first: Any) -> None:
+    losses = every_loss()
+    for seed, second in enumerate(losses):
+        third = losses[(seed * 5 + 3) % len(losses)]
+        found = play_losses(seed, 8, [[first, second], [third, first]])
+        assert found.violations == [], (second, third)
+
+
+class LossTests(testtools.TestCase):
+    def test_losses_drawn_by_seed_are_borne(self) -> None:
+        for seed in range(16):
+            self.assertEqual([], second_loss(seed).violations)
+
+    def test_a_voter_that_leaves_has_given_its_place_to_a_spare(self) -> None:
+        for seed in LEAVING_SEEDS:
+            self.assertEqual([], leaving_member(seed).violations)
+
+    def test_a_voter_that_ends_at_once_leaves_no_majority(self) -> None:
+        with mock.patch.object(VoterKeeper, "on_leave", lambda *_: {"may_end": True}):
+            found = [text for seed in LEAVING_SEEDS for text in leaving_member(seed).violations]
+        self.assertTrue([text for text in found if text.startswith("majority kept")], found)
+
+    def test_without_spares_second_losses_are_not_borne(self) -> None:
+        with mock.patch.object(VoterKeeper, "spares", lambda _: []):
+            found = [text for seed in range(8) for text in second_loss(seed).violations]
+        self.assertTrue([text for text in found if text.startswith("majority kept")], found)
+
+    def test_voters_that_are_replaced_late_leave_no_majority(self) -> None:
+        late = {**loss_cases.LOSS_SETTINGS, "replace_seconds": 30.0}
+        with mock.patch.object(loss_cases, "LOSS_SETTINGS", late):
+            found = [text for seed in range(16) for text in second_loss(seed).violations]
+        self.assertTrue([text for text in found if text.startswith("majority kept")], found)
