--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -215,7 +215,9 @@
     term_seconds = Setting(1.5, number(0.3, 5), "how long an edge may serve on one term")
     beat_seconds = Setting(0.15, number(0.02, 1), "how often a leader beats to each voter")
     election_seconds = Setting(0.7, number(0.1, 5), "shortest silence before an election")
-    replace_seconds = Setting(8.0, number(0.5, 3600), "silence after which a voter is replaced")
+    replace_seconds = Setting(
+        2.0, number(0.5, 3600), "silence after which a voter is replaced by a spare"
+    )
     listing_seconds = Setting(0.3, number(0.05, 5), "how often servers are read anew")
     listing_term = Setting(1.8, number(0.3, 30), "how long a listing of servers is believed")
     gone_seconds = Setting(600.0, number(1, 86_400), "how long a lost edge is still probed")
--- a/packages/proving/ryelock/proving/scenario.py
+++ b/packages/proving/ryelock/proving/scenario.py
@@ -114,7 +114,7 @@
         self.settings: dict[str, object] = {
             "probe_seconds": 1.0,
             "probe_timeout": 0.8,
-            "replace_seconds": 4.0,
+            "replace_seconds": 2.0,
             "verdict_seconds": 0.5,
             **settings,
         }
