--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -71,6 +71,7 @@
             env.replace_seconds,
             env.image_records,
             env.may_found,
+            env.disk_bytes,
         )
         self.council = Council(
             scheduler,
--- /dev/null
+++ b/packages/council/ryelock/council/compaction.py
@@ -0,0 +1,69 @@
+"""When a member writes an image: by the records and bytes of its journal, and by its disk.
+
+All sizes are bytes of files as the journal counts them (`Journal.image_bytes`, `replay_bytes`).
+While an image is written the image before it and the journal still stand, so that the disk needs
+room for two images and the journal at once.
+"""
+
+from ryelock.journal import Journal
+
+JOURNAL_BYTES = 4_194_304
+"""A journal up to this size is not compacted for its bytes, where the disk has room."""
+JOURNAL_BYTES_LEAST = 65_536
+"""A journal is never compacted for its bytes below this size, however small the disk."""
+IMAGES_PER_JOURNAL = 2
+"""The journal grows to so many times its image, so that writing images costs half of appending."""
+DISK_SHARE = 0.5
+"""The part of the disk that image and journal may fill; the rest may hold a damaged journal."""
+BACKOFF_SHARE = 0.125
+"""After a failure the journal grows by this part of its limit before the next image."""
+
+
+def journal_bytes_most(image_bytes: int, disk_bytes: int) -> int:
+    """How large the journal behind an image may grow; `disk_bytes` 0 means: not known."""
+    wanted = max(JOURNAL_BYTES, IMAGES_PER_JOURNAL * image_bytes)
+    if not disk_bytes:
+        return wanted
+    room = int(disk_bytes * DISK_SHARE) - 2 * image_bytes
+    return max(JOURNAL_BYTES_LEAST, min(wanted, room))
+
+
+class Compaction:
+    """Tells when an image is due; after one that failed it waits for the journal to grow."""
+
+    __slots__ = ("disk_bytes", "not_before_bytes", "not_before_records", "records_most")
+
+    def __init__(self, records_most: int, disk_bytes: int) -> None:
+        self.records_most = records_most
+        self.disk_bytes = disk_bytes
+        self.not_before_bytes = 0
+        self.not_before_records = 0
+
+    def due(self, journal: Journal) -> bool:
+        """Whether an image should be written now.
+
+        A journal that could not be written to may stand on a full disk: there an image is due as
+        soon as it makes the journal smaller.
+        """
+        most = journal_bytes_most(journal.image_bytes, self.disk_bytes)
+        wanted = (
+            journal.written > self.records_most
+            or journal.replay_bytes > most
+            or (journal.broken and journal.replay_bytes > journal.image_bytes)
+        )
+        waited = (
+            journal.replay_bytes >= self.not_before_bytes
+            or journal.written >= self.not_before_records
+        )
+        return wanted and waited
+
+    def failed(self, journal: Journal) -> None:
+        """An image could not be written."""
+        most = journal_bytes_most(journal.image_bytes, self.disk_bytes)
+        self.not_before_bytes = journal.replay_bytes + int(most * BACKOFF_SHARE)
+        self.not_before_records = journal.written + max(1, int(self.records_most * BACKOFF_SHARE))
+
+    def done(self) -> None:
+        """An image was written."""
+        self.not_before_bytes = 0
+        self.not_before_records = 0
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -17,6 +17,7 @@
 import cbor2
 from expression import Error, Ok, Result
 
+from ryelock.council.compaction import Compaction
 from ryelock.council.entries import (
     NOTE,
     NOTHING,
@@ -71,7 +72,15 @@
 class Pace:
     """How fast a council beats, elects, replaces and writes images; whether it may be founded."""
 
-    __slots__ = ("beat", "election", "image_records", "may_found", "promise", "replace")
+    __slots__ = (
+        "beat",
+        "disk_bytes",
+        "election",
+        "image_records",
+        "may_found",
+        "promise",
+        "replace",
+    )
 
     def __init__(
         self,
@@ -81,6 +90,7 @@
         replace: float = 8.0,
         image_records: int = 4000,
         may_found: bool = True,
+        disk_bytes: int = 0,
     ) -> None:
         self.beat = beat
         self.election = election
@@ -88,6 +98,7 @@
         self.replace = replace
         self.image_records = image_records
         self.may_found = may_found
+        self.disk_bytes = disk_bytes
 
 
 class Peer:
@@ -148,6 +159,7 @@
         "applied_word",
         "commands",
         "commit",
+        "compaction",
         "disk",
         "elected_at",
         "election_at",
@@ -196,6 +208,7 @@
         self.lines = lines
         self.log = log
         self.replicated_log = ReplicatedLog(journal)
+        self.compaction = Compaction(pace.image_records, pace.disk_bytes)
         self.machine = machine
         self.name = name
         self.disk = disk
@@ -491,7 +504,7 @@
 
     def store(self, entries: list[Entry]) -> bool:
         """Write the entries this log lacks; one that differs replaces the tail."""
-        if not self.replicated_log.append(entries):
+        if not self.replicated_log.append(entries) and not self.append_after_compaction(entries):
             return False
         before = self.voters
         self.find_voters()
@@ -499,6 +512,13 @@
             self.log.write(VOTERS_CHANGED, voters=sorted(self.voters.values()))
         return True
 
+    def append_after_compaction(self, entries: list[Entry]) -> bool:
+        """Where the disk took no more, an image may make room."""
+        if not self.compaction.due(self.journal):
+            return False
+        self.write_image()
+        return self.replicated_log.append(entries)
+
     def on_image(self, message: Message) -> Message:
         epoch = whole(message["epoch"])
         answer, follows = self.answer_to_leader(message, epoch)
@@ -840,7 +860,7 @@
                 else:
                     waiting[1].put(Error(CouncilError("another word took its place", True)))
         self.tell_applied()
-        if self.journal.written > self.pace.image_records:
+        if self.compaction.due(self.journal):
             self.write_image()
 
     def tell_applied(self) -> None:
@@ -855,7 +875,10 @@
             self.machine.image(),
             self.applied_word,
         )
-        if self.replicated_log.compact(image):
+        if not self.replicated_log.compact(image):
+            self.compaction.failed(self.journal)
+        else:
+            self.compaction.done()
             self.log.write(IMAGE_WRITTEN, index=image.index)
 
     def held_since(self) -> float:
--- a/packages/journal/ryelock/journal/__init__.py
+++ b/packages/journal/ryelock/journal/__init__.py
@@ -55,16 +55,19 @@
 class Journal:
     """The open journal of one process; every write blocks until it is synced.
 
-    `size` is the length of the current segment that is known to be good. `written` counts the
-    records that a replay would read besides the image.
+    `size` is the length of the current segment that is known to be good. `written` and
+    `replay_bytes` count the records, and the bytes of their frames, that a replay would read
+    besides the image; `image_bytes` is the size of the image's file.
     """
 
     __slots__ = (
         "broken",
         "folder",
         "image",
+        "image_bytes",
         "log",
         "records",
+        "replay_bytes",
         "rotation_due",
         "segment",
         "segment_bytes",
@@ -80,6 +83,8 @@
         self.records: list[bytes] = []
         self.segment = 0
         self.size = 0
+        self.image_bytes = 0
+        self.replay_bytes = 0
         self.written = 0
         self.broken = False
         self.rotation_due = False
@@ -99,6 +104,7 @@
         except FolderError as error:
             return self.failed(error)
         self.size += len(data)
+        self.replay_bytes += len(data)
         self.written += len(records)
         return Ok(None)
 
@@ -133,9 +139,12 @@
             self.repair()
             if self.rotation_due or self.size > 0:
                 self.start_segment()
-            self.folder.write_whole(image_name(self.segment), pack_batch([image, *records]))
+            data = pack_batch([image, *records])
+            self.folder.write_whole(image_name(self.segment), data)
         except FolderError as error:
             return self.failed(error)
+        self.image_bytes = len(data)
+        self.replay_bytes = 0
         self.written = len(records)
         self.delete_before(self.segment)
         return Ok(None)
@@ -167,6 +176,7 @@
             if not found or end < len(data):
                 return Error(JournalError(f"{image_name(first)} is damaged", True))
             journal.image, *journal.records = found
+            journal.image_bytes = len(data)
         segments = [number for number in numbers(names, "segment") if number >= first]
         if images and not segments:
             return Error(JournalError("the first segment is missing", True))
@@ -185,6 +195,7 @@
             journal.records += found
             journal.segment = number
             journal.size = end
+            journal.replay_bytes += end
         if not segments:
             folder.write_whole(segment_name(0), b"")
     except FolderError as error:
--- /dev/null
+++ b/tests/test_compaction.py
@@ -0,0 +1,103 @@
+"""When images are written: by records, by bytes, and on a disk that fills up."""
+
+from unittest import mock
+
+import testtools
+from test_replication import Lab
+
+from ryelock.council.compaction import Compaction, journal_bytes_most
+from ryelock.council.entries import WORD, Entry
+from ryelock.council.seat import Council
+from ryelock.journal import FolderError, Journal
+from ryelock.proving.simulated import SimFolder
+
+RECORD_BYTES = 20_000
+DISK_BYTES = 2_000_000
+MEGABYTE = 1_000_000
+
+
+class SmallDisk(SimFolder):
+    """A disk of so many bytes; a file that is replaced stands beside the new one for a moment."""
+
+    def used(self) -> int:
+        return sum(len(data) for data in self.files.values())
+
+    def append(self, name: str, data: bytes) -> None:
+        if self.used() + len(data) > DISK_BYTES:
+            raise FolderError("no space left on device")
+        super().append(name, data)
+
+    def write_whole(self, name: str, data: bytes) -> None:
+        if self.used() + len(data) > DISK_BYTES:
+            raise FolderError("no space left on device")
+        super().write_whole(name, data)
+
+
+class LastWord:
+    """A machine whose state is the start of its last word: large records, a small image."""
+
+    def __init__(self) -> None:
+        self.word = b""
+
+    def apply(self, _index: int, data: bytes) -> object:
+        self.word = data[:4]
+        return None
+
+    def image(self) -> bytes:
+        return self.word
+
+    def restore(self, data: bytes) -> None:
+        self.word = data
+
+
+def taken(disk_bytes: int, records: int) -> tuple[int, Council]:
+    """How many large words one member takes before its disk declines one."""
+    lab = Lab(image_records=1000, disk_bytes=disk_bytes)
+    council = lab.council("follower", SmallDisk())
+    council.machine = LastWord()
+    for index in range(1, records + 1):
+        entry = Entry(index, 1, WORD, index.to_bytes(4, "big") * (RECORD_BYTES // 4))
+        if not council.store([entry]):
+            return index - 1, council
+        council.advance(index)
+    return records, council
+
+
+class CompactionTests(testtools.TestCase):
+    def test_large_records_do_not_fill_the_disk(self) -> None:
+        count, council = taken(DISK_BYTES, 900)
+        self.assertEqual(900, count)
+        self.assertLess(council.journal.replay_bytes, DISK_BYTES // 2)
+
+    def test_a_full_disk_is_compacted_also_where_its_size_is_not_known(self) -> None:
+        self.assertEqual(900, taken(0, 900)[0])
+
+    def test_by_records_alone_the_disk_is_full_after_a_hundred(self) -> None:
+        def by_records(compaction: Compaction, journal: Journal) -> bool:
+            return journal.written > compaction.records_most
+
+        with mock.patch.object(Compaction, "due", by_records):
+            self.assertLess(taken(DISK_BYTES, 900)[0], 101)
+
+    def test_the_journal_grows_with_the_image_as_far_as_the_disk_allows(self) -> None:
+        self.assertEqual(4_194_304, journal_bytes_most(0, 0))
+        self.assertEqual(20 * MEGABYTE, journal_bytes_most(10 * MEGABYTE, 0))
+        self.assertEqual(12 * MEGABYTE, journal_bytes_most(10 * MEGABYTE, 64 * MEGABYTE))
+        for image in range(0, 14 * MEGABYTE, MEGABYTE):
+            most = journal_bytes_most(image, 64 * MEGABYTE)
+            self.assertTrue(2 * image + most <= 32 * MEGABYTE, image)
+
+    def test_a_failed_image_is_not_tried_again_at_once(self) -> None:
+        lab = Lab(image_records=100)
+        council = lab.follower
+        tried: list[int] = []
+
+        def write_image(journal: Journal, _image: bytes, _records: list[bytes]) -> object:
+            tried.append(journal.written)
+            return journal.failed(FolderError("no space left on device"))
+
+        with mock.patch.object(Journal, "write_image", write_image):
+            for index in range(1, 201):
+                self.assertTrue(council.store([Entry(index, 1, WORD, b"word")]))
+                council.advance(index)
+        self.assertTrue(1 < len(tried) < 12, tried)
