Council: agreed entries are applied in bounded batches, heartbeats served between them

Cause: advance applied everything up to the commit index at once, so that a long catch-up answered no heartbeat. A batch is 64 entries or 20 ms; the owner serves its queue between two. A leader is settled once it has applied (not only agreed) an entry of its epoch, and a confirmed read waits for the commit index of its ask, so nothing is read, led or given a term from a state behind it. Tests in tests/test_replication.py: 300 entries at once, a slow entry, a leader not yet settled.

--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -49,6 +49,12 @@
 """The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
 BATCH_BYTES_LEAST = 16_384
 ENTRY_OVERHEAD_BYTES = 32
+APPLY_ENTRIES = 64
+"""The most entries applied before the owner looks at its queue again."""
+APPLY_SECONDS = 0.02
+"""The longest that entries are applied before it, but for the last of them."""
+APPLY_PAUSE_SECONDS = 0.0005
+"""What the other tasks of the process get between two such batches."""
 VOTERS_MOST = 5
 DISK_RETRY_SECONDS = 2.0
 """A node whose disk refused a write stands for no election for so long."""
@@ -320,7 +326,8 @@
     def work(self) -> Step[None]:
         """The owner: every change of this seat happens here, in turn."""
         while True:
-            command = yield from self.commands.take(self.pace.beat / 2)
+            behind = self.applied < self.commit
+            command = yield from self.commands.take(0.0 if behind else self.pace.beat / 2)
             proposals: list[Proposal] = []
             while command is not None:
                 if isinstance(command, Proposal):
@@ -333,7 +340,10 @@
                 command = self.commands.items.popleft() if self.commands.items else None
             if proposals:
                 self.take_proposals(proposals)
+            self.apply_committed()
             self.look_at_clock()
+            if self.applied < self.commit:
+                yield from self.scheduler.pause(APPLY_PAUSE_SECONDS)
 
     def look_at_clock(self) -> None:
         now = self.scheduler.now()
@@ -541,7 +551,8 @@
             return {**answer, "ok": True, "epoch": self.epoch, "last": self.applied}
         if not self.replicated_log.install(image):
             return answer
-        self.commit = self.applied = image.index
+        self.commit = max(self.commit, image.index)
+        self.applied = image.index
         self.applied_word = image.word
         self.find_voters()
         self.machine.restore(image.machine)
@@ -848,29 +859,49 @@
                 peer.news.put(True)
 
     def advance(self, commit: int) -> None:
+        """Entries up to an index are agreed; apply a batch of them, the owner the others."""
         if commit <= self.commit:
             return
         self.commit = commit
+        self.apply_committed()
+
+    def apply_committed(self) -> None:
+        """Apply agreed entries for a bounded while; `applied` may stay behind `commit`.
+
+        The owner goes on after it has served its queue, so that a long catch-up holds up no
+        heartbeat. At least one entry is applied.
+        """
+        if self.applied == self.commit:
+            return
+        until = self.scheduler.now() + APPLY_SECONDS
+        last = min(self.commit, self.applied + APPLY_ENTRIES)
+        while self.applied < last:
+            self.apply_entry(self.entry_at(self.applied + 1))
+            if self.scheduler.now() >= until:
+                break
         if self.role == "leader" and self.settled_at < self.elected_at and self.settled:
             self.settled_at = self.scheduler.now()
-        while self.applied < commit:
-            entry = self.entry_at(self.applied + 1)
-            result: object = None
-            if entry.kind in (WORD, NOTE):
-                result = self.machine.apply(entry.index, entry.data)
-            self.applied += 1
-            if entry.kind == WORD:
-                self.applied_word = entry.index
-            waiting = self.waiting.pop(entry.index, None)
-            if waiting is not None:
-                if waiting[0] == entry.epoch:
-                    waiting[1].put(Ok(result))
-                else:
-                    waiting[1].put(Error(CouncilError("another word took its place", True)))
         self.tell_applied()
         if self.compaction.due(self.journal):
             self.write_image()
 
+    def apply_entry(self, entry: Entry) -> None:
+        """Apply the next entry and answer who proposed it."""
+        result: object = None
+        if entry.kind in (WORD, NOTE):
+            result = self.machine.apply(entry.index, entry.data)
+        self.applied = entry.index
+        if entry.kind == WORD:
+            self.applied_word = entry.index
+        waiting = self.waiting.pop(entry.index, None)
+        if waiting is None:
+            return
+        epoch, box = waiting
+        if epoch == entry.epoch:
+            box.put(Ok(result))
+        else:
+            box.put(Error(CouncilError("another word took its place", True)))
+
     def tell_applied(self) -> None:
         for tell in self.applied_news:
             tell()
@@ -900,8 +931,8 @@
 
     @property
     def settled(self) -> bool:
-        """Leads, and has seen a word of its own epoch agreed."""
-        return self.role == "leader" and self.epoch_at(self.commit) == self.epoch
+        """Leads, and has applied an entry of its own epoch, so all that was agreed before it."""
+        return self.role == "leader" and self.epoch_at(self.applied) == self.epoch
 
     # What the rest of the process calls.
 
@@ -945,10 +976,15 @@
         self.count_commit()
 
     def confirm(self, seconds: float) -> Step[bool]:
-        """Whether this node led at a moment after the ask, by a majority's word."""
+        """Whether this node led at a moment after the ask, by a majority's word.
+
+        Its state then has every entry that was agreed when it was asked: a read of it is
+        linearizable.
+        """
         asked = self.scheduler.now()
+        agreed = self.commit
         while self.role == "leader" and self.scheduler.now() < asked + seconds:
-            if self.settled and self.held_since() >= asked:
+            if self.settled and self.applied >= agreed and self.held_since() >= asked:
                 return True
             for peer in self.peers.values():
                 if not len(peer.news):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -79,6 +79,10 @@
             Random(disk),
         )
 
+    def words(self, council: Council) -> list[bytes]:
+        assert isinstance(council.machine, CountingMachine)
+        return council.machine.words
+
     def lead(self, epoch: int) -> None:
         """The leader's role as it is after an election, without its tasks."""
         assert self.leader.replicated_log.save_vote(epoch, "leader")
@@ -164,6 +168,8 @@
             self.assertTrue(council.replicated_log.append(entries(1, 300, 1)))
         lab.lead(2)
         lab.follower.advance(200)
+        while lab.follower.applied < 200:
+            lab.follower.apply_committed()
         self.assertTrue(lab.follower.replicated_log.compact(Image(200, 1, {}, b"", 200)))
         lab.peer.next = 100
         self.assertLess(lab.rounds_until_level(1000), 4)
@@ -187,6 +193,44 @@
             lab.peer.next = 1
             self.assertEqual(200, lab.rounds_until_level(200, limit=100_000))
 
+    def test_a_long_catch_up_is_applied_in_bounded_batches(self) -> None:
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 300, 1)))
+        lab.lead(2)
+        lab.peer.next = 1
+        lab.leader.commit = 300
+        lab.round()
+        self.assertEqual((300, 64), (lab.follower.commit, lab.follower.applied))
+        for _ in range(4):
+            lab.follower.apply_committed()
+        self.assertEqual(300, lab.follower.applied)
+        self.assertEqual(300, len(lab.words(lab.follower)))
+
+    def test_an_entry_that_takes_long_ends_its_batch(self) -> None:
+        lab = Lab()
+        self.assertTrue(lab.follower.replicated_log.append(entries(1, 30, 1)))
+
+        def slow(_machine: CountingMachine, _index: int, _data: bytes) -> object:
+            lab.clock.time += 0.015
+            return None
+
+        with mock.patch.object(CountingMachine, "apply", slow):
+            lab.follower.advance(30)
+        self.assertEqual(2, lab.follower.applied)
+
+    def test_a_leader_is_not_settled_before_it_applied_what_was_agreed(self) -> None:
+        """Reads, terms and voters rest on `settled`."""
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 200, 1)))
+        lab.lead(2)
+        self.assertTrue(lab.leader.replicated_log.append(entries(201, 201, 2)))
+        lab.leader.advance(201)
+        self.assertEqual((201, False), (lab.leader.commit, lab.leader.settled))
+        while lab.leader.applied < 201:
+            self.assertFalse(lab.leader.settled)
+            lab.leader.apply_committed()
+        self.assertTrue(lab.leader.settled)
+
     def test_an_entry_larger_than_a_batch_still_crosses(self) -> None:
         lab = Lab()
         self.assertTrue(lab.leader.replicated_log.append(entries(1, 3, 1, 4 * BATCH_BYTES_LEAST)))
