Council: an image crosses in pieces and goes on where it was; one in transit is finished

Cause: the whole image was one message with one time limit of 15 s, encoded anew for each try. Each side holds one image a peer at most. A newer image does not end one that has begun to cross. A follower whose commit index is beyond the image takes none. Tests: slow link, lost answer, newer image, restart midway, pieces that do not fit. Not covered: resumption over a restart of the follower or a change of leader (it begins anew); edges still get one message.

--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -27,10 +27,15 @@
     Image,
     Voters,
     entry_of,
-    image_of,
     majority_of,
 )
 from ryelock.council.log import ReplicatedLog
+from ryelock.council.transfer import (
+    IMAGE_PIECE_BYTES,
+    IncomingImage,
+    OutgoingImage,
+    piece_of,
+)
 from ryelock.events import (
     FOLLOWING,
     FOUNDED,
@@ -49,6 +54,8 @@
 """The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
 BATCH_BYTES_LEAST = 16_384
 ENTRY_OVERHEAD_BYTES = 32
+IMAGE_PIECE_SECONDS = 2.0
+"""How long a leader waits for the answer to one piece of an image."""
 APPLY_ENTRIES = 64
 """The most entries applied before the owner looks at its queue again."""
 APPLY_SECONDS = 0.02
@@ -121,6 +128,7 @@
         "match",
         "news",
         "next",
+        "outgoing",
         "running",
     )
 
@@ -130,6 +138,7 @@
         self.next = following
         self.match = 0
         self.batch_bytes = BATCH_BYTES
+        self.outgoing: OutgoingImage | None = None
         self.heard = -1e9
         self.gone = False
         self.news: Mailbox[bool] = Mailbox(scheduler)
@@ -173,6 +182,7 @@
         "elected_at",
         "election_at",
         "hear",
+        "incoming",
         "last_round_failed",
         "leader",
         "leader_address",
@@ -217,6 +227,7 @@
         self.lines = lines
         self.log = log
         self.replicated_log = ReplicatedLog(journal)
+        self.incoming: IncomingImage | None = None
         self.compaction = Compaction(pace.image_records, pace.disk_bytes)
         self.machine = machine
         self.name = name
@@ -541,24 +552,35 @@
         answer, follows = self.answer_to_leader(message, epoch)
         if not follows:
             return answer
-        data = message["image"]
-        if not isinstance(data, bytes):
-            raise ValueError("no image")
-        image = image_of(data)
-        if not self.follow(epoch, str(message["disk"]), str(message["address"])):
+        piece = piece_of(message["piece"])
+        leader = str(message["disk"])
+        if not self.follow(epoch, leader, str(message["address"])):
             return answer
-        if image.index <= self.applied:
-            return {**answer, "ok": True, "epoch": self.epoch, "last": self.applied}
+        answer["epoch"] = self.epoch
+        if piece.index <= self.commit:
+            self.incoming = None
+            return {**answer, "ok": True, "last": self.commit}
+        if self.incoming is None or not self.incoming.belongs(leader, piece):
+            self.incoming = IncomingImage(leader, piece)
+        self.incoming.take(piece)
+        if not self.incoming.whole:
+            return {**answer, "received": len(self.incoming.buffer)}
+        image, self.incoming = self.incoming.image(), None
+        if not self.install(image, leader):
+            return {**answer, "received": 0}
+        return {**answer, "ok": True, "last": image.index}
+
+    def install(self, image: Image, source: str) -> bool:
+        """Take a whole image that reaches beyond what is known to be agreed."""
         if not self.replicated_log.install(image):
-            return answer
-        self.commit = max(self.commit, image.index)
-        self.applied = image.index
+            return False
+        self.commit = self.applied = image.index
         self.applied_word = image.word
         self.find_voters()
         self.machine.restore(image.machine)
-        self.log.write(IMAGE_TAKEN, index=image.index, source=str(message["disk"]))
+        self.log.write(IMAGE_TAKEN, index=image.index, source=source)
         self.tell_applied()
-        return {**answer, "ok": True, "epoch": self.epoch, "last": image.index}
+        return True
 
     def on_join(self, message: Message) -> Message:
         disk = str(message["disk"])
@@ -733,11 +755,9 @@
         """One peer's task: beat, carry entries or an image, hand what comes back to the owner."""
         while self.role == "leader" and self.epoch == epoch:
             sent = self.scheduler.now()
-            image = peer.next <= self.base.index
-            message = self.image_message(peer) if image else self.beat_message(peer)
-            found = yield from self.lines.ask(
-                peer.address, message, 15.0 if image else self.pace.election
-            )
+            message = self.next_message(peer)
+            seconds = self.pace.election if peer.outgoing is None else IMAGE_PIECE_SECONDS
+            found = yield from self.lines.ask(peer.address, message, seconds)
             self.commands.put(
                 Command(
                     lambda found=found, sent=sent: (  # type: ignore[misc]
@@ -757,8 +777,17 @@
             "epoch": self.epoch,
         }
 
-    def image_message(self, peer: Peer) -> Message:
-        return {**self.message_to(peer, "council.image"), "image": self.base.encode()}
+    def next_message(self, peer: Peer) -> Message:
+        """What a peer needs next: entries, or an image where they are not kept any more.
+
+        An image that has begun to cross is finished, also when a newer one was written since.
+        """
+        if peer.outgoing is None and peer.next <= self.base.index:
+            peer.outgoing = OutgoingImage(self.base)
+        if peer.outgoing is None:
+            return self.beat_message(peer)
+        piece = peer.outgoing.next_piece(min(IMAGE_PIECE_BYTES, peer.batch_bytes))
+        return {**self.message_to(peer, "council.image"), "piece": piece.plain()}
 
     def beat_message(self, peer: Peer) -> Message:
         """A heartbeat with as many entries as the peer takes in time."""
@@ -808,12 +837,16 @@
         if answer.get("ok") is not True:
             if theirs == epoch:
                 peer.heard = max(peer.heard, sent)
+            if peer.outgoing is not None:
+                self.heard_received(peer, answer)
+                return
             following = self.next_for(peer, answer, last)
             if following != peer.next:
                 peer.next = following
                 peer.news.put(True)
             return
         peer.heard = max(peer.heard, sent)
+        peer.outgoing = None
         peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
         peer.match = max(peer.match, last)
         peer.next = peer.match + 1
@@ -824,6 +857,17 @@
         if peer.next <= self.last_index:
             peer.news.put(True)
 
+    def heard_received(self, peer: Peer, answer: Message) -> None:
+        """How much of an image a peer has; go on behind it."""
+        received = answer.get("received")
+        if peer.outgoing is None or not isinstance(received, int):
+            return
+        goes_on = received > peer.outgoing.received
+        peer.outgoing.received = max(0, min(received, len(peer.outgoing.image.machine)))
+        if goes_on:
+            peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
+            peer.news.put(True)
+
     def next_for(self, peer: Peer, answer: Message, last: int) -> int:
         """The index to go on from after a peer declined; `last` is how far its log may agree.
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,6 +9,7 @@
 
 from ryelock.council.entries import WORD, Entry, Image
 from ryelock.council.seat import BATCH_BYTES, BATCH_BYTES_LEAST, Council, Pace, Peer
+from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
 from ryelock.events import QuietLog
 from ryelock.journal import open_journal
 from ryelock.loop import Scheduler
@@ -94,14 +95,11 @@
     def round(self, limit: int = 1 << 30) -> Message:
         """One message and its answer; a message over `limit` bytes of entries comes too late."""
         leader, peer = self.leader, self.peer
-        if peer.next <= leader.base.index:
-            message = leader.image_message(peer)
-            handler = self.follower.on_image
-        else:
-            message = leader.beat_message(peer)
-            handler = self.follower.on_beat
-        carried: Any = message.get("entries", [])
-        size = sum(len(entry[3]) for entry in carried)
+        message = leader.next_message(peer)
+        image = message["kind"] == "council.image"
+        handler = self.follower.on_image if image else self.follower.on_beat
+        carried: Any = message["piece"] if image else message["entries"]
+        size = len(carried[-1]) if image else sum(len(entry[3]) for entry in carried)
         now = self.clock.time
         answer = handler(message)
         if size > limit:
@@ -193,6 +191,68 @@
             lab.peer.next = 1
             self.assertEqual(200, lab.rounds_until_level(200, limit=100_000))
 
+    def with_image(self, size: int) -> Lab:
+        """A leader with an image of that size up to entry 100, a follower with nothing."""
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 120, 1)))
+        image = Image(100, 1, {"leader": "leader:1", "follower": "follower:1"}, b"w" * size, 100)
+        self.assertTrue(lab.leader.replicated_log.compact(image))
+        lab.leader.commit = lab.leader.applied = 100
+        lab.lead(2)
+        lab.peer.next = 1
+        return lab
+
+    def test_an_image_crosses_in_pieces_also_over_a_slow_link(self) -> None:
+        lab = self.with_image(3_000_000)
+        pieces: list[int] = []
+        while lab.peer.match < lab.leader.last_index:
+            message: Any = lab.round(limit=100_000)
+            if message["kind"] == "council.image":
+                pieces.append(len(message["piece"][-1]))
+        self.assertLess(max(pieces), IMAGE_PIECE_BYTES + 1)
+        self.assertLess(len(pieces), 80)
+        self.assertEqual([b"w" * 3_000_000], lab.words(lab.follower))
+        self.assertEqual((100, 120), (lab.follower.base.index, lab.follower.last_index))
+
+    def test_an_image_goes_on_where_it_was_when_an_answer_is_lost(self) -> None:
+        lab = self.with_image(1_000_000)
+        lab.round()
+        before = lab.peer.outgoing
+        assert before is not None
+        lab.round(limit=0)
+        lab.round()
+        self.assertEqual(IMAGE_PIECE_BYTES * 2, before.received)
+        self.assertLess(lab.rounds_until_level(20), 12)
+
+    def test_an_image_is_finished_though_a_newer_one_was_written(self) -> None:
+        """Else a follower that is slower than the leader's images never has one."""
+        lab = self.with_image(1_000_000)
+        lab.round()
+        self.assertTrue(lab.leader.replicated_log.compact(Image(110, 1, {}, b"x" * 900_000, 110)))
+        while lab.follower.applied == 0:
+            lab.round()
+        self.assertEqual(100, lab.follower.base.index)
+        self.assertLess(lab.rounds_until_level(20), 12)
+        self.assertEqual([b"x" * 900_000], lab.words(lab.follower))
+
+    def test_a_follower_that_restarts_midway_is_given_the_image_anew(self) -> None:
+        lab = self.with_image(1_000_000)
+        lab.round()
+        lab.round()
+        lab.follower = lab.council("follower", lab.folder)
+        self.assertLess(lab.rounds_until_level(30), 12)
+        self.assertEqual([b"w" * 1_000_000], lab.words(lab.follower))
+
+    def test_pieces_that_do_not_fit_their_image_are_declined(self) -> None:
+        for plain in (
+            [1, 1, {}, 1, 10, 8, b"abc"],
+            [1, 1, {}, 1, -1, 0, b""],
+            [1, 1, {}, 1, 1 << 40, 0, b""],
+            [1, 1, {}, 1, 10, -1, b"a"],
+            [1, 1, {}, 1, 10, 0],
+        ):
+            self.assertRaises(ValueError, piece_of, plain)
+
     def test_a_long_catch_up_is_applied_in_bounded_batches(self) -> None:
         lab = Lab()
         self.assertTrue(lab.leader.replicated_log.append(entries(1, 300, 1)))
