Edges are sent no word that was answered before: they have no outcomes to know it by

Cause: an image for edges has no outcomes, so an edge that was restored from one applied a purge, a drain or an unbased change that was sent again a second time. Measured in the test before the change: a purge number of 3 where the leader has 2 - a later image with purge 3 would then have been passed over - and an edge drained again that had been taken back. Words that changed nothing on the leader are marked when they are applied and passed by (the edge's index comes with the answer).

--- a/packages/council/ryelock/council/entries.py
+++ b/packages/council/ryelock/council/entries.py
@@ -16,13 +16,20 @@
 
 
 class Entry:
-    __slots__ = ("data", "epoch", "index", "kind")
+    """One place of the log; `repeated` once it was applied and found to have been before.
+
+    A repeated word changed nothing here. It is kept from replicas that lack the outcomes of old
+    words and would apply it a second time.
+    """
+
+    __slots__ = ("data", "epoch", "index", "kind", "repeated")
 
     def __init__(self, index: int, epoch: int, kind: str, data: bytes) -> None:
         self.index = index
         self.epoch = epoch
         self.kind = kind
         self.data = data
+        self.repeated = False
 
     def plain(self) -> list[object]:
         return [self.index, self.epoch, self.kind, self.data]
--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -95,9 +95,16 @@
         return self.image.voters
 
     def words_between(self, index: int, last: int) -> list[tuple[int, bytes]]:
-        """The words behind an index, up to and with the last; both lie within the log."""
+        """The words behind an index, up to and with the last, that a replica has to apply.
+
+        Both indexes lie within the log, and all up to the last were applied here.
+        """
         between = self.entries[index - self.image.index : last - self.image.index]
-        return [(entry.index, entry.data) for entry in between if entry.kind == WORD]
+        return [
+            (entry.index, entry.data)
+            for entry in between
+            if entry.kind == WORD and not entry.repeated
+        ]
 
     def last_word(self) -> int:
         """The index of the last word, agreed or not."""
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -79,7 +79,10 @@
 class Machine(Protocol):
     """The state that words change; must come to the same on every node."""
 
-    def apply(self, index: int, data: bytes) -> object: ...
+    def apply(self, index: int, data: bytes) -> object:
+        """The outcome; a map in which `again` is True says that nothing was changed by it."""
+        ...
+
     def image(self) -> bytes: ...
     def restore(self, data: bytes) -> None: ...
 
@@ -934,6 +937,7 @@
         result: object = None
         if entry.kind in (WORD, NOTE):
             result = self.machine.apply(entry.index, entry.data)
+            entry.repeated = isinstance(result, dict) and result.get("again") is True
         self.applied = entry.index
         if entry.kind == WORD:
             self.applied_word = entry.index
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -97,7 +97,7 @@
 
 
 class UnsyncedAtOpenTests(testtools.TestCase):
-    """A process that is killed between a write and its sync leaves a record that only looks safe."""
+    """A process killed between a write and its sync leaves a record that only looks safe."""
 
     def test_what_a_journal_gave_back_outlasts_a_later_loss_of_power(self) -> None:
         folder = SimFolder()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -14,6 +14,7 @@
 from ryelock.journal import open_journal
 from ryelock.loop import Scheduler
 from ryelock.proving.simulated import SimFolder
+from ryelock.register import Register, encode_word
 from ryelock.wire import WireError
 
 Message = dict[str, Any]
@@ -253,6 +254,31 @@
         ):
             self.assertRaises(ValueError, piece_of, plain)
 
+    def test_a_word_sent_again_counts_once_on_an_edge_that_has_an_image(self) -> None:
+        """An edge's image has no outcomes, so the leader passes by words that had no effect."""
+        lab = Lab()
+        council, register, edge = lab.leader, Register(), Register()
+        council.machine = register
+
+        def put(kind: str, **fields: object) -> None:
+            index = council.last_index + 1
+            self.assertTrue(council.store([Entry(index, 1, WORD, encode_word(kind, **fields))]))
+            council.advance(index)
+
+        purge = {"id": "same", "scopes": [{"route": "a"}]}
+        drain = {"id": "drained", "target": "edge", "on": True}
+        put("purge", **purge)
+        put("drain", **drain)
+        put("drain", id="back", target="edge", on=False)
+        edge.restore(register.image_for_edges())
+        put("purge", **purge)
+        put("drain", **drain)
+        put("purge", id="other", scopes=[{"route": "b"}])
+        for index, data in council.words_since(edge.index) or []:
+            edge.apply(index, data)
+        self.assertEqual((2, {}), (register.purge_number, register.drains))
+        self.assertEqual((2, {}), (edge.purge_number, edge.drains))
+
     def test_a_long_catch_up_is_applied_in_bounded_batches(self) -> None:
         lab = Lab()
         self.assertTrue(lab.leader.replicated_log.append(entries(1, 300, 1)))
