An edge that is behind gets the smaller of its words and an image

Cause: up to as many words as stood behind the last image were sent, tens of MB with large changes. Words up to 64 KiB go as words; more are compared with the size of the last image made for edges, which is also made once for all that ask at one index. Tests: 60 changes of 50 routes come as an image of less than a tenth of the words; 900 small words against an image of 1,500 routes come as words.

--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -23,6 +23,10 @@
 LACKING_SECONDS = 0.1
 CHANGES_KEPT = 1000
 HOLD_MOST = 5.0
+WORD_OVERHEAD_BYTES = 12
+"""What a word costs in an answer besides its data."""
+WORDS_BYTES_SMALL = 65_536
+"""Words of up to so many bytes are sent without a look at the image's size."""
 Node = tuple[str, str]
 
 
@@ -68,6 +72,8 @@
         "failed_version",
         "known",
         "known_lost",
+        "last_edge_image",
+        "last_edge_image_index",
         "log",
         "member_changes",
         "members_version",
@@ -110,6 +116,8 @@
         self.waiting: dict[int, Mailbox[bool]] = {}
         self.failed: deque[tuple[int, str, bytes]] = deque(maxlen=FAILED_KEPT)
         self.failed_version = 0
+        self.last_edge_image = b""
+        self.last_edge_image_index = 0
         self.objects: dict[str, tuple[str, str]] = {}
 
     @property
@@ -324,11 +332,27 @@
         return answer
 
     def words(self, vector: dict[str, int]) -> Message:
-        words = self.council.words_since(vector.get("register", 0))
-        if words is None or vector.get("register", 0) == 0:
-            return {"image": self.register.image_for_edges(), "index": self.council.applied}
+        """What brings an edge level with this node: words, or an image where that is smaller."""
+        since = vector.get("register", 0)
+        words = self.council.words_since(since) if since else None
+        if words is None or self.image_is_smaller(words):
+            return {"image": self.edge_image(), "index": self.council.applied}
         return {"words": [[index, data] for index, data in words], "index": self.council.applied}
 
+    def image_is_smaller(self, words: list[tuple[int, bytes]]) -> bool:
+        """Compared with the last image that was made, which may be a little older."""
+        size = sum(len(data) + WORD_OVERHEAD_BYTES for _, data in words)
+        if size <= WORDS_BYTES_SMALL:
+            return False
+        return size > len(self.last_edge_image or self.edge_image())
+
+    def edge_image(self) -> bytes:
+        """The register's image for edges, made once for all that ask at one index."""
+        if self.last_edge_image_index != self.council.applied or not self.last_edge_image:
+            self.last_edge_image = self.register.image_for_edges()
+            self.last_edge_image_index = self.council.applied
+        return self.last_edge_image
+
     def shares(
         self,
         session: Session,
--- /dev/null
+++ b/tests/test_edge_catchup.py
@@ -0,0 +1,97 @@
+"""What an edge that was away is given: the smaller of the words it lacks and an image."""
+
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+import cbor2
+import testtools
+from test_replication import Lab
+
+from ryelock.core.renewals import WORDS_BYTES_SMALL, Renewals
+from ryelock.council.entries import WORD, Entry
+from ryelock.council.seat import Council
+from ryelock.register import Register, encode_word
+
+
+def route_change(number: int, routes: int) -> dict[str, object]:
+    """A change that puts all routes anew, as large as the configuration itself."""
+    return {
+        "id": f"c{number}",
+        "base": number,
+        "version": number + 1,
+        "put": {
+            "services": {"pages": {"rate": 100}},
+            "routes": {
+                f"r{route}": {"path": f"/{number}/{route}", "service": "pages"}
+                for route in range(routes)
+            },
+        },
+    }
+
+
+def leader_with(changes: int, routes: int) -> Council:
+    lab = Lab()
+    council = lab.leader
+    council.machine = Register()
+    for number in range(changes):
+        word = encode_word("change", id=f"c{number}", change=route_change(number, routes))
+        assert council.store([Entry(number + 1, 1, WORD, word)])
+        council.advance(number + 1)
+    assert isinstance(council.machine, Register)
+    assert council.machine.version == changes
+    return council
+
+
+def renewals_of(council: Council) -> Renewals:
+    """The leader's answers, with nothing of it but council and register."""
+    renewals = object.__new__(Renewals)
+    renewals.council = council
+    assert isinstance(council.machine, Register)
+    renewals.register = council.machine
+    renewals.last_edge_image = b""
+    renewals.last_edge_image_index = 0
+    return renewals
+
+
+class EdgeCatchUpTests(testtools.TestCase):
+    def test_many_large_words_give_way_to_an_image(self) -> None:
+        renewals = renewals_of(leader_with(60, 50))
+        since_one: Any = renewals.words({"register": 1})
+        self.assertIn("image", since_one)
+        edge = Register()
+        edge.restore(since_one["image"])
+        self.assertEqual(60, edge.version)
+        words = renewals.council.words_since(1) or []
+        self.assertLess(len(cbor2.dumps(since_one)) * 10, sum(len(data) for _, data in words))
+
+    def test_a_few_words_come_as_words(self) -> None:
+        renewals = renewals_of(leader_with(60, 50))
+        self.assertIn("words", renewals.words({"register": 59}))
+        self.assertIn("image", renewals.words({}))
+
+    def test_many_small_words_come_as_words_where_the_image_is_larger(self) -> None:
+        council = leader_with(1, 1500)
+        for index in range(2, 900):
+            word = encode_word("drain", id=f"d{index}", target=f"edge{index % 2}", on=True)
+            self.assertTrue(council.store([Entry(index, 1, WORD, word)]))
+            council.advance(index)
+        renewals = renewals_of(council)
+        words = council.words_since(1) or []
+        size = sum(len(data) for _, data in words)
+        self.assertTrue(WORDS_BYTES_SMALL // 2 < size < len(renewals.edge_image()), size)
+        self.assertIn("words", renewals.words({"register": 1}))
+
+    def test_an_image_is_made_once_for_all_edges_that_return_together(self) -> None:
+        renewals = renewals_of(leader_with(60, 50))
+        made = SimpleNamespace(count=0)
+        plain = Register.image_for_edges
+
+        def counted(register: Register) -> bytes:
+            made.count += 1
+            return plain(register)
+
+        with mock.patch.object(Register, "image_for_edges", counted):
+            for _ in range(20):
+                self.assertIn("image", renewals.words({"register": 1}))
+        self.assertEqual(1, made.count)
