--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -6,6 +6,7 @@
 
 from ryelock.loop import Step
 from ryelock.proving.callers import Caller, Told
+from ryelock.proving.catchup import many_changes
 from ryelock.proving.checks import Findings
 from ryelock.proving.control_cases import CONTROL_CASES
 from ryelock.proving.scenario import Scenario
@@ -706,5 +707,6 @@
     "crash-claim": crash_claim,
     "crash-image": crash_image,
     "crash-voters": crash_voters,
+    "many-changes": many_changes,
     **CONTROL_CASES,
 }
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
 from ryelock.cache import Store
 from ryelock.core.keeper import Keeper
 from ryelock.council import Council
+from ryelock.council.transfer import IncomingImage
 from ryelock.edge.member import Member
 from ryelock.edge.orders import Failed
 from ryelock.edge.servers import Servers
@@ -209,6 +210,20 @@
     return [mock.patch.object(Council, "on_promise", on_promise)]
 
 
+def images_never_whole() -> list[Patch]:
+    return [mock.patch.object(IncomingImage, "whole", property(always(False)))]
+
+
+def votes_for_shorter_logs() -> list[Patch]:
+    """A member takes its log for empty when it votes."""
+    plain = Council.on_vote
+
+    def on_vote(council: Council, message: dict[str, Any]) -> dict[str, object]:
+        return plain(council, {**message, "last_index": 1 << 40, "last_epoch": 1 << 40})
+
+    return [mock.patch.object(Council, "on_vote", on_vote)]
+
+
 TAKEN_OUT: tuple[tuple[str, Callable[[], list[Patch]], str], ...] = (
     ("cut-edges", no_terms, "changes"),
     ("mean-servers", redispatched, "once"),
@@ -240,6 +255,9 @@
     ("scattered", no_promises, "promises"),
     ("crash-voters", no_spare_voter, "points"),
     ("rolling", no_wait_for_answers, "rolling"),
+    ("many-changes", images_never_whole, "catch-up"),
+    ("many-changes", votes_for_shorter_logs, "lost"),
+    ("many-changes", no_sync, "lost"),
 )
 
 
@@ -250,6 +268,8 @@
     # Of seeds 1 to 6: before an election soon after a start 1 and 3 broke of the first three,
     # now 4, 5 and 6 of all.
     ("crash-image", no_sync): (4, 5, 6),
+    # Of seeds 1 to 6 a shorter log wins, and takes acknowledged changes with it, in 4 and 6.
+    ("many-changes", votes_for_shorter_logs): (4, 5, 6),
 }
 
 
