A restarted member stands by what it acknowledged: drawn test over images and losses of power

300 drawn runs of batches, images of either side and losses of power: its log never ends before what it acknowledged, and it votes for nobody who has less. Fails without syncs and with an image that drops the entries behind it.

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 
 from ryelock.council.entries import WORD, Entry, Image
+from ryelock.council.log import ReplicatedLog
 from ryelock.council.seat import BATCH_BYTES, BATCH_BYTES_LEAST, Council, Pace, Peer
 from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
 from ryelock.events import QuietLog
@@ -324,3 +325,70 @@
         lab.peer.next = 1
         lab.peer.batch_bytes = BATCH_BYTES_LEAST
         self.assertLess(lab.rounds_until_level(20), 10)
+
+
+class AcknowledgedTests(testtools.TestCase):
+    """A member that restarts stands by what it acknowledged."""
+
+    def drawn(self, seed: int) -> None:
+        """Drawn batches, images of the leader, own images and losses of power."""
+        random = Random(f"acknowledged {seed}")
+        lab = Lab(image_records=random.choice((5, 40, 1000)))
+        lab.lead(1)
+        acknowledged = (0, 0)
+        for _ in range(30):
+            log = lab.leader.replicated_log
+            first = lab.leader.last_index + 1
+            self.assertTrue(log.append(entries(first, first + random.randrange(1, 6), 1)))
+            if random.random() < 0.7:
+                lab.leader.advance(random.randint(lab.leader.commit, lab.leader.last_index))
+            while lab.leader.applied < lab.leader.commit:
+                lab.leader.apply_committed()
+            if random.random() < 0.2 and lab.leader.applied > lab.leader.base.index:
+                lab.leader.write_image()
+            lab.peer.next = max(1, min(lab.peer.next, random.randint(0, first)))
+            for _ in range(random.randrange(4)):
+                lab.round()
+            acknowledged = max(acknowledged, (1, lab.peer.match)) if lab.peer.match else (0, 0)
+            if random.random() < 0.3:
+                lab.folder.lose_power(random)
+                lab.follower = lab.council("follower", lab.folder)
+            self.check(lab.follower, acknowledged)
+
+    def check(self, member: Council, acknowledged: tuple[int, int]) -> None:
+        mine = (member.epoch_at(member.last_index), member.last_index)
+        self.assertTrue(mine >= acknowledged, f"{mine} after {acknowledged}")
+        for last_epoch, last_index in ((0, 0), (1, max(0, acknowledged[1] - 1))):
+            if (last_epoch, last_index) >= acknowledged:
+                continue
+            answer = member.on_vote(
+                {
+                    "to": "follower",
+                    "disk": "candidate",
+                    "epoch": member.epoch + 1,
+                    "trial": True,
+                    "handed": True,
+                    "last_index": last_index,
+                    "last_epoch": last_epoch,
+                }
+            )
+            self.assertEqual(False, answer["granted"])
+
+    def test_no_restart_makes_a_member_forget_what_it_acknowledged(self) -> None:
+        for seed in range(300):
+            self.drawn(seed)
+
+    def test_without_syncs_a_restart_forgets(self) -> None:
+        with mock.patch.object(SimFolder, "sync", lambda _folder, _name: None):
+            self.assertRaises(AssertionError, self.forgets)
+
+    def test_an_image_that_drops_the_entries_behind_it_forgets(self) -> None:
+        def install(log: ReplicatedLog, image: Image) -> bool:
+            return log.replace_start(image, [])
+
+        with mock.patch.object(ReplicatedLog, "install", install):
+            self.assertRaises(AssertionError, self.forgets)
+
+    def forgets(self) -> None:
+        for seed in range(300):
+            self.drawn(seed)
