--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 
 from ryelock.allowance import Divider, RepeatBudget
 from ryelock.cache import Store
-from ryelock.core.keeper import Keeper
+from ryelock.core.voters import VoterKeeper
 from ryelock.council import Council
 from ryelock.council.transfer import IncomingImage
 from ryelock.edge.member import Member
@@ -200,7 +200,7 @@
 
 
 def no_spare_voter() -> list[Patch]:
-    return [mock.patch.object(Keeper, "spares", always([]))]
+    return [mock.patch.object(VoterKeeper, "spares", always([]))]
 
 
 def no_promises() -> list[Patch]:
