--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -9,6 +9,7 @@
 warnings.filterwarnings("ignore", message="pkg_resources is deprecated")
 
 from ryelock.proving.cases import CASES  # noqa: E402
+from ryelock.proving.catchup_measure import measure_catch_up  # noqa: E402
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
 from ryelock.proving.pieces import measure_pieces  # noqa: E402
@@ -272,8 +273,28 @@
     return 0
 
 
+def catch_up(*, changes: str = "100,400,1600", routes: str = "5,650", runs: int = 3) -> int:
+    """Measure what it costs a control node and an edge that were away to catch up.
+
+    :param changes: changes that they lack, divided by commas
+    :param routes: routes that each change sets anew, divided by commas
+    :param runs: times that each pair is measured
+    """
+    for route_count in whole_numbers(routes):
+        points = [
+            Point(f"{count} changes", Size(1, 1, 0, route_count))
+            for count in whole_numbers(changes)
+        ]
+        for point, count in zip(points, whole_numbers(changes), strict=True):
+            point.runs = [measure_catch_up(count, route_count) for _ in range(runs)]
+        sys.stdout.write(f"{route_count} routes\n\n{table(points, 'changes')}\n")
+    return 0
+
+
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces], short={}))
+    sys.exit(
+        defopt.run([fleet, simulate, case, finals, measures, scale, pieces, catch_up], short={})
+    )
 
 
 main()
