--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -6,6 +6,7 @@
 
 from ryelock.loop import Step
 from ryelock.proving.callers import Caller, Told
+from ryelock.proving.catchup import many_changes
 from ryelock.proving.checks import Findings
 from ryelock.proving.control_cases import CONTROL_CASES
 from ryelock.proving.loss_cases import LOSS_CASES
@@ -707,6 +708,7 @@
     "crash-claim": crash_claim,
     "crash-image": crash_image,
     "crash-voters": crash_voters,
+    "many-changes": many_changes,
     **CONTROL_CASES,
     **LOSS_CASES,
 }
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,11 +8,14 @@
 from expression import Error, Ok
 
 from ryelock.council.entries import WORD, Entry, Image
+from ryelock.council.log import ReplicatedLog
 from ryelock.council.seat import BATCH_BYTES, BATCH_BYTES_LEAST, Council, Pace, Peer
+from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
 from ryelock.events import QuietLog
 from ryelock.journal import open_journal
 from ryelock.loop import Scheduler
 from ryelock.proving.simulated import SimFolder
+from ryelock.register import Register, encode_word
 from ryelock.wire import WireError
 
 Message = dict[str, Any]
@@ -79,6 +82,10 @@
             Random(disk),
         )
 
+    def words(self, council: Council) -> list[bytes]:
+        assert isinstance(council.machine, CountingMachine)
+        return council.machine.words
+
     def lead(self, epoch: int) -> None:
         """The leader's role as it is after an election, without its tasks."""
         assert self.leader.replicated_log.save_vote(epoch, "leader")
@@ -90,14 +97,11 @@
     def round(self, limit: int = 1 << 30) -> Message:
         """One message and its answer; a message over `limit` bytes of entries comes too late."""
         leader, peer = self.leader, self.peer
-        if peer.next <= leader.base.index:
-            message = leader.image_message(peer)
-            handler = self.follower.on_image
-        else:
-            message = leader.beat_message(peer)
-            handler = self.follower.on_beat
-        carried: Any = message.get("entries", [])
-        size = sum(len(entry[3]) for entry in carried)
+        message = leader.next_message(peer)
+        image = message["kind"] == "council.image"
+        handler = self.follower.on_image if image else self.follower.on_beat
+        carried: Any = message["piece"] if image else message["entries"]
+        size = len(carried[-1]) if image else sum(len(entry[3]) for entry in carried)
         now = self.clock.time
         answer = handler(message)
         if size > limit:
@@ -164,6 +168,8 @@
             self.assertTrue(council.replicated_log.append(entries(1, 300, 1)))
         lab.lead(2)
         lab.follower.advance(200)
+        while lab.follower.applied < 200:
+            lab.follower.apply_committed()
         self.assertTrue(lab.follower.replicated_log.compact(Image(200, 1, {}, b"", 200)))
         lab.peer.next = 100
         self.assertLess(lab.rounds_until_level(1000), 4)
@@ -187,6 +193,131 @@
             lab.peer.next = 1
             self.assertEqual(200, lab.rounds_until_level(200, limit=100_000))
 
+    def with_image(self, size: int) -> Lab:
+        """A leader with an image of that size up to entry 100, a follower with nothing."""
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 120, 1)))
+        image = Image(100, 1, {"leader": "leader:1", "follower": "follower:1"}, b"w" * size, 100)
+        self.assertTrue(lab.leader.replicated_log.compact(image))
+        lab.leader.commit = lab.leader.applied = 100
+        lab.lead(2)
+        lab.peer.next = 1
+        return lab
+
+    def test_an_image_crosses_in_pieces_also_over_a_slow_link(self) -> None:
+        lab = self.with_image(3_000_000)
+        pieces: list[int] = []
+        while lab.peer.match < lab.leader.last_index:
+            message: Any = lab.round(limit=100_000)
+            if message["kind"] == "council.image":
+                pieces.append(len(message["piece"][-1]))
+        self.assertLess(max(pieces), IMAGE_PIECE_BYTES + 1)
+        self.assertLess(len(pieces), 80)
+        self.assertEqual([b"w" * 3_000_000], lab.words(lab.follower))
+        self.assertEqual((100, 120), (lab.follower.base.index, lab.follower.last_index))
+
+    def test_an_image_goes_on_where_it_was_when_an_answer_is_lost(self) -> None:
+        lab = self.with_image(1_000_000)
+        lab.round()
+        before = lab.peer.outgoing
+        assert before is not None
+        lab.round(limit=0)
+        lab.round()
+        self.assertEqual(IMAGE_PIECE_BYTES * 2, before.received)
+        self.assertLess(lab.rounds_until_level(20), 12)
+
+    def test_an_image_is_finished_though_a_newer_one_was_written(self) -> None:
+        """Else a follower that is slower than the leader's images never has one."""
+        lab = self.with_image(1_000_000)
+        lab.round()
+        self.assertTrue(lab.leader.replicated_log.compact(Image(110, 1, {}, b"x" * 900_000, 110)))
+        while lab.follower.applied == 0:
+            lab.round()
+        self.assertEqual(100, lab.follower.base.index)
+        self.assertLess(lab.rounds_until_level(20), 12)
+        self.assertEqual([b"x" * 900_000], lab.words(lab.follower))
+
+    def test_a_follower_that_restarts_midway_is_given_the_image_anew(self) -> None:
+        lab = self.with_image(1_000_000)
+        lab.round()
+        lab.round()
+        lab.follower = lab.council("follower", lab.folder)
+        self.assertLess(lab.rounds_until_level(30), 12)
+        self.assertEqual([b"w" * 1_000_000], lab.words(lab.follower))
+
+    def test_pieces_that_do_not_fit_their_image_are_declined(self) -> None:
+        for plain in (
+            [1, 1, {}, 1, 10, 8, b"abc"],
+            [1, 1, {}, 1, -1, 0, b""],
+            [1, 1, {}, 1, 1 << 40, 0, b""],
+            [1, 1, {}, 1, 10, -1, b"a"],
+            [1, 1, {}, 1, 10, 0],
+        ):
+            self.assertRaises(ValueError, piece_of, plain)
+
+    def test_a_word_sent_again_counts_once_on_an_edge_that_has_an_image(self) -> None:
+        """An edge's image has no outcomes, so the leader passes by words that had no effect."""
+        lab = Lab()
+        council, register, edge = lab.leader, Register(), Register()
+        council.machine = register
+
+        def put(kind: str, **fields: object) -> None:
+            index = council.last_index + 1
+            self.assertTrue(council.store([Entry(index, 1, WORD, encode_word(kind, **fields))]))
+            council.advance(index)
+
+        purge = {"id": "same", "scopes": [{"route": "a"}]}
+        drain = {"id": "drained", "target": "edge", "on": True}
+        put("purge", **purge)
+        put("drain", **drain)
+        put("drain", id="back", target="edge", on=False)
+        edge.restore(register.image_for_edges())
+        put("purge", **purge)
+        put("drain", **drain)
+        put("purge", id="other", scopes=[{"route": "b"}])
+        for index, data in council.words_since(edge.index) or []:
+            edge.apply(index, data)
+        self.assertEqual((2, {}), (register.purge_number, register.drains))
+        self.assertEqual((2, {}), (edge.purge_number, edge.drains))
+
+    def test_a_long_catch_up_is_applied_in_bounded_batches(self) -> None:
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 300, 1)))
+        lab.lead(2)
+        lab.peer.next = 1
+        lab.leader.commit = 300
+        lab.round()
+        self.assertEqual((300, 64), (lab.follower.commit, lab.follower.applied))
+        for _ in range(4):
+            lab.follower.apply_committed()
+        self.assertEqual(300, lab.follower.applied)
+        self.assertEqual(300, len(lab.words(lab.follower)))
+
+    def test_an_entry_that_takes_long_ends_its_batch(self) -> None:
+        lab = Lab()
+        self.assertTrue(lab.follower.replicated_log.append(entries(1, 30, 1)))
+
+        def slow(_machine: CountingMachine, _index: int, _data: bytes) -> object:
+            lab.clock.time += 0.015
+            return None
+
+        with mock.patch.object(CountingMachine, "apply", slow):
+            lab.follower.advance(30)
+        self.assertEqual(2, lab.follower.applied)
+
+    def test_a_leader_is_not_settled_before_it_applied_what_was_agreed(self) -> None:
+        """Reads, terms and voters rest on `settled`."""
+        lab = Lab()
+        self.assertTrue(lab.leader.replicated_log.append(entries(1, 200, 1)))
+        lab.lead(2)
+        self.assertTrue(lab.leader.replicated_log.append(entries(201, 201, 2)))
+        lab.leader.advance(201)
+        self.assertEqual((201, False), (lab.leader.commit, lab.leader.settled))
+        while lab.leader.applied < 201:
+            self.assertFalse(lab.leader.settled)
+            lab.leader.apply_committed()
+        self.assertTrue(lab.leader.settled)
+
     def test_an_entry_larger_than_a_batch_still_crosses(self) -> None:
         lab = Lab()
         self.assertTrue(lab.leader.replicated_log.append(entries(1, 3, 1, 4 * BATCH_BYTES_LEAST)))
@@ -194,3 +325,70 @@
         lab.peer.next = 1
         lab.peer.batch_bytes = BATCH_BYTES_LEAST
         self.assertLess(lab.rounds_until_level(20), 10)
+
+
+class AcknowledgedTests(testtools.TestCase):
+    """A member that restarts stands by what it acknowledged."""
+
+    def drawn(self, seed: int) -> None:
+        """Drawn batches, images of the leader, own images and losses of power."""
+        random = Random(f"acknowledged {seed}")
+        lab = Lab(image_records=random.choice((5, 40, 1000)))
+        lab.lead(1)
+        acknowledged = (0, 0)
+        for _ in range(30):
+            log = lab.leader.replicated_log
+            first = lab.leader.last_index + 1
+            self.assertTrue(log.append(entries(first, first + random.randrange(1, 6), 1)))
+            if random.random() < 0.7:
+                lab.leader.advance(random.randint(lab.leader.commit, lab.leader.last_index))
+            while lab.leader.applied < lab.leader.commit:
+                lab.leader.apply_committed()
+            if random.random() < 0.2 and lab.leader.applied > lab.leader.base.index:
+                lab.leader.write_image()
+            lab.peer.next = max(1, min(lab.peer.next, random.randint(0, first)))
+            for _ in range(random.randrange(4)):
+                lab.round()
+            acknowledged = max(acknowledged, (1, lab.peer.match)) if lab.peer.match else (0, 0)
+            if random.random() < 0.3:
+                lab.folder.lose_power(random)
+                lab.follower = lab.council("follower", lab.folder)
+            self.check(lab.follower, acknowledged)
+
+    def check(self, member: Council, acknowledged: tuple[int, int]) -> None:
+        mine = (member.epoch_at(member.last_index), member.last_index)
+        self.assertTrue(mine >= acknowledged, f"{mine} after {acknowledged}")
+        for last_epoch, last_index in ((0, 0), (1, max(0, acknowledged[1] - 1))):
+            if (last_epoch, last_index) >= acknowledged:
+                continue
+            answer = member.on_vote(
+                {
+                    "to": "follower",
+                    "disk": "candidate",
+                    "epoch": member.epoch + 1,
+                    "trial": True,
+                    "handed": True,
+                    "last_index": last_index,
+                    "last_epoch": last_epoch,
+                }
+            )
+            self.assertEqual(False, answer["granted"])
+
+    def test_no_restart_makes_a_member_forget_what_it_acknowledged(self) -> None:
+        for seed in range(300):
+            self.drawn(seed)
+
+    def test_without_syncs_a_restart_forgets(self) -> None:
+        with mock.patch.object(SimFolder, "sync", lambda _folder, _name: None):
+            self.assertRaises(AssertionError, self.forgets)
+
+    def test_an_image_that_drops_the_entries_behind_it_forgets(self) -> None:
+        def install(log: ReplicatedLog, image: Image) -> bool:
+            return log.replace_start(image, [])
+
+        with mock.patch.object(ReplicatedLog, "install", install):
+            self.assertRaises(AssertionError, self.forgets)
+
+    def forgets(self) -> None:
+        for seed in range(300):
+            self.drawn(seed)
