Split an order's way into layers; way.py reads top to bottom

way.py was one class of 1,030 lines for routing, allowance, dispatches, answers and replies. Its steps now stand in context.py, routing.py, replies.py, admission.py, answers.py, dispatch.py and foresee.py, each a layer that uses only those before it; `Way` is the last and has the same attributes. serve_cached became six steps with a typed Filling.

Weighed: parts that hold a reference to one another in place of layers; the tests that take a mechanism out patch `Way` itself, and patches of a part would have meant changing them.

--- /dev/null
+++ b/packages/edge/ryelock/edge/admission.py
@@ -0,0 +1,137 @@
+"""Whether an order may go to its service: room at the gate, its key, the budget of repeats."""
+
+import hashlib
+
+from ryelock.edge.context import Failure
+from ryelock.edge.gate import Gate
+from ryelock.edge.orders import Caller, Order
+from ryelock.edge.replies import NO_SHARE, Replies
+from ryelock.exchange import (
+    Exchange,
+    field,
+)
+from ryelock.loop import Step
+from ryelock.register import Route
+
+PATIENCE_PART = 0.2
+CLAIM_SECONDS = 1.0
+CALLER_FIELDS = (b"user-agent", b"authorization", b"cookie")
+REPEAT_FIELDS = (b"x-retry-count", b"x-retry-attempt", b"retry-attempt")
+
+
+class Admission(Replies):
+    """Letting orders through to a service."""
+
+    __slots__ = ()
+
+    def enter(
+        self, exchange: Exchange, order: Order, route: Route, key: bytes | None
+    ) -> Step[Failure | None]:
+        """Room at the service: at once, after a short wait, or not at all."""
+        gate = self.gates.get(order.service)
+        if gate is None:
+            return Failure(503, "the service is not known here yet")
+        fields = exchange.head.fields
+        if not self.dialect.own:
+            return (yield from self.pass_gate(exchange, order, route, gate))
+        order.repeat = (key is not None and self.keys.seen(order.service, key)) or any(
+            (field(fields, name) or b"0").strip() not in (b"0", b"") for name in REPEAT_FIELDS
+        )
+        caller = caller_of(exchange, order)
+        order.repeat = order.repeat or self.failed.repeats(caller, self.scheduler.now())
+        if order.repeat and gate.budget.room < 1.0:
+            order.allowance = "over the budget of repeats"
+            return Failure(429, "too many repeats of orders to this service", back=2.0)
+        return (yield from self.pass_gate(exchange, order, route, gate))
+
+    def pass_gate(
+        self, exchange: Exchange, order: Order, route: Route, gate: Gate
+    ) -> Step[Failure | None]:
+        patience = self.deadline(exchange, route) - self.scheduler.now()
+        if not self.dialect.own and route.target_seconds:
+            patience = min(patience, route.target_seconds * PATIENCE_PART)
+        back = yield from gate.enter(order.route_name, route.share, patience, order.probe)
+        if back:
+            bare = gate.bucket.holding(self.scheduler.now()) <= 0 and not gate.bucket.counted
+            order.allowance = NO_SHARE if bare else "declined: over the service's rate or queue"
+            return Failure(503, "the service is at its rate; the order was not sent", back=back)
+        order.allowance = "allowed"
+        if exchange.left:
+            gate.leave(order.route_name)
+            return Failure(499, "the caller left before the order was sent")
+        if not self.member.serving:
+            gate.leave(order.route_name)
+            return Failure(503, "no term: cut off")
+        return None
+
+    def claim(
+        self, exchange: Exchange, order: Order, route: Route, key: bytes | None
+    ) -> Step[Failure | None]:
+        """Before an order with a key is sent: a majority of disks holds that it may have run."""
+        if key is None:
+            return None
+        left = self.deadline(exchange, route) - self.scheduler.now()
+        found = yield from self.member.claim(
+            key_of(exchange, order, key), order.identity, max(0.0, min(CLAIM_SECONDS, left))
+        )
+        if found == "claimed":
+            return None
+        if found == "known":
+            return Failure(
+                409,
+                "an order with this Idempotency-Key was sent before; it is not sent again",
+                True,
+            )
+        self.give_back(exchange, order, key)
+        return Failure(503, "the Idempotency-Key could not be noted; the order was not sent")
+
+    def give_back(self, exchange: Exchange, order: Order, key: bytes) -> None:
+        self.scheduler.spawn(
+            "release", self.member.release(key_of(exchange, order, key), order.identity)
+        )
+
+    def account(self, exchange: Exchange, order: Order) -> bool:
+        """At an order's first sending: a first earns room for repeats, a repeat takes some.
+
+        Only what is sent counts: a service that nothing reaches earns no repeats.
+        """
+        gate = self.gates.get(order.service)
+        if gate is None or any(record["sent"] for record in order.dispatches):
+            return gate is not None
+        if not order.repeat:
+            if self.dialect.own or not (order.probe or order.peer):
+                gate.budget.first()
+            return True
+        if not gate.budget.repeat():
+            order.allowance = "over the budget of repeats"
+            return False
+        self.failed.sent(caller_of(exchange, order))
+        return True
+
+
+def caller_of(exchange: Exchange, order: Order) -> Caller:
+    fields = exchange.head.fields
+    return digest_of(
+        exchange.link.peer.rpartition(":")[0].encode(),
+        order.method.encode(),
+        order.host.encode(),
+        order.target.encode("latin-1"),
+        *(field(fields, name) or b"" for name in CALLER_FIELDS),
+    )
+
+
+def key_of(exchange: Exchange, order: Order, key: bytes) -> bytes:
+    """A caller's key, told apart by service, place and the caller's credentials."""
+    return digest_of(
+        order.service.encode(),
+        order.method.encode(),
+        order.host.encode(),
+        order.target.encode("latin-1"),
+        field(exchange.head.fields, b"authorization") or b"",
+        key,
+    )
+
+
+def digest_of(*parts: bytes) -> bytes:
+    whole = b"".join(b"%d:%s" % (len(part), part) for part in parts)
+    return hashlib.sha256(whole).digest()[:16]
--- /dev/null
+++ b/packages/edge/ryelock/edge/answers.py
@@ -0,0 +1,124 @@
+"""Which of a server's answers is believed, and what a failed dispatch tells of the server."""
+
+from ryelock.edge.admission import Admission
+from ryelock.edge.orders import Order
+from ryelock.edge.servers import ServerState
+from ryelock.exchange import (
+    Answer,
+    AnswerHead,
+    CallError,
+    field,
+)
+from ryelock.loop import Step
+
+UNBLAMED = ("the caller left", "the term or the route changed", "the server is leaving or gone")
+HELD_ANSWER = 65_536
+HASTY_SECONDS = 0.25
+HASTY_TIMES = 3.0
+NAMELESS = "an answer that does not say whose it is"
+
+
+class Answers(Admission):
+    """Judging the answers of servers."""
+
+    __slots__ = ()
+
+    def may_use_kept_link(self, order: Order) -> bool:
+        """Whether an answer to an earlier order could be told from this order's by its name.
+
+        Servers repeat only names that callers gave. A probe bears none; and a name that was in
+        use lately may stand in a late answer as well, so an order that may run once and bears
+        such a one gets a link of its own, on which nothing was asked before.
+        """
+        if self.dialect.own:
+            return order.klass != "once"
+        if order.probe or not order.named:
+            return False
+        return order.klass != "once" or order.identity not in self.orders.kept
+
+    def answers(self, order: Order, head: AnswerHead) -> bool:
+        """Whether an answer says that it is this order's, where answers say whose they are."""
+        if not self.dialect.identity:
+            return True
+        said = field(head.fields, self.dialect.identity.lower())
+        return said is not None and said.decode("latin-1") == order.identity
+
+    def is_left_over(self, order: Order, head: AnswerHead, used: bool) -> bool:
+        """Whether an answer is to be passed over, since this order's may still follow it.
+
+        A server may send one too many; it comes where the next order's is due. One under another
+        name is passed over on any link; one under no name only on a link that was used before:
+        on a new link nothing else can be due.
+        """
+        if order.probe or self.answers(order, head):
+            return False
+        return used or field(head.fields, self.dialect.identity.lower()) is not None
+
+    def unfit(self, order: Order, head: AnswerHead) -> CallError | None:
+        """Why an answer cannot go to the caller; `declined` where the order did not run.
+
+        Nothing that an answer says is believed, neither success nor "not run", unless it says
+        that it is this order's. A probe's is known by the link, which no other order uses.
+        """
+        dialect = self.dialect
+        if dialect.own:
+            return None
+        if not order.probe and not self.answers(order, head):
+            nameless = field(head.fields, dialect.identity.lower()) is None
+            return CallError(NAMELESS if nameless else "an answer to another order", True)
+        if head.status == 421 or (
+            dialect.not_run
+            and head.status >= 400
+            and field(head.fields, dialect.not_run.lower()) is not None
+        ):
+            return CallError(f"the server declined: {head.status}", False, head.status)
+        if not self.sealed(head):
+            return CallError("a success without its server's mark", True)
+        if head.status in (408, 425, 429, 503):
+            return CallError(f"the server failed: {head.status}", True)
+        return None
+
+    def sealed(self, head: AnswerHead) -> bool:
+        """Whether a success bears its server's mark, where servers make one."""
+        return (
+            not self.dialect.seal
+            or not 200 <= head.status < 300
+            or field(head.fields, self.dialect.seal.lower()) is not None
+        )
+
+    def read_first(self, answer: Answer, until: float, fill: bool) -> Step[tuple[bytes, bool]]:
+        """The whole of a short or fillable answer; nothing of a longer one."""
+        most = self.env.answer_bytes if fill else HELD_ANSWER
+        body = answer.body
+        if body.over:
+            return b"", True
+        if body.chunked and not fill:
+            return b"", False
+        if not body.chunked and body.left > most:
+            return b"", False
+        pieces: list[bytes] = []
+        total = 0
+        while total <= most:
+            piece = yield from body.piece(until)
+            if not piece and body.over:
+                return b"".join(pieces), True
+            pieces.append(piece)
+            total += len(piece)
+            if body.over and not body.chunked:
+                return b"".join(pieces), True
+        return b"".join(pieces), False
+
+    def blames(self, error: CallError, state: ServerState, taken: float) -> bool:
+        """Whether a failure tells of the server: not where the order had no time left for it.
+
+        Nor where nothing was sent for reasons of the caller, the route or the listing.
+        """
+        if error.reason in UNBLAMED:
+            return False
+        hasty = taken < max(HASTY_SECONDS, HASTY_TIMES * state.latency)
+        return not (
+            hasty
+            and error.reason in ("no answer in time", "no link to the server")
+            and not state.server.leaving
+            and taken < self.env.connect_seconds
+        )
--- /dev/null
+++ b/packages/edge/ryelock/edge/context.py
@@ -0,0 +1,116 @@
+"""What all steps of an order's way share: the edge's parts, and how a dispatch can end."""
+
+from random import Random
+
+from ryelock.cache import Store
+from ryelock.edge.gate import Gate
+from ryelock.edge.member import Member
+from ryelock.edge.orders import Failed, Keys, Orders
+from ryelock.edge.peers import Peers
+from ryelock.edge.plan import Plan
+from ryelock.edge.servers import Servers, ServerState
+from ryelock.env import Env
+from ryelock.events import Log
+from ryelock.exchange import (
+    Answer,
+    AnswerHead,
+    Dialect,
+    Reader,
+)
+from ryelock.loop import Link, Network, Scheduler
+
+REPEAT_SECONDS = 30.0
+
+
+class Failure:
+    """Why an order has no server's answer, and whether it may have run."""
+
+    __slots__ = ("back", "reason", "status", "unknown")
+
+    def __init__(self, status: int, reason: str, unknown: bool = False, back: float = 1.0) -> None:
+        self.status = status
+        self.reason = reason
+        self.unknown = unknown
+        self.back = back
+
+
+class Carried:
+    """A server's answer: its head, what was read of its body, and the rest to come."""
+
+    __slots__ = ("answer", "first", "head", "link", "reader", "sent", "server", "whole")
+
+    def __init__(
+        self,
+        head: AnswerHead,
+        first: bytes,
+        whole: bool,
+        answer: Answer,
+        link: Link,
+        reader: Reader,
+        server: ServerState,
+        sent: float,
+    ) -> None:
+        self.head = head
+        self.first = first
+        self.whole = whole
+        self.answer = answer
+        self.link = link
+        self.reader = reader
+        self.server = server
+        self.sent = sent
+
+
+class EdgeContext:
+    """The parts of one edge that an order needs on its way."""
+
+    __slots__ = (
+        "dialect",
+        "env",
+        "failed",
+        "gates",
+        "keys",
+        "lately",
+        "log",
+        "member",
+        "name",
+        "network",
+        "orders",
+        "peers",
+        "plan",
+        "random",
+        "scheduler",
+        "sequence",
+        "served",
+        "servers",
+        "store",
+    )
+
+    def __init__(
+        self,
+        env: Env,
+        scheduler: Scheduler,
+        network: Network,
+        log: Log,
+        member: Member,
+        random: Random,
+        dialect: Dialect,
+    ) -> None:
+        self.env = env
+        self.dialect = dialect
+        self.name = env.name
+        self.scheduler = scheduler
+        self.network = network
+        self.log = log
+        self.member = member
+        self.random = random
+        self.plan = Plan(0, member.register.configuration)
+        self.servers = Servers(scheduler, log, env, random)
+        self.store = Store(env.cache_bytes, dialect.labels)
+        self.gates: dict[str, Gate] = {}
+        self.orders = Orders(env.explain_orders)
+        self.keys = Keys()
+        self.peers = Peers(scheduler, env.name, env.zone) if env.share_copies else None
+        self.failed = Failed(REPEAT_SECONDS)
+        self.sequence = 0
+        self.served = 0
+        self.lately: dict[str, tuple[str, str]] = {}
--- a/packages/edge/ryelock/edge/copies.py
+++ b/packages/edge/ryelock/edge/copies.py
@@ -1,6 +1,6 @@
-"""Copies of answers as an edge refreshes them, and the conditions that are not a copy's own."""
+"""Copies as an edge fills and refreshes them, and conditions that only their caller sets."""
 
-from ryelock.cache import Copy, freshness
+from ryelock.cache import Copy, Fill, freshness
 from ryelock.exchange import AnswerHead, end_to_end, field
 
 CONDITIONS = frozenset(
@@ -15,6 +15,17 @@
 )
 
 
+class Filling:
+    """A fill, the copy that may turn out to be unchanged, and the purges known at its start."""
+
+    __slots__ = ("fill", "known", "purged")
+
+    def __init__(self, fill: Fill, known: Copy | None, purged: int) -> None:
+        self.fill = fill
+        self.known = known
+        self.purged = purged
+
+
 def refreshed(known: Copy, head: AnswerHead, sent: float, now: float) -> Copy:
     """A copy that its server says is still the same, with its newer fields."""
     newer = {name.lower() for name, _ in head.fields}
--- /dev/null
+++ b/packages/edge/ryelock/edge/dispatch.py
@@ -0,0 +1,267 @@
+"""Sending an order: to one server after another until one answers or it is given up."""
+
+from expression import Error, Ok, Result
+
+from ryelock.cache import Copy
+from ryelock.edge.answers import Answers
+from ryelock.edge.context import Carried, Failure
+from ryelock.edge.copies import CONDITIONS
+from ryelock.edge.gate import Gate
+from ryelock.edge.orders import Order
+from ryelock.edge.owner import (
+    OWN_FIELDS,
+)
+from ryelock.edge.servers import ServerState
+from ryelock.events import ANSWER_BROKEN
+from ryelock.exchange import (
+    CallError,
+    Exchange,
+    Fields,
+    Reader,
+    end_to_end,
+    field,
+    read_answer,
+    send_order,
+)
+from ryelock.exchange.heads import FramingError
+from ryelock.exchange.reading import Cut, Late
+from ryelock.loop import Link, Step
+from ryelock.register import Route
+
+ANSWERS_SKIPPED = 2
+TRY_PART = 0.6
+FULL_SECONDS = 0.15
+
+
+class Dispatch(Answers):
+    """Dispatches of an order."""
+
+    __slots__ = ()
+
+    def dispatch(
+        self,
+        exchange: Exchange,
+        order: Order,
+        route: Route,
+        gate: Gate,
+        fill: bool,
+        known: Copy | None = None,
+    ) -> Step[Result[Carried, Failure]]:
+        """Send an order to servers in turn until one answers or it must be given up."""
+        until = self.deadline(exchange, route)
+        used: set[tuple[str, str, str]] = set()
+        failure = Failure(503, f"no live server of service {order.service}")
+        answered: Carried | None = None
+        servers_left = order.servers_left
+        for number in range(servers_left):
+            if not self.may_still_go(order):
+                return Error(Failure(503, "the term or the route changed; not sent"))
+            if exchange.left:
+                return Error(Failure(499, "the caller left"))
+            if any(record["sent"] for record in order.dispatches):
+                patience = until - self.scheduler.now()
+                if not (yield from gate.again(patience)):
+                    order.allowance += "; no room to repeat"
+                    return self.last_of(answered, failure)
+            weighed: list[dict[str, object]] = []
+            state = self.servers.pick(
+                order.service, used, order.verdict, weighed, self.member.edges, gate.service.links
+            )
+            if number == 0:
+                order.weighed = weighed
+            if state is None:
+                return self.last_of(answered, failure)
+            if answered is not None:
+                answered.link.abort()
+                answered = None
+            used.add(state.server.identity)
+            record: dict[str, object] = {
+                "server": state.server.address,
+                "zone": state.server.zone,
+                "sent": False,
+            }
+            order.dispatches.append(record)
+            started = self.scheduler.now()
+            state.sent_at.append(started)
+            try:
+                last = number + 1 >= servers_left or order.peer
+                found = yield from self.try_server(
+                    exchange, order, route, state, until, record, fill, known, last
+                )
+            finally:
+                state.sent_at.remove(started)
+            taken = self.scheduler.now() - started
+            record["seconds"] = round(taken, 4)
+            if found.is_ok():
+                carried = found.ok
+                self.servers.fared(state, carried.head.status < 500, taken)
+                record["status"] = carried.head.status
+                if (
+                    not self.dialect.own
+                    and carried.head.status >= 500
+                    and order.klass == "repeatable"
+                    and not last
+                ):
+                    answered = carried
+                    continue
+                return Ok(carried)
+            error = found.error
+            record["fault"] = error.reason
+            if error.declined:
+                record["declined"] = error.declined
+                self.servers.declined(state, error.declined, FULL_SECONDS)
+                failure = Failure(503, error.reason, back=self.soon(route))
+                if error.declined == 429:
+                    return Error(failure)
+                continue
+            if error.reason == "over the budget of repeats":
+                state.trying = False
+                return Error(Failure(429, "too many repeats of orders to this service", back=2.0))
+            if self.blames(error, state, taken):
+                self.servers.fared(state, False, taken)
+            else:
+                state.trying = False
+            if error.sent and order.klass == "once":
+                late = error.reason == "no answer in time"
+                return Error(
+                    Failure(504 if late else 502, f"outcome unknown: {error.reason}", True)
+                )
+            late = self.scheduler.now() >= until
+            failure = Failure(504 if late else 502, error.reason)
+            if late:
+                return Error(failure)
+        return self.last_of(answered, failure)
+
+    def last_of(self, answered: Carried | None, failure: Failure) -> Result[Carried, Failure]:
+        """A server's own failure goes to the caller where no other server could be tried."""
+        return Ok(answered) if answered is not None else Error(failure)
+
+    def try_server(
+        self,
+        exchange: Exchange,
+        order: Order,
+        route: Route,
+        state: ServerState,
+        until: float,
+        record: dict[str, object],
+        fill: bool,
+        known: Copy | None,
+        last: bool,
+    ) -> Step[Result[Carried, CallError]]:
+        """One dispatch: a link, the order's bytes, the answer's head, a short body whole."""
+        kept = self.servers.kept_link(state) if self.may_use_kept_link(order) else None
+        if kept is not None:
+            link, reader = kept
+        else:
+            link = self.network.connect(state.server.address)
+            reader = Reader(self.scheduler, link)
+        carried = False
+        try:
+            left = min(self.env.connect_seconds, until - self.scheduler.now())
+            if not link.opened and not (yield from link.open(max(0.0, left))):
+                return Error(CallError("no link to the server", False))
+            if not self.servers.is_live(state, order.service, self.scheduler.now()):
+                return Error(CallError("the server is leaving or gone", False))
+            if exchange.left:
+                return Error(CallError("the caller left", False))
+            if not self.may_still_go(order):
+                return Error(CallError("the term or the route changed", False))
+            if reader.buffer or link.inbox.items:
+                return Error(CallError("bytes came before the request was sent", False))
+            if not self.account(exchange, order):
+                return Error(CallError("over the budget of repeats", False))
+            record["sent"] = True
+            sent = self.scheduler.now()
+            self.send(exchange, order, state, link, fill, known)
+            answer_until = min(until, sent + self.service_seconds(order))
+            if not self.dialect.own and order.klass == "repeatable" and not last:
+                answer_until = min(answer_until, sent + TRY_PART * (until - sent))
+            method = b"GET" if fill else exchange.head.method
+            for _ in range(ANSWERS_SKIPPED + 1):
+                found = yield from read_answer(reader, method, self.env.head_bytes, answer_until)
+                if found.is_error():
+                    return Error(found.error)
+                answer = found.ok
+                first, whole = yield from self.read_first(answer, until, fill)
+                if not whole or not self.is_left_over(order, answer.head, kept is not None):
+                    break
+            if order.probe and not self.dialect.own:
+                answer.keep = False
+            error = self.unfit(order, answer.head)
+            if error is not None:
+                return Error(error)
+            if whole and reader.buffer and self.dialect.own:
+                self.log.write(
+                    ANSWER_BROKEN,
+                    server=state.server.address,
+                    order=order.identity,
+                    fault="bytes behind the answer",
+                )
+                return Error(CallError("bytes behind the answer's end", True))
+            carried = True
+            return Ok(Carried(answer.head, first, whole, answer, link, reader, state, sent))
+        except FramingError as error:
+            self.log.write(
+                ANSWER_BROKEN, server=state.server.address, order=order.identity, fault=error.reason
+            )
+            return Error(CallError(error.reason, True))
+        except Cut:
+            self.log.write(
+                ANSWER_BROKEN, server=state.server.address, order=order.identity, fault="cut"
+            )
+            return Error(CallError("the answer was cut", True))
+        except Late:
+            return Error(CallError("no answer in time", True))
+        finally:
+            if not carried:
+                link.abort()
+
+    def send(
+        self,
+        exchange: Exchange,
+        order: Order,
+        state: ServerState,
+        link: Link,
+        fill: bool,
+        known: Copy | None,
+    ) -> None:
+        head = exchange.head
+        fields: Fields = end_to_end(head.fields)
+        dropped = {b"expect", *OWN_FIELDS}
+        if fill:
+            dropped |= CONDITIONS
+        if not self.dialect.own:
+            self.speak(order, fields, dropped)
+        fields = [(name, value) for name, value in fields if name.lower() not in dropped]
+        if field(fields, b"host") is None:
+            fields.insert(0, (b"Host", state.server.address.encode()))
+        if fill and known is not None and known.etag is not None:
+            fields.append((b"If-None-Match", known.etag))
+        if self.dialect.own:
+            fields.append((b"Via", b"1.%d ryelock" % head.minor))
+            fields.append((b"X-Ryelock-Order", order.identity.encode()))
+        else:
+            dialect = self.dialect
+            until = exchange.deadline if order.rule is None else self.deadline(exchange, order.rule)
+            left = until - self.scheduler.now()
+            fields.append((dialect.deadline, b"%d" % max(1, int(left * 1000))))
+            fields.append((dialect.expected, state.server.incarnation.encode()))
+        target = head.target
+        if not target.startswith((b"/", b"*")):
+            rest = target.partition(b"://")[2]
+            _, slash, path = rest.partition(b"/")
+            target = slash + path or b"/"
+        send_order(link, b"GET" if fill else head.method, target, fields, order.body)
+
+    def speak(self, order: Order, fields: Fields, dropped: set[bytes]) -> None:
+        """Fields that are said anew to a server; an order without a name gets one."""
+        dialect = self.dialect
+        dropped |= {dialect.deadline.lower(), dialect.expected.lower(), b"x-ryelock-probe"}
+        if order.probe:
+            dropped.add(dialect.identity.lower())
+        elif field(fields, dialect.identity.lower()) is None:
+            fields.append((dialect.identity, order.identity.encode("latin-1")))
+
+    def service_seconds(self, order: Order) -> float:
+        gate = self.gates.get(order.service)
+        return gate.service.answer_seconds if gate is not None else self.env.order_seconds
--- /dev/null
+++ b/packages/edge/ryelock/edge/replies.py
@@ -0,0 +1,245 @@
+"""What the caller is told: a server's answer piece by piece, a copy, or why there is none."""
+
+import json
+import math
+
+from ryelock.cache import Copy, answer_from
+from ryelock.edge.context import Carried, Failure
+from ryelock.edge.orders import Order
+from ryelock.edge.owner import (
+    AGE_FIELD,
+    RELAYED_FIELD,
+    SERVERS_FIELD,
+    Relayed,
+)
+from ryelock.edge.routing import Routing
+from ryelock.events import ANSWER_BROKEN
+from ryelock.exchange import (
+    AnswerHead,
+    Exchange,
+    Fields,
+    end_to_end,
+    field,
+    tokens,
+)
+from ryelock.exchange.heads import FramingError
+from ryelock.exchange.reading import Cut, Late
+from ryelock.loop import Step
+from ryelock.register import DERIVED_MOST, Route
+
+OBJECT_MOST = 300
+NO_SHARE = "declined: no share of the service's rate is held here yet"
+
+
+class Replies(Routing):
+    """Answers to callers."""
+
+    __slots__ = ()
+
+    def relay(self, exchange: Exchange, order: Order, carried: Carried) -> Step[None]:
+        """A server's answer to the caller, piece by piece; cut where it is cut."""
+        head, answer = carried.head, carried.answer
+        fields = end_to_end(head.fields)
+        fields += self.own_fields(order) + self.peer_fields(order)
+        if order.peer:
+            fields.append((RELAYED_FIELD, b"1"))
+        order.status = head.status
+        length = len(carried.first) if carried.whole else answer.length
+        if exchange.head.method == b"HEAD" or head.status == 304:
+            length = (
+                answer.length
+                if answer.length is not None
+                else (
+                    len(carried.first)
+                    if carried.whole
+                    and exchange.head.method == b"HEAD"
+                    and head.status not in (204, 304)
+                    and carried.first
+                    else answer.length
+                )
+            )
+        done = False
+        try:
+            exchange.begin(head.status, head.reason, fields, length, False)
+            fine = yield from exchange.send(carried.first, self.env.idle_seconds)
+            until = self.scheduler.now() + self.env.idle_seconds
+            while fine and not answer.body.over:
+                piece = yield from answer.body.piece(until)
+                if not piece:
+                    continue
+                until = self.scheduler.now() + self.env.idle_seconds
+                fine = yield from exchange.send(piece, self.env.idle_seconds)
+            if fine and carried.reader.buffer and self.dialect.own:
+                raise FramingError(502, "bytes behind the answer's end")
+            if fine:
+                exchange.finish()
+                done = True
+                order.outcome = "answered"
+                self.free_link(carried)
+        except (Cut, Late, FramingError) as error:
+            order.reason = f"the server's answer was cut: {error!r}"
+            order.outcome = "cut"
+            self.servers.fared(carried.server, False, 0.0)
+            self.log.write(
+                ANSWER_BROKEN,
+                server=carried.server.server.address,
+                order=order.identity,
+                fault="cut in the body",
+            )
+        finally:
+            if not done:
+                exchange.cut()
+                carried.link.abort()
+
+    def free_link(self, carried: Carried) -> None:
+        if carried.answer.keep and carried.answer.body.over:
+            self.servers.keep_link(
+                carried.server, carried.link, carried.reader, idle_of(carried.head)
+            )
+        else:
+            carried.link.close()
+
+    def pass_on(self, exchange: Exchange, order: Order, relayed: Relayed) -> Step[None]:
+        """A server's answer that the owner of the object relayed."""
+        order.status = relayed.head.status
+        order.outcome = "answered"
+        fields = [*relayed.head.fields, *self.own_fields(order)]
+        bare = relayed.head.status in (204, 304)
+        length = None if bare else len(relayed.body)
+        exchange.begin(relayed.head.status, relayed.head.reason, fields, length, False)
+        if (yield from exchange.send(relayed.body, self.env.idle_seconds)):
+            exchange.finish()
+        else:
+            exchange.cut()
+
+    def answer_copy(self, exchange: Exchange, order: Order, copy: Copy) -> Step[None]:
+        now = self.scheduler.now()
+        status, reason, fields, body = answer_from(copy, exchange.head, now)
+        if self.dialect.identity:
+            fields = [pair for pair in fields if pair[0].lower() != self.dialect.identity.lower()]
+            fields.append((self.dialect.identity, order.identity.encode("latin-1")))
+        if order.peer:
+            fields = [*fields, (AGE_FIELD, b"%.3f" % copy.age(now))]
+        order.status = status
+        order.outcome = "answered"
+        if status == 200 and order.route_name in self.member.register.derivable:
+            self.note_object(exchange, order, body or copy.etag)
+        exchange.begin(
+            status,
+            reason,
+            [*fields, *self.own_fields(order)],
+            None if status == 304 else len(body),
+            False,
+        )
+        if (yield from exchange.send(body, self.env.idle_seconds)):
+            exchange.finish()
+        else:
+            exchange.cut()
+
+    def note_object(self, exchange: Exchange, order: Order, content: bytes | None) -> None:
+        """An object anybody may fetch, of which a watch could be made up."""
+        fields = exchange.head.fields
+        if (
+            not self.env.derive_watches
+            or order.probe
+            or not content
+            or exchange.head.method != b"GET"
+            or len(order.target) > OBJECT_MOST
+            or field(fields, b"authorization") is not None
+            or field(fields, b"cookie") is not None
+        ):
+            return
+        own = self.member.session.order.rpartition(":")[0]
+        self.lately[order.route_name] = ("" if order.host == own else order.host, order.target)
+
+    def lately_served(self) -> list[list[str]]:
+        """Per cached route that needs a watch, the object it served last; what others need not."""
+        derivable = self.member.register.derivable
+        self.lately = {route: place for route, place in self.lately.items() if route in derivable}
+        return [[route, *place] for route, place in sorted(self.lately.items())[:DERIVED_MOST]]
+
+    def peer_fields(self, order: Order) -> Fields:
+        """What another edge is told: how many servers its order reached from here."""
+        return [(SERVERS_FIELD, b"%d" % order.servers_reached)] if order.peer else []
+
+    def own_fields(self, order: Order) -> Fields:
+        if not self.dialect.own:
+            return []
+        fields: Fields = [(b"Via", b"1.1 ryelock"), (b"X-Ryelock-Order", order.identity.encode())]
+        if order.cache:
+            fields.append((b"X-Ryelock-Cache", order.cache.encode()))
+        return fields
+
+    def decline(self, exchange: Exchange, order: Order, failure: Failure) -> Step[None]:
+        """The final answer of an order that is given up on, at once.
+
+        Nobody is promised that an order has not run where a server may have run it.
+        """
+        comes_back = failure.status in (429, 503)
+        if comes_back and order.may_have_run:
+            failure = Failure(502, failure.reason, failure.unknown, failure.back)
+        order.status = failure.status
+        order.reason = failure.reason
+        order.outcome = "unknown" if failure.unknown else "not run"
+        if order.klass == "repeatable" and any(record["sent"] for record in order.dispatches):
+            order.outcome = "no answer"
+        if failure.status == 499 or exchange.left:
+            exchange.cut()
+            return
+        fields: Fields = [
+            (b"Content-Type", b"application/json"),
+            (b"Cache-Control", b"no-store"),
+            (b"X-Ryelock-Outcome", order.outcome.replace(" ", "-").encode()),
+            (b"X-Ryelock-Order", order.identity.encode()),
+        ]
+        keyed = field(exchange.head.fields, b"idempotency-key") is not None
+        if not self.dialect.own:
+            back = self.soon(order.rule) if order.rule is not None else 0.2
+            fields = [(b"Content-Type", b"application/json")]
+            if comes_back:
+                fields.append(
+                    (
+                        b"Retry-After",
+                        b"%.3f" % back if self.dialect.fractions else b"%d" % math.ceil(back),
+                    )
+                )
+            fields.append((self.dialect.identity, order.identity.encode("latin-1")))
+            if order.probe and self.crowded(order):
+                fields.append((b"X-Ryelock-Outcome", b"crowded"))
+        elif order.probe and order.allowance == NO_SHARE:
+            fields[2] = (b"X-Ryelock-Outcome", b"crowded")
+        elif failure.status in (429, 502, 503, 504) and (not failure.unknown or keyed):
+            back = math.ceil(failure.back + self.random.random() * 2)
+            fields.append((b"Retry-After", b"%d" % back))
+        fields += self.peer_fields(order)
+        body = (
+            json.dumps(
+                {"error": failure.reason, "outcome": order.outcome, "order": order.identity}
+            ).encode()
+            + b"\n"
+        )
+        if exchange.head.method == b"HEAD":
+            body = b""
+        yield from exchange.answer(failure.status, fields, body)
+
+    def soon(self, route: Route) -> float:
+        """Seconds after which to come back: within the time that is of full worth."""
+        if self.dialect.own or not route.target_seconds:
+            return 1.0
+        return route.target_seconds * (0.05 + 0.15 * self.random.random())
+
+    def crowded(self, order: Order) -> bool:
+        """Whether an order failed since the service is at its rate or its servers are full."""
+        now = self.scheduler.now()
+        return order.allowance.startswith("declined") or any(
+            now < state.full_until for state in self.servers.by_service.get(order.service, ())
+        )
+
+
+def idle_of(head: AnswerHead) -> float | None:
+    """Seconds that a server says it keeps an idle link; None where it says nothing."""
+    for part in tokens(head.fields, b"keep-alive"):
+        name, _, value = part.partition(b"=")
+        if name.strip() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/packages/edge/ryelock/edge/routing.py
@@ -0,0 +1,115 @@
+"""An order is opened: who sent it, by what route it goes, and how much time it has."""
+
+from ryelock.edge.context import EdgeContext
+from ryelock.edge.orders import Order
+from ryelock.edge.owner import (
+    SERVERS_FIELD,
+    number_of,
+)
+from ryelock.edge.plan import has_dots, host_of, path_of
+from ryelock.exchange import (
+    Exchange,
+    field,
+)
+from ryelock.register import Route
+
+SAFE = (b"GET", b"HEAD", b"OPTIONS", b"TRACE")
+ANSWER_MARGIN = 0.02
+
+
+class Routing(EdgeContext):
+    """Opening an order and finding its route."""
+
+    __slots__ = ()
+
+    def open_order(self, exchange: Exchange) -> Order:
+        self.sequence += 1
+        head = exchange.head
+        said = field(head.fields, self.dialect.identity.lower()) if self.dialect.identity else None
+        order = Order(
+            said.decode("latin-1")
+            if said
+            else f"{self.name}-{self.member.session.incarnation}-{self.sequence}",
+            head.method.decode("latin-1"),
+            head.target.decode("latin-1"),
+            host_of(field(head.fields, b"host")),
+            exchange.started,
+            self.scheduler.clock.wall(),
+        )
+        order.path = path_of(order.target)
+        order.named = bool(said)
+        order.probe = self.is_probe(field(head.fields, b"x-ryelock-probe"))
+        order.peer, order.purged, order.known = self.peer_of(field(head.fields, b"x-ryelock-peer"))
+        if order.peer:
+            order.servers_given = number_of(field(head.fields, SERVERS_FIELD.lower()))
+        order.verdict = self.member.verdicts()
+        return order
+
+    def peer_of(self, said: bytes | None) -> tuple[bool, int, int]:
+        """Whether an order comes from an edge that is a member; the purges and version it knows.
+
+        What is fetched for another edge goes under the caller's name: servers repeat no other.
+        """
+        parts = (said or b"").decode("latin-1").split(" ")
+        if len(parts) != 4 or not all(
+            part.isascii() and part.isdigit() and len(part) < 19 for part in parts[2:]
+        ):
+            return False, 0, 0
+        session = self.member.members.get(parts[0])
+        fine = session is not None and session.mark != "" and session.mark == parts[1]
+        return (True, int(parts[2]), int(parts[3])) if fine else (False, 0, 0)
+
+    def is_probe(self, said: bytes | None) -> bool:
+        """Whether an order comes from a prober that is a member; others may say so in vain."""
+        name, _, mark = (said or b"").decode("latin-1").partition(" ")
+        session = self.member.members.get(name)
+        return session is not None and session.probes and mark != "" and session.mark == mark
+
+    def find_route(self, order: Order) -> Route | None:
+        """Route, service and class by the version that is now in force."""
+        plan = self.plan
+        order.version = plan.version
+        if has_dots(order.path):
+            return None
+        order.route = plan.resolve(order.host, order.path)
+        if order.route < 0:
+            return None
+        route = order.rule = plan.routes[order.route]
+        order.route_name = plan.route_names[order.route]
+        order.service = self.service_of(route)
+        unsafe = order.method.encode("latin-1") not in SAFE
+        order.klass = "once" if route.once or unsafe else "repeatable"
+        order.servers_left = route.attempts
+        if order.peer and order.servers_given is not None:
+            order.servers_left = min(route.attempts, order.servers_given)
+        return route
+
+    def service_of(self, route: Route) -> str:
+        """The route's service, or one of several drawn by their weights."""
+        if not route.split:
+            return route.service
+        names = list(route.split)
+        return self.random.choices(names, [route.split[name] for name in names])[0]
+
+    def deadline(self, exchange: Exchange, route: Route) -> float:
+        until = exchange.deadline
+        if route.deadline_seconds:
+            until = min(until, exchange.started + route.deadline_seconds)
+        if self.dialect.deadline:
+            said = field(exchange.head.fields, self.dialect.deadline.lower()) or b""
+            if said.isdigit() and len(said) < 10:
+                until = min(until, exchange.started + int(said) / 1000 - ANSWER_MARGIN)
+        return until
+
+    def may_still_go(self, order: Order) -> bool:
+        """Whether the term holds and the version in force still names this service."""
+        if not self.member.serving:
+            return False
+        if order.version == self.plan.version:
+            return True
+        index = self.plan.resolve(order.host, order.path)
+        return (
+            index >= 0
+            and self.plan.routes[index].allows(order.service)
+            and (order.klass == "once" or not self.plan.routes[index].once)
+        )
