--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -8,6 +8,7 @@
 from ryelock.proving.answer_cases import foreign_answer, silent_server
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings
+from ryelock.proving.control_cases import CONTROL_CASES
 from ryelock.proving.scenario import Scenario
 from ryelock.proving.simulated import SimNode
 from ryelock.proving.standins import CUT, DEAF, FAILING, LONG, LOST, SHORT, WRONG
@@ -708,4 +709,5 @@
     "crash-voters": crash_voters,
     "foreign-answer": foreign_answer,
     "silent-server": silent_server,
+    **CONTROL_CASES,
 }
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,12 +1,17 @@
 """The journal: what was synced is there, a torn tail is cut, damage is told from it."""
 
+import struct
+import zlib
 from pathlib import Path
+from random import Random
+from unittest import mock
 
 import testtools
 
 from ryelock.events import JOURNAL_TORN, QuietLog
 from ryelock.journal import MachineFolder, open_journal
 from ryelock.journal.folder import FolderError
+from ryelock.proving.simulated import SimFolder
 
 
 class JournalTests(testtools.TestCase):
@@ -20,11 +25,13 @@
     def opened(self) -> object:
         return open_journal(MachineFolder(str(self.path)), self.log, 4096)
 
-    def test_every_tear_of_the_last_record_is_cut(self) -> None:
+    def test_every_tear_of_the_last_write_is_cut(self) -> None:
+        """A write is there whole or not at all, however many records it has."""
         journal = open_journal(MachineFolder(str(self.path)), self.log, 4096).ok
-        self.assertTrue(journal.write([b"first", b"second"]).is_ok())
+        self.assertTrue(journal.write([b"first"]).is_ok())
+        end_of_first = journal.size
+        self.assertTrue(journal.write([b"second", b"third"]).is_ok())
         whole = (self.path / "segment-0000000000").read_bytes()
-        end_of_first = len(whole) - (10 + len(b"second"))
         for size in range(end_of_first + 1, len(whole)):
             (self.path / "segment-0000000000").write_bytes(whole[:size])
             self.log.kept.clear()
@@ -32,6 +39,34 @@
             self.assertEqual([b"first"], again.ok.records)
             self.assertEqual(JOURNAL_TORN.number, self.log.kept[0][0])
 
+    def test_a_write_with_a_hole_is_one_torn_write(self) -> None:
+        """Of one unsynced write the first part is missing and later records stand."""
+        journal = open_journal(MachineFolder(str(self.path)), self.log, 4096).ok
+        journal.write([b"sound"])
+        before = journal.size
+        journal.write([b"x" * 40, b"y" * 40, b"z" * 40])
+        file = self.path / "segment-0000000000"
+        data = file.read_bytes()
+        for hole in range(1, len(data) - before):
+            file.write_bytes(data[:before] + bytes(hole) + data[before + hole :])
+            again = open_journal(MachineFolder(str(self.path)), self.log, 4096)
+            self.assertTrue(again.is_ok(), f"hole of {hole}")
+            self.assertEqual([b"sound"], again.ok.records)
+
+    def test_a_journal_of_single_record_frames_still_opens(self) -> None:
+        """The format before batches: one record a frame, kept records in the first segment."""
+
+        def frame(record: bytes) -> bytes:
+            return struct.pack(">2sII", b"\xa5\x52", len(record), zlib.crc32(record)) + record
+
+        (self.path / "image-0000000003").write_bytes(frame(b"image"))
+        (self.path / "segment-0000000003").write_bytes(frame(b"kept") + frame(b"second"))
+        journal = open_journal(MachineFolder(str(self.path)), self.log, 4096).ok
+        self.assertEqual((b"image", [b"kept", b"second"]), (journal.image, journal.records))
+        self.assertTrue(journal.write([b"third", b"fourth"]).is_ok())
+        again = open_journal(MachineFolder(str(self.path)), self.log, 4096).ok
+        self.assertEqual([b"kept", b"second", b"third", b"fourth"], again.records)
+
     def test_damage_before_the_tail_is_told(self) -> None:
         journal = open_journal(MachineFolder(str(self.path)), self.log, 4096).ok
         journal.write([b"first"])
@@ -59,3 +94,25 @@
         file = self.path / "file"
         file.write_text("")
         self.assertRaises(FolderError, MachineFolder, str(file / "below"))
+
+
+class UnsyncedAtOpenTests(testtools.TestCase):
+    """A process that is killed between a write and its sync leaves a record not yet safe."""
+
+    def test_what_a_journal_gave_back_outlasts_a_later_loss_of_power(self) -> None:
+        folder = SimFolder()
+        journal = open_journal(folder, QuietLog("journal"), 1 << 20).ok
+        with (
+            mock.patch.object(SimFolder, "sync", side_effect=KeyboardInterrupt),
+            testtools.ExpectedException(KeyboardInterrupt),
+        ):
+            journal.write([b"written, not synced"])
+        reopened = open_journal(folder, QuietLog("journal"), 1 << 20).ok
+        self.assertEqual([b"written, not synced"], reopened.records)
+        for seed in range(20):
+            lost = SimFolder()
+            lost.files = {name: bytearray(data) for name, data in folder.files.items()}
+            lost.synced = dict(folder.synced)
+            lost.lose_power(Random(seed))
+            again = open_journal(lost, QuietLog("journal"), 1 << 20).ok
+            self.assertEqual([b"written, not synced"], again.records)
