--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from ryelock.loop import Step
+from ryelock.proving.answer_cases import foreign_answer, silent_server
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.catchup import many_changes
 from ryelock.proving.checks import Findings
@@ -709,6 +710,8 @@
     "crash-image": crash_image,
     "crash-voters": crash_voters,
     "many-changes": many_changes,
+    "foreign-answer": foreign_answer,
+    "silent-server": silent_server,
     **CONTROL_CASES,
     **LOSS_CASES,
 }
