--- a/packages/allowance/ryelock/allowance/bucket.py
+++ b/packages/allowance/ryelock/allowance/bucket.py
@@ -24,6 +24,13 @@
     )
 
     def __init__(self, now: float, burst: float, limited: bool = True) -> None:
+        """Create an empty bucket that holds no share yet.
+
+        Args:
+            now: monotonic time in seconds.
+            burst: seconds of its share that the bucket may save up.
+            limited: False for a service without a rate, for which every request is allowed.
+        """
         self.limited = limited
         self.at = now
         self.burst = burst
@@ -44,6 +51,7 @@
         self.room = min(self.room, max(1.0, self.burst * self.share))
 
     def give(self, share: float, ends: float, now: float) -> None:
+        """Replace the share: requests per second that may be sent until `ends`."""
         self.fill(now)
         if self.counted:
             self.counted, self.grants, self.room = False, [], 0.0
@@ -60,10 +68,12 @@
         self.found = found
 
     def granted(self, now: float) -> int:
+        """Count the granted requests that may still be sent, dropping expired grants."""
         self.grants = [until for until in self.grants if until > now]
         return len(self.grants)
 
     def holding(self, now: float) -> float:
+        """Return the share in requests per second, 0 once it has expired."""
         return self.share if now < self.ends else 0.0
 
     def allow(self, now: float) -> bool:
@@ -100,11 +110,18 @@
     __slots__ = ("allowance", "room", "share")
 
     def __init__(self, share: float, allowance: float) -> None:
+        """Create a budget that has room for one retry at most.
+
+        Args:
+            share: retries earned by each first request, as a fraction.
+            allowance: most retries that may be saved up.
+        """
         self.share = share * 0.9
         self.allowance = allowance
         self.room = min(1.0, allowance)
 
     def resize(self, share: float, allowance: float) -> None:
+        """Take a new share and allowance; room above the new allowance is lost."""
         self.share = share * 0.9
         self.allowance = allowance
         self.room = min(self.room, max(allowance, 0.0))
--- a/packages/allowance/ryelock/allowance/divide.py
+++ b/packages/allowance/ryelock/allowance/divide.py
@@ -30,6 +30,7 @@
     __slots__ = ("at", "room", "wanting")
 
     def __init__(self, now: float) -> None:
+        """Create an empty well; `now` is monotonic time in seconds."""
         self.at = now
         self.room = 0.0
         self.wanting: dict[str, float] = {}
@@ -41,10 +42,12 @@
         self.at = now
 
     def others_wanting(self, edge: str, now: float) -> int:
+        """Count the other edges that lately had requests waiting."""
         return sum(name != edge and now - at < WANTING_SECONDS for name, at in self.wanting.items())
 
 
 def most_room(rate: float) -> float:
+    """Return how many requests a well of this rate may save up."""
     return max(1.0, WELL_SECONDS * rate)
 
 
@@ -59,6 +62,7 @@
 
 
 def is_narrow(rate: float, burst: float, edges: int) -> bool:
+    """Tell whether too little of a rate is left to give each of so many edges a share."""
     return usable(rate, burst, edges) < NARROW * rate
 
 
@@ -85,9 +89,11 @@
     __slots__ = ("shares",)
 
     def __init__(self) -> None:
+        """Create a record without shares."""
         self.shares: list[tuple[float, float]] = []
 
     def largest(self, now: float) -> float:
+        """Return the largest share that has not expired, in requests per second."""
         self.shares = [(share, ends) for share, ends in self.shares if ends > now]
         return max((share for share, _ in self.shares), default=0.0)
 
@@ -98,11 +104,13 @@
     __slots__ = ("demands", "given", "wells")
 
     def __init__(self) -> None:
+        """Create a divider that knows no edge and no service."""
         self.given: dict[str, dict[str, Given]] = {}
         self.demands: dict[str, dict[str, float]] = {}
         self.wells: dict[str, Well] = {}
 
     def report(self, edge: str, demand: dict[str, float]) -> None:
+        """Note an edge's demand, in requests per second by service."""
         for service, amount in demand.items():
             self.demands.setdefault(service, {})[edge] = amount
 
--- a/packages/cache/ryelock/cache/rules.py
+++ b/packages/cache/ryelock/cache/rules.py
@@ -41,6 +41,17 @@
         lifetime: float | None,
         vary: tuple[tuple[bytes, bytes], ...],
     ) -> None:
+        """Store an answer.
+
+        Args:
+            head: status line of the answer.
+            fields: header fields to serve, without Age.
+            body: the whole body.
+            at: monotonic time at which the answer was complete.
+            age_then: age of the answer in seconds at that moment.
+            lifetime: freshness lifetime by the server in seconds, None where it gave none.
+            vary: request fields that selected this answer, with their values.
+        """
         self.status = head.status
         self.reason = head.reason
         self.fields = fields
@@ -54,14 +65,17 @@
         self.revalidate = "no-cache" in directives(fields)
 
     def age(self, now: float) -> float:
+        """Return the current age in seconds (RFC 9111, 4.2.3)."""
         return self.age_then + (now - self.at)
 
     @property
     def size(self) -> int:
+        """Bytes that the copy counts for in the cache, with a flat charge for its objects."""
         return len(self.body) + sum(len(name) + len(value) for name, value in self.fields) + 500
 
 
 def directives(fields: Fields) -> dict[str, str]:
+    """Parse Cache-Control into directives; the first of two with one name counts."""
     found: dict[str, str] = {}
     for part in tokens(fields, b"cache-control"):
         name, _, value = part.decode("latin-1").partition("=")
@@ -70,6 +84,7 @@
 
 
 def seconds_of(found: dict[str, str], name: str) -> float | None:
+    """Return a directive's seconds: None where absent, 0 where malformed."""
     value = found.get(name)
     if value is None:
         return None
@@ -91,6 +106,7 @@
 
 
 def vary_key(fields: Fields, names: list[bytes]) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the named request fields with their values, in a fixed order."""
     return tuple((name, field(fields, name) or b"") for name in sorted(set(names)))
 
 
@@ -153,10 +169,12 @@
 
 
 def same_etag(one: bytes, other: bytes) -> bool:
+    """Compare two entity tags weakly (RFC 9110, 8.8.3.2)."""
     return one.removeprefix(b"W/") == other.removeprefix(b"W/")
 
 
 def not_modified(copy: Copy, order: Fields) -> bool:
+    """Tell whether the request's conditions allow 304 (RFC 9110, 13.1.2 and 13.1.3)."""
     wanted = field(order, b"if-none-match")
     if wanted is not None:
         if wanted.strip() == b"*":
--- a/packages/cache/ryelock/cache/store.py
+++ b/packages/cache/ryelock/cache/store.py
@@ -21,11 +21,13 @@
     __slots__ = ("key", "spoiled", "waiting")
 
     def __init__(self, key: Key) -> None:
+        """Create a fill of one key that nobody waits for yet."""
         self.key = key
         self.spoiled = False
         self.waiting: list[Mailbox[Copy | None]] = []
 
     def end(self, copy: Copy | None) -> None:
+        """Wake everyone who waits; None means that there is no copy to serve."""
         for box in self.waiting:
             box.put(copy)
         self.waiting = []
@@ -37,14 +39,17 @@
     __slots__ = ("copies",)
 
     def __init__(self) -> None:
+        """Create a set without copies."""
         self.copies: list[Copy] = []
 
     @property
     def size(self) -> int:
+        """Bytes that all copies count for."""
         return sum(copy.size for copy in self.copies)
 
 
 def size_of(variants: Variants) -> int:
+    """Return the size of a set of copies, as the LRU cache asks for it."""
     return variants.size
 
 
@@ -52,9 +57,17 @@
 
 
 class Store:
+    """The cache of one edge: copies, fills under way, and the purges done so far."""
+
     __slots__ = ("copies", "fills", "labels", "purged", "recent", "room")
 
     def __init__(self, room: int, labels: bytes = b"") -> None:
+        """Create an empty cache.
+
+        Args:
+            room: most bytes of copies.
+            labels: name of the response field that holds an object's labels, empty for none.
+        """
         self.room = room
         self.labels = labels.lower()
         self.recent: list[Purge] = []
@@ -63,6 +76,7 @@
         self.purged = 0
 
     def find(self, key: Key, order: Fields) -> Copy | None:
+        """Return the copy that matches the request's fields, or None."""
         variants = self.copies.get(key)
         if variants is None:
             return None
@@ -72,6 +86,7 @@
         return None
 
     def begin(self, key: Key) -> Fill:
+        """Register a new fill of a key."""
         fill = Fill(key)
         self.fills[key] = fill
         return fill
@@ -87,6 +102,7 @@
         fill.end(copy)
 
     def keep(self, key: Key, copy: Copy) -> None:
+        """Add a copy beside the other variants of its key, replacing an equal variant."""
         before = self.copies.pop(key, None)
         variants = Variants()
         if before is not None:
@@ -98,6 +114,7 @@
             self.copies[key] = variants
 
     def drop(self, key: Key) -> None:
+        """Remove all copies of a key."""
         self.copies.pop(key, None)
 
     def take_purges(self, purges: list[Purge], newest: int) -> int:
@@ -144,6 +161,7 @@
 
 
 def matches(purge: Purge, key: Key) -> bool:
+    """Tell whether a purge names a key by route, prefix or path; labels are matched elsewhere."""
     route, host, target = key
     if purge.kind == "label":
         return False
--- a/packages/duty/ryelock/duty/__init__.py
+++ b/packages/duty/ryelock/duty/__init__.py
@@ -14,12 +14,14 @@
     __slots__ = ("epoch", "holder", "name", "successor")
 
     def __init__(self, name: str, holder: str, epoch: int, successor: str) -> None:
+        """Create a duty's record; `successor` is empty where there is none."""
         self.name = name
         self.holder = holder
         self.epoch = epoch
         self.successor = successor
 
     def plain(self) -> dict[str, object]:
+        """Return the duty as plain data, for the log of decisions and the wire."""
         return {
             "name": self.name,
             "holder": self.holder,
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -18,6 +18,7 @@
     """Every fault found, one line each."""
 
     def __init__(self, faults: list[str]) -> None:
+        """Create the error; each fault is one line for the operator."""
         super().__init__("\n".join(faults))
         self.faults = faults
 
@@ -28,12 +29,20 @@
     __slots__ = ("check", "default", "key", "note")
 
     def __init__(self, default: Kind, check: Callable[[object], Kind], note: str) -> None:
+        """Declare a setting.
+
+        Args:
+            default: value where the operator gives none.
+            check: converts a given value or raises ValueError with the reason.
+            note: one line of help.
+        """
         self.default = default
         self.check = check
         self.note = note
         self.key = ""
 
     def __set_name__(self, owner: type, name: str) -> None:
+        """Take the attribute's name as the setting's key."""
         self.key = name
 
     @overload
@@ -41,12 +50,15 @@
     @overload
     def __get__(self, env: "Env", owner: type) -> Kind: ...
     def __get__(self, env: "Env | None", owner: type) -> "Setting[Kind] | Kind":
+        """Return the value from an Env; the setting itself where read from the class."""
         if env is None:
             return self
         return env.values[self.key]  # type: ignore[return-value]
 
 
 def number(lowest: float, highest: float) -> Callable[[object], float]:
+    """Return a check for numbers within bounds, both included."""
+
     def check(value: object) -> float:
         if isinstance(value, str):
             try:
@@ -63,6 +75,7 @@
 
 
 def whole(lowest: int, highest: int) -> Callable[[object], int]:
+    """Return a check for whole numbers within bounds, both included."""
     plain = number(lowest, highest)
 
     def check(value: object) -> int:
@@ -75,6 +88,7 @@
 
 
 def noun(value: object) -> str:
+    """Check a name of letters, digits, '-', '_' and '.'."""
     if not isinstance(value, str) or not value or len(value) > 64:
         raise ValueError("not a name of 1 to 64 characters")
     if not all(character.isalnum() or character in "-_." for character in value):
@@ -83,12 +97,14 @@
 
 
 def text(value: object) -> str:
+    """Check that a value is text."""
     if not isinstance(value, str):
         raise ValueError("not text")
     return value
 
 
 def address(value: object) -> str:
+    """Check an IPv4 address with a port, like 10.0.0.1:8000."""
     if not isinstance(value, str):
         raise ValueError("not an address of the form 10.0.0.1:8000")
     try:
@@ -104,10 +120,12 @@
 
 
 def optional_address(value: object) -> str:
+    """Check an address that may be empty."""
     return "" if value == "" else address(value)
 
 
 def seed_addresses(value: object) -> tuple[str, ...]:
+    """Check one to three different addresses, as a list or divided by commas."""
     if isinstance(value, str):
         value = [part.strip() for part in value.split(",") if part.strip()]
     if not isinstance(value, list | tuple) or not 1 <= len(value) <= 3:
@@ -128,6 +146,7 @@
 
 
 def flag(value: object) -> bool:
+    """Check a truth value."""
     if value in (True, "true", "yes", "1"):
         return True
     if value in (False, "false", "no", "0"):
@@ -253,10 +272,12 @@
     verdict_seconds = Setting(1.0, number(0.05, 600), "how often verdicts are worked out")
 
     def __init__(self, values: dict[str, object]) -> None:
+        """Hold checked values by key; use `read_env` to get them checked."""
         self.values = values
 
 
 def settings_of(owner: type[Env]) -> dict[str, Setting[object]]:
+    """Return the declared settings of a class by key."""
     return {key: value for key, value in vars(owner).items() if isinstance(value, Setting)}
 
 
--- a/packages/events/ryelock/events/__init__.py
+++ b/packages/events/ryelock/events/__init__.py
@@ -12,9 +12,19 @@
 
 
 class Event:
+    """One kind of log event, with a number that never changes its meaning."""
+
     __slots__ = ("asks", "level", "number", "text")
 
     def __init__(self, number: int, level: int, text: str, asks: str) -> None:
+        """Declare an event.
+
+        Args:
+            number: the stable number.
+            level: a level of the logging module.
+            text: what happened.
+            asks: what an operator should do, "nothing" where nothing.
+        """
         self.number = number
         self.level = level
         self.text = text
@@ -128,6 +138,7 @@
     __slots__ = ("logger", "node")
 
     def __init__(self, node: str, stream: TextIO | None = None) -> None:
+        """Open a log of one node; the stream is stderr unless given."""
         self.node = node
         self.logger = logging.Logger(f"ryelock.{node}", logging.INFO)
         handler = logging.StreamHandler(stream or sys.stderr)
@@ -140,6 +151,7 @@
         self.logger.addHandler(handler)
 
     def write(self, event: Event, **fields: object) -> None:
+        """Write one event as a JSON line, with further fields."""
         self.logger.log(
             event.level, event.text, extra={"event": event.number, "node": self.node, **fields}
         )
@@ -151,10 +163,12 @@
     __slots__ = ("kept",)
 
     def __init__(self, node: str) -> None:
+        """Create a log that writes nothing."""
         self.node = node
         self.kept: list[tuple[int, dict[str, object]]] = []
 
     def write(self, event: Event, **fields: object) -> None:
+        """Keep the event's number and fields."""
         self.kept.append((event.number, fields))
 
 
--- a/packages/explain/ryelock/explain/__init__.py
+++ b/packages/explain/ryelock/explain/__init__.py
@@ -22,6 +22,7 @@
 def explain_order(
     scheduler: Scheduler, network: Network, at: str, order: str
 ) -> Step[Result[Plain, OperatorError]]:
+    """Ask the edge that served a request for its account, through any node `at`."""
     found = yield from ask(scheduler, network, at, "GET", "/members")
     if found.is_error():
         return Error(found.error)
@@ -42,6 +43,7 @@
 def explain_url(
     scheduler: Scheduler, network: Network, at: str, method: str, url: str
 ) -> Step[Result[Plain, OperatorError]]:
+    """Ask the edge `at` what it would do with a request now."""
     parts = urlsplit(url)
     target = parts.path + (f"?{parts.query}" if parts.query else "")
     answer = yield from ask(
--- a/packages/loop/ryelock/loop/network.py
+++ b/packages/loop/ryelock/loop/network.py
@@ -17,9 +17,12 @@
 
 
 class Link:
+    """A connection as a stream of bytes; subclasses carry the bytes."""
+
     __slots__ = ("ended", "held", "inbox", "opened", "peer", "room", "scheduler", "unsent")
 
     def __init__(self, scheduler: Scheduler, peer: str) -> None:
+        """Create a connection that is not yet open to a peer's host:port."""
         self.scheduler = scheduler
         self.peer = peer
         self.inbox: Mailbox[bytes] = Mailbox(scheduler)
@@ -30,6 +33,7 @@
         self.unsent = 0
 
     def write(self, data: bytes) -> None:
+        """Queue bytes for sending; nothing is sent once the connection has ended."""
         raise NotImplementedError
 
     def close(self) -> None:
@@ -47,6 +51,7 @@
         """Read on."""
 
     def arrived(self, data: bytes) -> None:
+        """Called by the carrier with received bytes; holds reading back when too many wait."""
         self.held += len(data)
         self.inbox.put(data)
         if self.held > HELD_BYTES:
@@ -97,6 +102,8 @@
 
 
 class Network(Protocol):
+    """What opens and accepts connections: real sockets or the simulator."""
+
     def listen(self, address: str, greeting: Greeting) -> str:
         """Listen on host:port and give the address got; raises NetworkError."""
         ...
@@ -105,4 +112,6 @@
         """A link that is being opened; see Link.open."""
         ...
 
-    def stop_listening(self, address: str) -> None: ...
+    def stop_listening(self, address: str) -> None:
+        """Stop accepting connections at an address that `listen` returned."""
+        ...
--- a/packages/loop/ryelock/loop/reactor.py
+++ b/packages/loop/ryelock/loop/reactor.py
@@ -24,24 +24,32 @@
 
 
 class MachineClock:
+    """The clock of this machine."""
+
     __slots__ = ()
 
     def now(self) -> float:
+        """Return monotonic time in seconds."""
         return time.monotonic()
 
     def wall(self) -> float:
+        """Return seconds since 1970."""
         return time.time()
 
 
 def split_address(address: str) -> tuple[str, int]:
+    """Split host:port; raises ValueError where the port is no number."""
     host, _, port = address.rpartition(":")
     return host, int(port)
 
 
 class SocketLink(Link):
+    """A connection over a TCP socket."""
+
     __slots__ = ("closing", "pieces", "reactor", "reading", "socket", "writing")
 
     def __init__(self, reactor: "Reactor", plain: socket.socket, peer: str) -> None:
+        """Wrap a non-blocking socket; `peer` is the other side's host:port."""
         super().__init__(reactor.scheduler, peer)
         self.reactor = reactor
         self.socket = plain
@@ -51,6 +59,7 @@
         self.writing = False
 
     def write(self, data: bytes) -> None:
+        """Queue bytes and send at once what the socket takes."""
         if self.ended or self.closing or not data:
             return
         self.pieces.append(memoryview(data))
@@ -59,6 +68,7 @@
             self.flush()
 
     def flush(self) -> None:
+        """Send queued bytes until the socket takes no more."""
         while self.pieces:
             piece = self.pieces[0]
             try:
@@ -83,6 +93,7 @@
             self.room.put(True)
 
     def want_write(self, wanted: bool) -> None:
+        """Watch or stop watching for room to send."""
         if wanted and not self.writing:
             self.reactor.poller.addWriter(self.reactor, self.socket)
         elif not wanted and self.writing:
@@ -90,6 +101,7 @@
         self.writing = wanted
 
     def want_read(self, wanted: bool) -> None:
+        """Watch or stop watching for received bytes."""
         if self.ended:
             return
         if wanted and not self.reading:
@@ -99,18 +111,22 @@
         self.reading = wanted
 
     def hold(self) -> None:
+        """Stop reading from the socket."""
         self.want_read(False)
 
     def release(self) -> None:
+        """Read from the socket again."""
         self.want_read(True)
 
     def close(self) -> None:
+        """End after the queued bytes were sent, at once where there are none."""
         if self.pieces and self.opened and not self.ended:
             self.closing = True
         else:
             self.abort()
 
     def abort(self) -> None:
+        """Close the socket and drop what was not sent."""
         if self.ended:
             return
         self.reactor.poller.discard(self.socket)
@@ -126,6 +142,7 @@
     channel = "reactor"
 
     def __init__(self, fault: Callable[[str, BaseException], None]) -> None:
+        """Create a reactor; `fault` is called with the name and error of a task that failed."""
         super().__init__()
         self.scheduler = Scheduler(MachineClock(), fault)
         self.signals: Mailbox[int] = Mailbox(self.scheduler)
@@ -134,6 +151,7 @@
         self.poller = EPoll().register(self)
 
     def listen(self, address: str, greeting: Greeting) -> str:
+        """Listen on host:port; see Network."""
         host, port = split_address(address)
         door = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -150,6 +168,7 @@
         return f"{found[0]}:{found[1]}"
 
     def stop_listening(self, address: str) -> None:
+        """Close the listener at an address; see Network."""
         for door in list(self.doors):
             found = door.getsockname()
             if f"{found[0]}:{found[1]}" == address:
@@ -158,6 +177,7 @@
                 door.close()
 
     def connect(self, address: str) -> Link:
+        """Start to connect; a connection that cannot be started is returned ended."""
         plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         plain.setblocking(False)
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -175,6 +195,7 @@
         return link
 
     def accept(self, door: socket.socket) -> None:
+        """Accept waiting connections, at most 64 a turn."""
         for _ in range(64):
             try:
                 plain, peer = door.accept()
@@ -190,6 +211,7 @@
 
     @handler("_read")  # type: ignore[untyped-decorator]
     def on_readable(self, plain: socket.socket) -> None:
+        """Accept connections or receive bytes, as the poller tells."""
         if plain in self.doors:
             self.accept(plain)
             return
@@ -209,6 +231,7 @@
 
     @handler("_write")  # type: ignore[untyped-decorator]
     def on_writable(self, plain: socket.socket) -> None:
+        """Finish opening a connection or send on, as the poller tells."""
         link = self.links.get(plain)
         if link is None:
             return
@@ -223,16 +246,19 @@
 
     @handler("_disconnect", "_error")  # type: ignore[untyped-decorator]
     def on_gone(self, plain: socket.socket, *_: object) -> None:
+        """End a connection whose socket failed."""
         link = self.links.get(plain)
         if link is not None:
             link.abort()
 
     @handler("signal", channel="*")  # type: ignore[untyped-decorator]
     def on_signal(self, number: int, _: object) -> None:
+        """Hand a signal's number to the task that waits for signals."""
         self.signals.put(number)
 
     @handler("generate_events", priority=10)  # type: ignore[untyped-decorator]
     def on_turn(self, event: object) -> None:
+        """Run the tasks that are ready, and limit the poll to the next timer."""
         more = self.scheduler.run_ready()
         if more or not self.running:
             event.reduce_time_left(0)  # type: ignore[attr-defined]
--- a/packages/loop/ryelock/loop/tasks.py
+++ b/packages/loop/ryelock/loop/tasks.py
@@ -15,6 +15,8 @@
 
 
 class Clock(Protocol):
+    """What tells the time: the machine's clock or the simulator's."""
+
     def now(self) -> float:
         """Seconds that only grow; their zero means nothing."""
         ...
@@ -25,9 +27,12 @@
 
 
 class Wait:
+    """What a task waits for: an item in a mailbox, a moment, or the earlier of both."""
+
     __slots__ = ("mailbox", "until")
 
     def __init__(self, mailbox: "Mailbox[object] | None", until: float | None) -> None:
+        """Wait for a mailbox, until monotonic seconds; None leaves either out."""
         self.mailbox = mailbox
         self.until = until
 
@@ -41,6 +46,7 @@
     __slots__ = ("generator", "mailbox", "name", "over", "queued", "ticket")
 
     def __init__(self, name: str, generator: Step[None]) -> None:
+        """Create a task that has not run yet."""
         self.name = name
         self.generator = generator
         self.mailbox: Mailbox[object] | None = None
@@ -49,6 +55,7 @@
         self.queued = False
 
     def cancel(self) -> None:
+        """End the task; its `finally` blocks run."""
         if self.over:
             return
         self.over = True
@@ -64,15 +71,18 @@
     __slots__ = ("items", "scheduler", "waiting")
 
     def __init__(self, scheduler: "Scheduler") -> None:
+        """Create an empty queue whose reader runs on this scheduler."""
         self.scheduler = scheduler
         self.items: deque[Item] = deque()
         self.waiting: Running | None = None
 
     def put(self, item: Item) -> None:
+        """Append an item and wake the reader."""
         self.items.append(item)
         self.wake()
 
     def wake(self) -> None:
+        """Make the waiting reader ready, if there is one."""
         if self.waiting is not None:
             running, self.waiting = self.waiting, None
             running.mailbox = None
@@ -88,6 +98,7 @@
         return self.items.popleft()
 
     def __len__(self) -> int:
+        """Return how many items wait."""
         return len(self.items)
 
 
@@ -97,6 +108,7 @@
     __slots__ = ("beats", "clock", "fault", "ready", "sequence")
 
     def __init__(self, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
+        """Create a scheduler; `fault` is called with the name and error of a failed task."""
         self.clock = clock
         self.fault = fault
         self.ready: deque[Running] = deque()
@@ -104,20 +116,24 @@
         self.sequence = 0
 
     def now(self) -> float:
+        """Return monotonic seconds."""
         return self.clock.now()
 
     def spawn(self, name: str, generator: Step[None]) -> Running:
+        """Start a task; the name stands in fault reports."""
         running = Running(name, generator)
         self.make_ready(running)
         return running
 
     def make_ready(self, running: Running) -> None:
+        """Queue a task to run, once; earlier timers of it become stale."""
         if not running.queued and not running.over:
             running.queued = True
             running.ticket += 1
             self.ready.append(running)
 
     def pause(self, seconds: float) -> Step[None]:
+        """Wait so many seconds."""
         until = self.now() + seconds
         while self.now() < until:
             yield Wait(None, until)
@@ -134,6 +150,7 @@
         return bool(self.ready)
 
     def ring(self) -> None:
+        """Make the tasks ready whose timers are due."""
         now = self.now()
         while self.beats and self.beats[0][0] <= now:
             _, _, running, ticket = heapq.heappop(self.beats)
@@ -144,6 +161,7 @@
                 self.make_ready(running)
 
     def resume(self, running: Running) -> None:
+        """Run a task to its next wait and register what it waits for."""
         try:
             wait = next(running.generator)
         except StopIteration:
--- a/packages/operator/ryelock/operator/__init__.py
+++ b/packages/operator/ryelock/operator/__init__.py
@@ -56,8 +56,10 @@
 
 
 def code_of(status: int) -> int:
+    """Return the exit code for an HTTP status."""
     return CODES.get(status, DECLINED)
 
 
 def with_query(path: str, **query: str) -> str:
+    """Append query parameters to a path."""
     return f"{path}?{urlencode(query)}" if query else path
--- a/packages/program/ryelock/program/main.py
+++ b/packages/program/ryelock/program/main.py
@@ -22,6 +22,7 @@
 
 
 def daemon(role: str, settings: str, flags: dict[str, object], sets: list[str]) -> int:
+    """Run a daemon by its settings file, flags and KEY=VALUE pairs; return its exit code."""
     for pair in sets:
         key, _, value = pair.partition("=")
         flags[key] = value
@@ -158,6 +159,7 @@
 
 
 def show(plain: object) -> None:
+    """Print plain data as JSON."""
     sys.stdout.write(json.dumps(plain, indent=2, ensure_ascii=False) + "\n")
 
 
@@ -338,6 +340,7 @@
 
 
 def main() -> None:
+    """Run the subcommand that the command line names."""
     code = defopt.run(
         [core, edge, prober, apply, read, purge, drain, recover, verdicts, explain], short={}
     )
--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -19,9 +19,19 @@
 
 
 class Node(Protocol):
-    def start(self) -> None: ...
-    def follow(self, env: Env) -> None: ...
-    def stop(self) -> Step[None]: ...
+    """What a daemon runs: a control node or a traffic node."""
+
+    def start(self) -> None:
+        """Start the node's tasks."""
+        ...
+
+    def follow(self, env: Env) -> None:
+        """Take over changed settings."""
+        ...
+
+    def stop(self) -> Step[None]:
+        """Stop in an orderly way, within the node's own deadline."""
+        ...
 
 
 Build = Callable[[Reactor, Log, Random], Node]
@@ -34,6 +44,7 @@
     __slots__ = ("path", "read")
 
     def __init__(self, path: str, read: Callable[[], Env]) -> None:
+        """Watch a settings file; `read` reads it and raises EnvError for faults."""
         self.path = path
         self.read = read
 
@@ -64,6 +75,7 @@
 
 
 def run_daemon(role: str, env: Env) -> int:
+    """Run the daemon of a role until it is told to stop; return its exit code."""
     return run_node(role, env, lambda reactor, log, random: build(role, env, reactor, log, random))
 
 
--- a/packages/proving/ryelock/proving/fleet.py
+++ b/packages/proving/ryelock/proving/fleet.py
@@ -22,6 +22,7 @@
 
 
 def picked_port(host: str) -> int:
+    """Return a port of a host that the kernel picked and that is free now."""
     with socket.socket() as plain:
         plain.bind((host, 0))
         return int(plain.getsockname()[1])
@@ -33,6 +34,7 @@
     __slots__ = ("control", "file", "log", "name", "order", "popen", "role", "wire", "zone")
 
     def __init__(self, name: str, role: str, zone: str, host: str, folder: Path) -> None:
+        """Pick addresses on a host for a daemon; its files are put into the folder."""
         self.name = name
         self.role = role
         self.zone = zone
@@ -44,6 +46,7 @@
         self.popen: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
+        """Start the daemon; its output is appended to its log file."""
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "ryelock.program", self.role, "--settings", str(self.file)],
@@ -53,10 +56,12 @@
             )
 
     def signal(self, number: int) -> None:
+        """Send a signal to the daemon, if it runs."""
         if self.popen is not None and self.popen.poll() is None:
             os.kill(self.popen.pid, number)
 
     def wait(self, seconds: float) -> int | None:
+        """Wait for the daemon's end; return its exit code, None where it still runs."""
         if self.popen is None:
             return None
         try:
@@ -66,15 +71,26 @@
 
     @property
     def over(self) -> bool:
+        """Whether the daemon does not run."""
         return self.popen is None or self.popen.poll() is not None
 
 
 class Fleet:
+    """All daemons of one shape."""
+
     __slots__ = ("folder", "platform", "processes", "settings", "shape")
 
     def __init__(
         self, shape: Shape, folder: Path, platform: str, settings: dict[str, object]
     ) -> None:
+        """Write the settings files of a shape's daemons.
+
+        Args:
+            shape: machines and configuration.
+            folder: where settings, data and logs are put.
+            platform: address of the platform's list of servers.
+            settings: settings that every daemon gets.
+        """
         self.shape = shape
         self.folder = folder
         self.platform = platform
@@ -86,6 +102,7 @@
             self.write_settings(process)
 
     def add_machine(self, machine: Machine, host: str) -> None:
+        """Add the daemons that run on a machine."""
         if machine.disk:
             self.add(machine.name, "core", machine, host)
         if machine.prober:
@@ -95,13 +112,16 @@
             self.add(machine.name, "edge", machine, host)
 
     def add(self, name: str, role: str, machine: Machine, host: str) -> None:
+        """Add one daemon."""
         self.processes[name] = Process(name, role, machine.zone, host, self.folder)
 
     @property
     def seeds(self) -> list[str]:
+        """Wire addresses of the first three control nodes."""
         return [process.wire for process in self.processes.values() if process.role == "core"][:3]
 
     def write_settings(self, process: Process) -> None:
+        """Write the settings file of one daemon."""
         machines = {machine.name: machine for machine in self.shape.machines}
         machine = machines.get(process.name) or machines[process.name.removeprefix("prober-")]
         plain: dict[str, object] = {
@@ -122,9 +142,11 @@
         process.file.write_text(json.dumps(plain, indent=2))
 
     def of_role(self, role: str) -> list[Process]:
+        """Return the daemons of a role."""
         return [process for process in self.processes.values() if process.role == role]
 
     def start(self) -> None:
+        """Start all daemons."""
         for process in self.processes.values():
             process.start()
 
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -39,6 +39,7 @@
     __slots__ = ("answers", "asks", "image_bytes", "image_seconds", "images", "lapsed", "rows")
 
     def __init__(self) -> None:
+        """Create counts of nothing."""
         self.asks: Counter[str] = Counter()
         self.answers: Counter[str] = Counter()
         self.images = 0
@@ -54,25 +55,31 @@
     __slots__ = ("counts",)
 
     def __init__(self, node: str, counts: Counts) -> None:
+        """Create a log that counts into `counts`."""
         super().__init__(node)
         self.counts = counts
 
     def write(self, event: Event, **fields: object) -> None:
+        """Count the event where it is a lapsed lease."""
         self.counts.lapsed += event is TERM_LAPSED
 
 
 class CountedLines(Lines):
+    """Wire clients that count what they ask and what is answered, by kind."""
+
     __slots__ = ("counts",)
 
     def __init__(
         self, scheduler: Scheduler, network: Network, log: QuietLog, counts: Counts
     ) -> None:
+        """Create clients that count into `counts`."""
         super().__init__(scheduler, network, log)
         self.counts = counts
 
     def ask(
         self, address: str, message: Message, seconds: float
     ) -> Step[Result[Message, WireError]]:
+        """Ask and count; see Lines.ask."""
         kind = str(message.get("kind"))
         self.counts.asks[kind] += 1
         found = yield from super().ask(address, message, seconds)
@@ -86,10 +93,12 @@
     __slots__ = ("counts",)
 
     def __init__(self, counts: Counts) -> None:
+        """Create an empty register that counts into `counts`."""
         super().__init__()
         self.counts = counts
 
     def restore(self, data: bytes) -> None:
+        """Restore a snapshot, counting its bytes and processor seconds."""
         started = time.process_time()
         super().restore(data)
         self.counts.images += 1
@@ -119,6 +128,7 @@
     )
 
     def __init__(self, process: "HollowProcess", name: str, zone: str) -> None:
+        """Create a node of a process; its member task is not started yet."""
         self.scheduler = process.scheduler
         self.register = CountedRegister(process.counts)
         self.lines = CountedLines(process.scheduler, process.network, process.log, process.counts)
@@ -157,9 +167,11 @@
         self.sequence = process.random.randrange(1000)
 
     def on_change(self) -> None:
+        """Note when the register reached its present index."""
         self.reached.append((self.register.index, self.scheduler.now()))
 
     def on_listing(self, _: Listing) -> None:
+        """Note when a listing of servers came."""
         self.listed = self.scheduler.now()
 
     def on_shares(self, shares: dict[str, float], until: float, edges: int) -> None:
@@ -170,16 +182,20 @@
             self.back = self.scheduler.now()
 
     def demand(self) -> dict[str, float]:
+        """Return the made-up demand, in requests per second by service."""
         return dict.fromkeys(self.register.configuration.services, DEMAND)
 
     def holding(self) -> dict[str, float]:
+        """Return the shares that the node spends now, by service."""
         return self.held if self.member.serving else {}
 
     @property
     def known_edges(self) -> int:
+        """How many edges the node knows as members."""
         return sum(session.role == "edge" for session in self.member.members.values())
 
     def reached_at(self, index: int) -> float | None:
+        """Return when the register reached an index, None where it has not."""
         return next((at for place, at in self.reached if place >= index), None)
 
     def find_targets(self) -> None:
@@ -220,6 +236,7 @@
             self.rows.append(row)
 
     def tell_rows(self) -> Step[None]:
+        """Send some rows to the holder of the aggregator's duty."""
         duty = self.register.duties.get("aggregator")
         holder = self.member.members.get(duty.holder) if duty is not None else None
         if duty is None or holder is None or not self.rows:
@@ -238,6 +255,7 @@
         )
 
     def end(self) -> None:
+        """End the node at once and drop its connections."""
         self.member.stop()
         for line in self.lines.lines.values():
             line.drop()
@@ -263,6 +281,7 @@
     )
 
     def __init__(self, settings: dict[str, object], scheduler: Scheduler, network: Network) -> None:
+        """Create the process from the runner's settings and listen for it."""
         seeds, places = settings["seeds"], settings["nodes"]
         assert isinstance(seeds, list) and isinstance(places, list)
         self.scheduler = scheduler
@@ -280,6 +299,7 @@
         self.dropped: list[tuple[str, str]] = []
 
     def on_ask(self, message: Message, reply: Reply) -> None:
+        """Answer one message of the runner; its `kind` says what is asked."""
         kind, index = message.get("kind"), message.get("index")
         since = message.get("since")
         if kind == "hollow.start":
@@ -323,6 +343,7 @@
                 self.scheduler.spawn("rows", self.probe())
 
     def start_each(self, nodes: list[HollowNode], pause: float) -> Step[None]:
+        """Start the nodes one after another, a pause of seconds apart."""
         due = self.scheduler.now()
         for node in nodes:
             node.member.start()
@@ -350,6 +371,7 @@
         reply({})
 
     def tend(self) -> Step[None]:
+        """Keep the sessions' counts as those of a node under load."""
         while True:
             for node in self.nodes:
                 node.session.served += int(DEMAND / 10)
@@ -369,6 +391,7 @@
                     self.scheduler.spawn("tells rows", node.tell_rows())
 
     def state(self) -> Message:
+        """Return all counts as a message."""
         counts, first = self.counts, self.nodes[0] if self.nodes else None
         return {
             "nodes": len(self.nodes),
@@ -392,6 +415,7 @@
 
 
 def main() -> None:
+    """Run the hollow nodes that a settings file describes, until a signal comes."""
     codes: list[int] = []
 
     def fault(task: str, error: BaseException) -> None:
--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -53,6 +53,7 @@
 
 
 def purge_delay(seed: int) -> float | None:
+    """Measure seconds from sending a purge to its acknowledgement."""
     scenario = Scenario(seed)
     scenario.set_up()
     scenario.world.run(4)
@@ -119,6 +120,7 @@
 
 
 def found_word(seed: int, word: str, cadence: float) -> float | None:
+    """Measure seconds until a zone's verdict is `word`, with probes every `cadence` seconds."""
     scenario = Scenario(
         seed, settings={"probe_seconds": cadence, "probe_timeout": min(6.0, cadence * 0.8)}
     )
@@ -186,8 +188,10 @@
 
 
 def goodput(seed: int, rate: float, edges: int, busy: int) -> float | None:
-    """In a crowd of three times a desk's rate at so many of its edges, the part of the rate that
-    was served, over 20 s."""
+    """Measure the fraction of a service's rate that is served in a crowd, over 20 s.
+
+    The crowd sends three times the rate, to `busy` of the edges.
+    """
     scenario = Scenario(seed, zones=2, edges=edges // 2, probers=0)
     scenario.set_up()
     scenario.world.task(
@@ -270,6 +274,7 @@
 
 
 def plain_orders(scenario: Scenario, rate: float) -> Step[None]:
+    """Send plain reads to random edges, so many a second."""
     count = 0
     while scenario.callers_on:
         count += 1
--- a/packages/proving/ryelock/proving/pieces.py
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -30,6 +30,7 @@
 
 
 def session_of_node(number: int, zones: int) -> Session:
+    """Return a made-up edge's session."""
     session = Session()
     session.name = session.machine = f"edge-{number:04d}"
     session.role, session.zone = "edge", zone_name(number, zones)
@@ -50,6 +51,7 @@
 
 
 def control_node(folder: str) -> ControlNode:
+    """Return a control node on a data folder, not started."""
     log = QuietLog("pieces")
 
     def fault(task: str, error: BaseException) -> None:
--- a/packages/proving/ryelock/proving/run.py
+++ b/packages/proving/ryelock/proving/run.py
@@ -54,6 +54,7 @@
     def __init__(
         self, shape: Shape, folder: Path, reactor: Reactor, seed: int, settings: dict[str, object]
     ) -> None:
+        """Create the stand-ins and write the fleet's settings; nothing is started yet."""
         self.shape = shape
         self.reactor = reactor
         self.scheduler: Scheduler = reactor.scheduler
@@ -101,17 +102,20 @@
     def operator(
         self, method: str, target: str, given: object = None
     ) -> Step[tuple[int, dict[str, object]]]:
+        """Send an operator's request to any control address; status 0 where none answered."""
         found = yield from ask(self.scheduler, self.reactor, self.control(), method, target, given)
         return found.ok if found.is_ok() else (0, {"fault": str(found.error)})
 
     def change(
         self, identity: str, base: int, **parts: object
     ) -> Step[tuple[int, dict[str, object]]]:
+        """Send a configuration change on top of version `base`."""
         return (
             yield from self.operator("POST", "/changes", {"id": identity, "base": base, **parts})
         )
 
     def bring_up(self, seconds: float = 60.0) -> Step[bool]:
+        """Start all daemons and wait until each is ready."""
         self.fleet.start()
         started = self.scheduler.now()
         for process in self.fleet.processes.values():
@@ -122,11 +126,13 @@
         return True
 
     def set_up(self) -> Step[bool]:
+        """Apply the shape's configuration."""
         status, answer = yield from self.change("first", 0, put=self.shape.configuration)
         self.report["first_change"] = {"status": status, "version": answer.get("version")}
         return status == 200
 
     def pick_kind(self) -> Kind:
+        """Pick a kind of request, each as often as its part says."""
         mark = self.random.random()
         for kind in self.shape.kinds:
             mark -= kind.part
@@ -175,12 +181,14 @@
             yield from self.scheduler.pause(0.15)
 
     def start_traffic(self, rate: float) -> None:
+        """Start the callers, so many requests a second together."""
         for process in self.fleet.of_role("edge"):
             self.scheduler.spawn(f"readiness of {process.name}", self.hand_callers(process))
         for number in range(CALLERS):
             self.scheduler.spawn(f"caller {number}", self.call_on(number, rate))
 
     def end_traffic(self) -> Step[None]:
+        """Stop the callers and wait for their open requests."""
         self.stopped = True
         until = self.scheduler.now() + 20
         while self.callers_over < CALLERS and self.scheduler.now() < until:
@@ -200,6 +208,7 @@
         return None
 
     def leader(self) -> Step[Process | None]:
+        """Return the control node that says it leads, or None."""
         for process in self.fleet.of_role("core"):
             if process.over or process.name in self.frozen:
                 continue
@@ -226,6 +235,7 @@
         return count
 
     def summary(self, since: float) -> dict[str, object]:
+        """Return counts and times of all requests since a moment."""
         notes = [told for told in self.notes if told.at >= since and told.end]
         statuses: dict[str, int] = {}
         for told in notes:
@@ -249,6 +259,7 @@
         }
 
     def findings(self) -> Findings:
+        """Check the rules on the notes of callers and the histories of stand-ins."""
         rates = {name: float(str(service["rate"])) for name, service in self.services().items()}
         found = Findings()
         check_once(found, self.notes, self.history)
@@ -258,17 +269,20 @@
         return found
 
     def services(self) -> dict[str, dict[str, object]]:
+        """Return the configured services by name."""
         services = self.shape.configuration["services"]
         assert isinstance(services, dict)
         return services
 
     def routes(self) -> dict[str, str]:
+        """Return the configured services by path."""
         routes = self.shape.configuration["routes"]
         assert isinstance(routes, dict)
         return {str(route["path"]): str(route["service"]) for route in routes.values()}
 
 
 def reason_of(told: Told) -> str:
+    """Return the reason that a failed request was told."""
     try:
         return str(json.loads(told.body)["error"])
     except (ValueError, KeyError, TypeError):
@@ -358,12 +372,16 @@
 
 
 def first_service(run: Run) -> str:
+    """Return the name of the shape's first service."""
     return next(iter(run.shape.servers))
 
 
 def change_soon(run: Run, name: str, seconds: float) -> Step[float | None]:
-    """Seconds until a change is acknowledged, asked for again under its id; under a new one where
-    another change came first, since the outcome of an id stays."""
+    """Return the seconds until a change is acknowledged, None where it is not.
+
+    It is retried under its id; under a new one where another change came first, since the
+    outcome of an id stays.
+    """
     started = run.scheduler.now()
     identity = name
     while run.scheduler.now() < started + seconds:
@@ -418,12 +436,15 @@
 
 
 def midway(run: Run) -> Step[None]:
+    """Send one change, whatever becomes of it."""
     yield from change_soon(run, "midway", 0.0)
 
 
 def with_crowd(run: Run) -> Step[None]:
-    """Callers come for some seconds at ten times the rate, whatever became of others, and those
-    who fail ask again at once, once."""
+    """Send ten times the rate for some seconds, whatever becomes of earlier requests.
+
+    A caller whose request fails retries it once, at once.
+    """
     before = run.scheduler.now()
     until = before + 6.0
     number = 0
@@ -450,6 +471,7 @@
 
 
 def in_crowd(run: Run, number: int) -> Step[None]:
+    """Send a request of one impatient caller, and once more where it failed."""
     try:
         ready = sorted(run.ready)
         if not ready:
--- a/packages/proving/ryelock/proving/scale.py
+++ b/packages/proving/ryelock/proving/scale.py
@@ -81,6 +81,22 @@
         joins: float = 20.0,
         losses: bool = True,
     ) -> None:
+        """Describe a bring-up.
+
+        Args:
+            nodes: hollow nodes.
+            zones: zones they are spread over.
+            servers: upstream servers listed by the platform.
+            routes: configured routes.
+            processes: processes that the hollow nodes are spread over.
+            seconds: length of the window at rest.
+            changes: changes and purges that are timed.
+            restarts: restarts and changed listings.
+            flood: purges a second in the flood, 0 for none.
+            probe_seconds: made-up cadence of probes.
+            joins: nodes that join a second.
+            losses: whether a zone, the leader and all cores are lost at the end.
+        """
         self.nodes = nodes
         self.zones = zones
         self.servers = servers
@@ -95,6 +111,7 @@
         self.losses = losses
 
     def shape(self) -> Shape:
+        """Return the real machines and the configuration."""
         machines = [
             Machine(f"core-{number}", zone_name(number, self.zones), True, False, False)
             for number in range(3)
@@ -120,6 +137,7 @@
 
 
 def zone_name(number: int, zones: int) -> str:
+    """Return the name of the zone that a node with this number stands in."""
     return f"zone-{number % zones:02d}"
 
 
@@ -136,6 +154,7 @@
         places: list[tuple[str, str]],
         probe_seconds: float,
     ) -> None:
+        """Write the settings of a process with these nodes, given by name and zone."""
         self.address = f"127.0.8.1:{picked_port('127.0.8.1')}"
         self.file = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
@@ -154,6 +173,7 @@
         self.popen: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
+        """Start the process; its output is appended to its log file."""
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "ryelock.proving.hollow", str(self.file)],
@@ -163,6 +183,7 @@
             )
 
     def stop(self) -> None:
+        """End the process, by force after 5 s."""
         if self.popen is not None:
             self.popen.terminate()
             try:
@@ -178,6 +199,7 @@
     __slots__ = ("accounts", "asks", "at", "state")
 
     def __init__(self, at: float, accounts: dict[str, Account], state: Plain) -> None:
+        """Keep accounts by process name and the summed counts of hollow nodes."""
         self.at = at
         self.accounts = accounts
         self.state = state
@@ -207,6 +229,7 @@
     )
 
     def __init__(self, size: Size, folder: Path, reactor: Reactor) -> None:
+        """Create the stand-in, the fleet and the hollow processes; nothing is started."""
         self.size = size
         self.reactor = reactor
         self.scheduler: Scheduler = reactor.scheduler
@@ -286,9 +309,11 @@
             yield from self.scheduler.pause(0.05)
 
     def cores(self) -> list[Process]:
+        """Return the control nodes."""
         return self.fleet.of_role("core")
 
     def find_leader(self, seconds: float = 20.0) -> Step[Process | None]:
+        """Ask control nodes until one says it leads; None once the seconds are over."""
         until = self.scheduler.now() + seconds
         while self.scheduler.now() < until:
             for core in self.cores():
@@ -324,6 +349,7 @@
             yield from self.find_leader()
 
     def read(self) -> Step[Reading]:
+        """Read all accounts and counts now."""
         state = yield from self.state()
         traffic = read_traffic()
         numbers = {
@@ -345,6 +371,7 @@
         )
 
     def followers(self) -> list[str]:
+        """Return the names of the control nodes that do not lead."""
         return [core.name for core in self.cores() if core.name != self.leader]
 
     # Phases.
@@ -444,6 +471,7 @@
         self.figures["verdict KB"] = number_of(after.state, "verdict_bytes") / 1e3
 
     def keep_spent(self, role: str, spent: list[Spent], span: float, count: int) -> None:
+        """Note what `count` processes or nodes of a role spent, each."""
         for name, value in (
             ("% of a core", 100 * sum(one.cpu for one in spent) / span),
             ("MB", sum(one.memory for one in spent) / 1e6),
@@ -569,6 +597,7 @@
         self.figures[f"{name}: leader % of a core"] = 100 * spent.cpu / span
 
     def change_listing(self, number: int) -> Step[None]:
+        """Change the platform's list and time it to the last node."""
         since = time.monotonic()
         self.platform.show(
             "service-0", "127.0.9.250:9999", zone_name(0, self.size.zones), number + 1
@@ -580,6 +609,7 @@
             self.figures["listing s to the last node"] = times[-1] - since
 
     def restart_one(self, _: int) -> Step[None]:
+        """Restart one hollow node in a planned way."""
         yield from self.lines.ask(
             self.hollow[0].address, {"kind": "hollow.restart", "count": 1}, 10.0
         )
@@ -659,6 +689,7 @@
         )
 
     def work(self) -> Step[None]:
+        """Run all phases; stops early where the fleet does not come up."""
         if not (yield from self.bring_up()):
             return
         for phase in self.phases():
@@ -670,6 +701,7 @@
         self.figures["lead passed unasked"] = self.passed - self.size.losses
 
     def phases(self) -> list[Step[None]]:
+        """Return the phases in their order, not yet started."""
         restarts = self.size.restarts
         found = [
             self.at_rest(),
@@ -684,16 +716,19 @@
         return found
 
     def stop(self) -> None:
+        """End all processes."""
         for process in self.hollow:
             process.stop()
         self.fleet.stop()
 
 
 def fault_of(error: Exception) -> Plain:
+    """Return a failed request as an answer."""
     return {"fault": str(error)}
 
 
 def number_of(plain: Plain, name: str) -> float:
+    """Return a number from an answer, 0 where it has none."""
     value = plain.get(name)
     return float(value) if isinstance(value, int | float) else 0.0
 
@@ -771,6 +806,7 @@
     __slots__ = ("faults", "label", "notes", "runs", "size")
 
     def __init__(self, label: str, size: Size) -> None:
+        """Create a point without runs."""
         self.label = label
         self.size = size
         self.runs: list[Figures] = []
@@ -778,13 +814,16 @@
         self.notes: list[Plain] = []
 
     def values(self, name: str) -> list[float]:
+        """Return a figure's values over all runs, sorted."""
         return sorted(run[name] for run in self.runs if name in run)
 
     def median(self, name: str) -> float | None:
+        """Return a figure's median over all runs, None where no run has it."""
         values = self.values(name)
         return statistics.median(values) if values else None
 
     def plain(self) -> Plain:
+        """Return the point as plain data for the JSON file."""
         return {
             "label": self.label,
             "nodes": self.size.nodes,
@@ -822,6 +861,7 @@
 
 
 def cell(values: list[float]) -> str:
+    """Return a table cell: the median, with lowest and highest where they differ."""
     if not values:
         return ""
     middle = statistics.median(values)
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -56,6 +56,7 @@
         body: bytes,
         deadline: float,
     ) -> None:
+        """Create the note of a try that was not answered yet; times are in seconds."""
         self.at = at
         self.edge = edge
         self.kind = kind
@@ -75,9 +76,11 @@
 
     @property
     def served(self) -> bool:
+        """Whether the caller got a whole success."""
         return self.whole and 200 <= self.status < 300
 
     def field(self, name: bytes) -> bytes | None:
+        """Return a field of the answer, None where it has none."""
         return field(self.fields, name.lower())
 
 
@@ -87,6 +90,7 @@
     __slots__ = ("asked", "fronts", "missed", "network", "readiness", "scheduler", "zones")
 
     def __init__(self, scheduler: Scheduler, network: Network) -> None:
+        """Create an entrance without nodes."""
         self.scheduler = scheduler
         self.network = network
         self.fronts: dict[str, str] = {}
@@ -96,16 +100,19 @@
         self.asked = 0
 
     def add(self, name: str, zone: str, front: str, readiness: str) -> None:
+        """Add a node by its request and readiness addresses; it starts as not ready."""
         self.fronts[name], self.readiness[name], self.zones[name] = front, readiness, zone
         self.missed[name] = MISSED_MOST
 
     def work(self) -> Step[None]:
+        """Check every node's readiness each second."""
         while True:
             for name in self.fronts:
                 self.scheduler.spawn(f"asks {name}", self.ask(name))
             yield from self.scheduler.pause(1.0)
 
     def ask(self, name: str) -> Step[None]:
+        """Check one node's readiness."""
         found = yield from call(
             self.scheduler, self.network, self.readiness[name], b"GET", b"/readiness", [], b"", 0.9
         )
@@ -150,6 +157,7 @@
         notes: list[Note],
         seed: int = 0,
     ) -> None:
+        """Create a caller of a zone; its tries are appended to `notes`."""
         self.scheduler = scheduler
         self.network = network
         self.words = words
@@ -163,6 +171,7 @@
         self.reader: Reader | None = None
 
     def close(self) -> None:
+        """Close the kept connection."""
         if self.link is not None:
             self.link.close()
             self.link = None
@@ -201,6 +210,7 @@
             yield from self.scheduler.pause(min(back, left / 3))
 
     def may_try_again(self, note: Note) -> bool:
+        """Tell whether the rules let the caller send the request again."""
         if note.whole and (200 <= note.status < 400 or note.status in FINAL):
             return False
         if note.kind == UNSAFE:
@@ -208,6 +218,7 @@
         return True
 
     def one_try(self, note: Note, until: float, given: Fields) -> Step[None]:
+        """Send one try and fill in its note."""
         front = self.entrance.fronts[note.edge]
         link, reader = self.link, self.reader
         if link is None or reader is None or link.ended or link.peer != front:
@@ -256,6 +267,7 @@
     __slots__ = ("network", "nodes", "random", "scheduler")
 
     def __init__(self, scheduler: Scheduler, network: Network, seed: int = 0) -> None:
+        """Create an operator that knows no node yet."""
         self.scheduler = scheduler
         self.network = network
         self.nodes: list[str] = []
@@ -264,6 +276,7 @@
     def once(
         self, node: str, method: bytes, place: bytes, fields: Fields, body: bytes
     ) -> Step[tuple[int, bytes]]:
+        """Send one request to a node; status 0 where no answer came."""
         found = yield from call(
             self.scheduler, self.network, node, method, place, fields, body, 5.0
         )
@@ -272,6 +285,7 @@
     def send(
         self, method: bytes, place: bytes, fields: Fields, body: bytes = b"", seconds: float = 20.0
     ) -> Step[tuple[int, bytes]]:
+        """Send until a clear answer comes; return the last status and body."""
         until = self.scheduler.now() + seconds
         pause = 0.1
         status, said = 0, b""
--- a/packages/roster/ryelock/roster/servers.py
+++ b/packages/roster/ryelock/roster/servers.py
@@ -31,6 +31,7 @@
         slots: int = 0,
         cold: bool = False,
     ) -> None:
+        """Create a server's record; `cold` says that it is still warming up."""
         self.slots = slots
         self.cold = cold
         self.service = service
@@ -41,9 +42,11 @@
 
     @property
     def identity(self) -> tuple[str, str, str]:
+        """Service, address and incarnation: what tells one life of a server from another."""
         return self.service, self.address, self.incarnation
 
     def plain(self) -> list[object]:
+        """Return the server as a list for the wire; see `servers_from`."""
         return [
             self.service,
             self.address,
@@ -73,6 +76,7 @@
         since: float = -1e18,
         seen: float = -1e18,
     ) -> None:
+        """Create a listing; all times are monotonic seconds."""
         self.source = source
         self.version = version
         self.servers = servers
@@ -85,6 +89,7 @@
         return self.since >= other.seen
 
     def digest(self) -> bytes:
+        """Return 16 bytes that tell whether two listings name the same servers."""
         plain = cbor2.dumps([server.plain() for server in self.servers])
         return hashlib.sha256(plain).digest()[:16]
 
@@ -93,6 +98,7 @@
     """The platform's answer is no listing, or (`missed`) there was none."""
 
     def __init__(self, reason: str, missed: bool = False) -> None:
+        """Create the error; `missed` says that the platform gave no answer."""
         super().__init__(reason)
         self.missed = missed
 
--- a/packages/roster/ryelock/roster/sessions.py
+++ b/packages/roster/ryelock/roster/sessions.py
@@ -46,6 +46,7 @@
     )
 
     def __init__(self) -> None:
+        """Create an empty session; `session_of` fills one in from the wire."""
         self.name = self.role = self.zone = self.machine = ""
         self.wire = self.control = self.order = self.incarnation = self.disk = self.mark = ""
         self.probes = False
@@ -61,6 +62,7 @@
         return f"{self.name}/{self.incarnation}"
 
     def plain(self) -> Plain:
+        """Return the session as a map for the wire; see `session_of`."""
         return {
             **{key: getattr(self, key) for key in TEXTS},
             "probes": self.probes,
@@ -98,6 +100,7 @@
     __slots__ = ("at", "sessions", "version")
 
     def __init__(self, version: int, at: float, sessions: dict[str, Session]) -> None:
+        """Keep another node's sessions by name, received at monotonic time `at`."""
         self.version = version
         self.at = at
         self.sessions = sessions
@@ -122,6 +125,14 @@
     def __init__(
         self, scheduler: Scheduler, source: str, seconds: float, gone_seconds: float
     ) -> None:
+        """Create an empty roster.
+
+        Args:
+            scheduler: the clock.
+            source: name under which this node tells its sessions to others.
+            seconds: silence after which a session ends.
+            gone_seconds: how long a lost edge is remembered.
+        """
         self.scheduler = scheduler
         self.source = source
         self.seconds = seconds
@@ -192,6 +203,7 @@
                 del self.left[key]
 
     def say(self) -> Plain:
+        """Return this node's own sessions as a map for the wire; see `hear`."""
         return {
             "source": self.source,
             "version": self.version,
@@ -243,5 +255,6 @@
         return found
 
     def lost(self) -> dict[str, Session]:
+        """Return the edges that ended without a goodbye and are no members now, by name."""
         members = self.members()
         return {name: session for name, (session, _) in self.gone.items() if name not in members}
--- a/packages/verdict/ryelock/verdict/history.py
+++ b/packages/verdict/ryelock/verdict/history.py
@@ -16,27 +16,35 @@
 
 
 class Summary:
+    """One day's probes of one zone."""
+
     __slots__ = ("failed", "oldest", "rows")
 
     def __init__(self) -> None:
+        """Create a summary without rows."""
         self.rows = 0
         self.failed = 0
         self.oldest: float | None = None
 
     def add(self, row: Row) -> None:
+        """Count a row."""
         self.rows += 1
         self.failed += row.failed
         if row.age is not None:
             self.oldest = max(self.oldest or 0.0, row.age)
 
     def plain(self) -> dict[str, object]:
+        """Return the summary as plain data."""
         return {"rows": self.rows, "failed": self.failed, "oldest_seconds": self.oldest}
 
 
 class History:
+    """Rows of all probers by target, and the daily summaries."""
+
     __slots__ = ("days", "probers", "proven", "span", "targets")
 
     def __init__(self, span: float) -> None:
+        """Create an empty history of so many seconds."""
         self.span = span
         self.targets: dict[Target, deque[Row]] = {}
         self.probers: dict[str, int] = {}
@@ -63,6 +71,7 @@
         return True
 
     def forget_old(self, now: float) -> None:
+        """Drop rows that are older than the span."""
         for key, rows in list(self.targets.items()):
             kept = deque(
                 (row for row in rows if now - row.taken <= self.span), maxlen=ROWS_PER_TARGET
@@ -86,6 +95,7 @@
         return rows[-count:]
 
     def summary(self) -> dict[str, object]:
+        """Return the daily summaries as plain data, by day since 1970 and zone."""
         return {
             str(day): {zone: found.plain() for zone, found in sorted(zones.items())}
             for day, zones in sorted(self.days.items())
--- a/packages/verdict/ryelock/verdict/judge.py
+++ b/packages/verdict/ryelock/verdict/judge.py
@@ -27,6 +27,15 @@
         down_weight: float = 0.15,
         stale_weight: float = 0.10,
     ) -> None:
+        """Set the thresholds.
+
+        Args:
+            rows: rows of a target that are judged, the newest ones.
+            quorum: failed rows that make a target failed.
+            stale_seconds: age above which an object is stale.
+            down_weight: fraction of visitors in down zones from which the network is down.
+            stale_weight: fraction in stale zones above which the network is stale.
+        """
         self.rows = rows
         self.quorum = quorum
         self.stale_seconds = stale_seconds
@@ -35,6 +44,8 @@
 
 
 class TargetVerdict:
+    """The outcome for one edge and watch, with the rows it rests on."""
+
     __slots__ = (
         "edge",
         "evidence",
@@ -57,6 +68,7 @@
         stale_seconds: float,
         now: float,
     ) -> None:
+        """Judge a target by its rows; `failures` are those that count against it."""
         self.evidence = [
             {
                 "prober": row.prober,
@@ -79,6 +91,8 @@
 
 
 class ZoneVerdict:
+    """The outcome for one zone."""
+
     __slots__ = ("edges", "failed", "reason", "targets", "verdict", "weight", "zone")
 
     def __init__(
@@ -91,6 +105,7 @@
         targets: list[TargetVerdict],
         failed: list[str] | None = None,
     ) -> None:
+        """Record a zone's verdict, its fraction of visitors, and its failed edges."""
         self.zone = zone
         self.verdict = verdict
         self.reason = reason
@@ -100,6 +115,7 @@
         self.failed = failed or []
 
     def plain(self) -> dict[str, object]:
+        """Return the verdict with its evidence as plain data."""
         rows = [row for target in self.targets for row in target.rows]
         ages = [target.oldest for target in self.targets if target.oldest is not None]
         return {
@@ -134,6 +150,8 @@
 
 
 class Judged:
+    """The outcome for the whole network and each of its zones."""
+
     __slots__ = ("assumed", "down_weight", "gone", "network", "reason", "stale_weight", "zones")
 
     def __init__(
@@ -145,6 +163,7 @@
         assumed: bool,
         zones: dict[str, ZoneVerdict],
     ) -> None:
+        """Record the outcome; `assumed` says that no visitors were counted yet."""
         self.network = network
         self.reason = reason
         self.down_weight = down_weight
@@ -154,6 +173,7 @@
         self.gone: dict[str, str] = {}
 
     def plain(self) -> dict[str, object]:
+        """Return the outcome as plain data, as it is agreed on and shown."""
         return {
             "network": self.network,
             "reason": self.reason,
@@ -212,6 +232,7 @@
     now: float,
     blind: set[str],
 ) -> ZoneVerdict:
+    """Judge one zone by the rows of its edges; rows of `blind` probers prove no failure."""
     targets: list[TargetVerdict] = []
     for edge in edges:
         for name, watch in sorted(watches.items()):
--- a/packages/verdict/ryelock/verdict/weights.py
+++ b/packages/verdict/ryelock/verdict/weights.py
@@ -11,9 +11,12 @@
 
 
 class Counter:
+    """Requests served by one run of one edge, sampled over the span."""
+
     __slots__ = ("incarnation", "samples", "total", "zone")
 
     def __init__(self, zone: str, incarnation: str) -> None:
+        """Create a counter without samples."""
         self.zone = zone
         self.incarnation = incarnation
         self.total = 0
@@ -21,13 +24,17 @@
 
 
 class Weights:
+    """Counts of served requests by edge, from which each zone's fraction follows."""
+
     __slots__ = ("counters", "span")
 
     def __init__(self, span: float) -> None:
+        """Create counters over a sliding span of so many seconds."""
         self.span = span
         self.counters: dict[tuple[str, str], Counter] = {}
 
     def sample(self, sessions: list[Session], now: float) -> None:
+        """Take the counts that edges' sessions tell now, and drop edges that left."""
         for session in sessions:
             if session.role != "edge":
                 continue
--- a/packages/watch/ryelock/watch/probe.py
+++ b/packages/watch/ryelock/watch/probe.py
@@ -75,6 +75,19 @@
         wall: float,
         mark: str,
     ) -> None:
+        """Create the row of a probe that has come to nothing yet.
+
+        Args:
+            prober: name of the probing node.
+            machine: machine it runs on.
+            sequence: number of the probe at this prober.
+            zone: zone of the edge.
+            edge: name of the edge.
+            watch: name of the watch.
+            outside: whether the edge stands in another zone than the prober.
+            wall: seconds since 1970 by the prober's clock.
+            mark: tells this watch from another of its name, see `watch_mark`.
+        """
         self.mark = mark
         self.prober = prober
         self.machine = machine
@@ -94,6 +107,7 @@
 
     @property
     def failed(self) -> bool:
+        """Whether a step of the probe failed."""
         return not (self.reachable and self.manifest_valid and self.object_fetchable)
 
     @property
@@ -123,6 +137,7 @@
         ]
 
     def shown(self) -> dict[str, object]:
+        """Return the row as the record of decisions shows it, under the source's names."""
         return {
             "prober": self.prober,
             "machine": self.machine,
@@ -176,9 +191,11 @@
     __slots__ = ("newer_since",)
 
     def __init__(self) -> None:
+        """Start with no newer object known."""
         self.newer_since: float | None = None
 
     def age(self, fresh: bytes | None, served: bytes | None, now: float) -> float | None:
+        """Return for how long the served ETag has been outdated; None without both ETags."""
         if fresh is None or served is None:
             return None
         if fresh == served:
@@ -190,9 +207,12 @@
 
 
 class Fetched:
+    """What one fetch of a probe brought; times are monotonic seconds."""
+
     __slots__ = ("at", "fields", "first_byte", "start", "status")
 
     def __init__(self) -> None:
+        """Create a fetch that has no answer yet."""
         self.status = 0
         self.fields: Fields = []
         self.start = b""
@@ -222,6 +242,17 @@
         prober: str,
         dialect: Dialect,
     ) -> None:
+        """Prepare a probe.
+
+        Args:
+            scheduler: clock and timers.
+            network: where connections are opened.
+            address: host:port of the edge.
+            watch: what to fetch and how to judge its age.
+            timeout: deadline of the whole probe in seconds.
+            prober: the prober's name and mark, which the edge checks.
+            dialect: field names of the deployment.
+        """
         self.dialect = dialect
         self.scheduler = scheduler
         self.network = network
@@ -259,6 +290,7 @@
             row.error = str(error)
 
     def manifest_fault(self, manifest: Fetched) -> str:
+        """Return what is wrong with the manifest; empty where nothing is."""
         if manifest.status != 200:
             crowded = field(manifest.fields, b"x-ryelock-outcome") == CROWD
             return CROWDED if crowded else f"manifest status {manifest.status}"
@@ -272,6 +304,7 @@
         return ""
 
     def sealed(self, fetched: Fetched) -> bool:
+        """Tell whether the answer bears the server's seal, where the deployment has one."""
         seal = self.dialect.seal.lower()
         return not seal or field(fetched.fields, seal) is not None
 
@@ -298,6 +331,7 @@
         return None if age is None else round(age, 1)
 
     def fetch(self, target: str, fields: Fields, until: float) -> Step[Fetched]:
+        """Fetch one target over a connection of its own; raises ProbeFailed."""
         link = self.network.connect(self.address)
         fetched = Fetched()
         try:
--- a/packages/watch/ryelock/watch/prober.py
+++ b/packages/watch/ryelock/watch/prober.py
@@ -26,6 +26,7 @@
     def __init__(
         self, zone: str, edge: str, address: str, watch_name: str, watch: Watch, outside: bool
     ) -> None:
+        """Create a target; `outside` says that its edge stands in another zone."""
         self.zone = zone
         self.edge = edge
         self.address = address
@@ -36,10 +37,13 @@
 
     @property
     def key(self) -> tuple[str, str, str]:
+        """What tells targets apart: edge, watch and the watch's mark."""
         return self.edge, self.watch_name, self.mark
 
 
 class Prober:
+    """Runs the probes of one node and keeps their rows."""
+
     __slots__ = (
         "cadence",
         "daters",
@@ -77,6 +81,22 @@
         targets: Callable[[], list[Target]],
         dialect: Dialect | None = None,
     ) -> None:
+        """Create a prober; `start` makes it run.
+
+        Args:
+            scheduler: clock and timers.
+            network: where connections are opened.
+            name: name of this node.
+            mark: secret of this node's session, by which edges know its probes.
+            machine: machine this node runs on.
+            zone: zone of this node.
+            cadence: seconds between two probes of one target.
+            timeout: deadline of one probe in seconds.
+            flight: most probes at once.
+            span: seconds for which rows are kept.
+            targets: returns the present targets.
+            dialect: field names of the deployment.
+        """
         self.dialect = dialect or Dialect()
         self.scheduler = scheduler
         self.network = network
@@ -98,11 +118,13 @@
         self.tasks: list[Running] = []
 
     def start(self) -> None:
+        """Start probing."""
         for _ in range(self.flight):
             self.room.put(True)
         self.tasks.append(self.scheduler.spawn("prober", self.work()))
 
     def stop(self) -> None:
+        """Cancel all probes."""
         for running in self.tasks:
             running.cancel()
 
@@ -134,6 +156,7 @@
             yield from self.scheduler.pause(min(1.0, self.cadence / 10))
 
     def probe(self, target: Target) -> Step[None]:
+        """Probe one target and keep the row, unless the service was only overloaded."""
         self.sequence += 1
         row = Row(
             self.name,
--- a/packages/wire/ryelock/wire/__init__.py
+++ b/packages/wire/ryelock/wire/__init__.py
@@ -27,6 +27,7 @@
     """An ask had no answer: declined, cut or late. Not sent means: beyond doubt."""
 
     def __init__(self, text: str, sent: bool) -> None:
+        """Create the error; `sent` is False only where the message surely was not sent."""
         super().__init__(text)
         self.sent = sent
 
@@ -36,6 +37,7 @@
 
 
 def encode(message: Message) -> bytes:
+    """Return a message as a frame."""
     body = cbor2.dumps(message)
     return struct.pack(">I", len(body)) + body
 
@@ -46,10 +48,12 @@
     __slots__ = ("buffer", "most")
 
     def __init__(self, most: int = FRAME_BYTES) -> None:
+        """Create a decoder; `most` bounds a frame's bytes."""
         self.buffer = bytearray()
         self.most = most
 
     def feed(self, data: bytes) -> list[Message]:
+        """Take received bytes and return the messages that are whole; raises FrameError."""
         self.buffer += data
         found: list[Message] = []
         while len(self.buffer) >= 4:
@@ -92,6 +96,7 @@
     def __init__(
         self, scheduler: Scheduler, network: Network, log: Log, address: str, answerer: Answerer
     ) -> None:
+        """Listen at an address; `answerer` gets each message and a function to reply with."""
         self.scheduler = scheduler
         self.network = network
         self.log = log
@@ -100,15 +105,18 @@
         self.address = network.listen(address, self.greet)
 
     def greet(self, link: Link) -> None:
+        """Start to serve an accepted connection."""
         self.links[link] = self.scheduler.spawn(f"wire from {link.peer}", self.serve(link))
 
     def close(self) -> None:
+        """Stop listening and end all connections."""
         self.network.stop_listening(self.address)
         for link, running in list(self.links.items()):
             running.cancel()
             link.close()
 
     def serve(self, link: Link) -> Step[None]:
+        """Read frames of one connection until it ends or sends a malformed one."""
         frames = Frames()
         greeted = False
         link.write(HELLO)
@@ -135,6 +143,8 @@
             link.close()
 
     def reply_to(self, link: Link, number: int) -> Reply:
+        """Return the function that answers one numbered message."""
+
         def reply(message: Message) -> None:
             if not link.ended:
                 link.write(encode({**message, "answer": number}))
@@ -162,6 +172,7 @@
     )
 
     def __init__(self, scheduler: Scheduler, network: Network, log: Log, address: str) -> None:
+        """Create a client of one address; it connects when first asked."""
         self.scheduler = scheduler
         self.network = network
         self.log = log
@@ -173,6 +184,7 @@
         self.open_asks: dict[int, Mailbox[Message | None]] = {}
 
     def ask(self, message: Message, seconds: float) -> Step[Result[Message, WireError]]:
+        """Send a message and wait for its answer, at most so many seconds."""
         until = self.scheduler.now() + seconds
         link = self.link
         if link is None or link.ended:
@@ -199,6 +211,7 @@
         return Ok(answer)
 
     def read(self, link: Link) -> Step[None]:
+        """Hand answers to those who wait for them until the connection ends."""
         frames = Frames()
         greeted = False
         try:
@@ -239,12 +252,14 @@
     __slots__ = ("lines", "log", "network", "scheduler")
 
     def __init__(self, scheduler: Scheduler, network: Network, log: Log) -> None:
+        """Create an empty table of clients."""
         self.scheduler = scheduler
         self.network = network
         self.log = log
         self.lines: dict[str, Line] = {}
 
     def line(self, address: str) -> Line:
+        """Return the client of an address, creating it when needed."""
         line = self.lines.get(address)
         if line is None:
             line = self.lines[address] = Line(self.scheduler, self.network, self.log, address)
@@ -253,4 +268,5 @@
     def ask(
         self, address: str, message: Message, seconds: float
     ) -> Step[Result[Message, WireError]]:
+        """Ask the process at an address; see Line.ask."""
         return (yield from self.line(address).ask(message, seconds))
