proving: scale.py split into a package of ten modules with one job each

Cause: scale.py had 903 lines; one class asked the processes, ran all phases and kept figures.

Ruled out: moving its methods to mixins, which would have kept one state of everything.

Conclusion: the import path ryelock.proving.scale and the command stay as they were.

--- /dev/null
+++ b/packages/proving/ryelock/proving/scale/run.py
@@ -0,0 +1,184 @@
+"""One bring-up of one size: its processes, and what the runner asks of them."""
+
+from pathlib import Path
+
+from ryelock.events import QuietLog
+from ryelock.loop import Scheduler, Step
+from ryelock.loop.reactor import Reactor
+from ryelock.operator import ask
+from ryelock.proving.accounts import Account, read_traffic
+from ryelock.proving.fleet import Fleet, Process
+from ryelock.proving.scale.hollow_process import hollow_processes
+from ryelock.proving.scale.readings import Reading, sum_of_states
+from ryelock.proving.scale.sizes import (
+    LEASE_SECONDS,
+    LISTING_SECONDS,
+    Figures,
+    Plain,
+    Size,
+    service_name,
+    zone_name,
+)
+from ryelock.proving.standins import PlatformStandIn
+from ryelock.wire import Lines, Message
+
+REACH_SECONDS = 15.0
+TELL_SECONDS = 20.0
+RETRY_SECONDS = 0.1
+LOOK_SECONDS = 0.05
+RETRIED = (0, 503, 504)
+
+
+class ScaleRun:
+    """The processes of one bring-up, its figures so far, and its faults.
+
+    Attributes:
+        leader: name of the control node that led when last asked.
+        retries: operator's requests that were sent again.
+        leader_changes: how often another control node was found to lead.
+        version: version of the configuration.
+        figures: measured values by name, in the order in which they are shown.
+        faults: what went wrong; empty where the run is sound.
+        notes: further outcomes that are no figures.
+    """
+
+    __slots__ = (
+        "faults",
+        "figures",
+        "fleet",
+        "hollow",
+        "leader",
+        "leader_changes",
+        "lines",
+        "notes",
+        "platform",
+        "reactor",
+        "retries",
+        "scheduler",
+        "size",
+        "version",
+    )
+
+    def __init__(self, size: Size, folder: Path, reactor: Reactor) -> None:
+        """Create the stand-in and write all settings; no process is started."""
+        self.size = size
+        self.reactor = reactor
+        self.scheduler: Scheduler = reactor.scheduler
+        log = QuietLog("runner")
+        self.lines = Lines(self.scheduler, reactor, log)
+        self.platform = PlatformStandIn(self.scheduler, reactor, log, "127.0.9.1:0")
+        list_servers(self.platform, size)
+        settings: Plain = {"term_seconds": LEASE_SECONDS, "listing_term": LISTING_SECONDS}
+        self.fleet = Fleet(size.shape(), folder, self.platform.address, settings)
+        self.hollow = hollow_processes(size, folder, self.fleet.seeds)
+        self.leader = ""
+        self.retries = 0
+        self.leader_changes = 0
+        self.version = 1
+        self.figures: Figures = {}
+        self.faults: list[str] = []
+        self.notes: Plain = {}
+
+    def cores(self) -> list[Process]:
+        """Return the control nodes."""
+        return self.fleet.of_role("core")
+
+    def followers(self) -> list[str]:
+        """Return the names of the control nodes that do not lead."""
+        return [core.name for core in self.cores() if core.name != self.leader]
+
+    def tell(self, kind: str, **fields: object) -> Step[list[Message]]:
+        """Send one message to every hollow process; return the answers in their order."""
+        found: list[Message] = []
+        message: Message = {"kind": kind, **fields}
+        for process in self.hollow:
+            answer = yield from self.lines.ask(process.address, message, TELL_SECONDS)
+            found.append(answer.ok if answer.is_ok() else {})
+        return found
+
+    def times(self, kind: str, seconds: float, **fields: object) -> Step[list[float]]:
+        """Return the moments at which nodes came somewhere, sorted.
+
+        Waits until all nodes have come or the seconds are over.
+        """
+        until = self.scheduler.now() + seconds
+        while True:
+            found: list[float] = []
+            for answer in (yield from self.tell(kind, **fields)):
+                times = answer.get("times")
+                found += [float(at) for at in times] if isinstance(times, list) else []
+            if len(found) >= self.size.nodes or self.scheduler.now() >= until:
+                return sorted(found)
+            yield from self.scheduler.pause(LOOK_SECONDS)
+
+    def find_leader(self, seconds: float = 20.0) -> Step[Process | None]:
+        """Ask control nodes until one says it leads; None once the seconds are over."""
+        until = self.scheduler.now() + seconds
+        while self.scheduler.now() < until:
+            for core in self.cores():
+                if (yield from self.leads(core)):
+                    self.leader_changes += self.leader not in ("", core.name)
+                    self.leader = core.name
+                    return core
+            yield from self.scheduler.pause(RETRY_SECONDS)
+        return None
+
+    def leads(self, core: Process) -> Step[bool]:
+        """Ask a control node whether it leads."""
+        if core.over:
+            return False
+        found = yield from ask(self.scheduler, self.reactor, core.control, "GET", "/fitness/ready")
+        return found.is_ok() and found.ok[1].get("leads") is True
+
+    def post(self, target: str, given: object) -> Step[tuple[int, Plain]]:
+        """Send an operator's request to the leader; return the status and the answer.
+
+        Where it was not taken or its outcome is unknown it is sent again under its id.
+        """
+        until = self.scheduler.now() + REACH_SECONDS
+        while True:
+            address = self.fleet.processes[self.leader].control
+            found = yield from ask(self.scheduler, self.reactor, address, "POST", target, given)
+            status, answer = found.ok if found.is_ok() else (0, fault_of(found.error))
+            if status not in RETRIED or self.scheduler.now() >= until:
+                return status, answer
+            self.retries += 1
+            yield from self.scheduler.pause(RETRY_SECONDS)
+            yield from self.find_leader()
+
+    def read(self) -> Step[Reading]:
+        """Read all accounts and counts now."""
+        state = sum_of_states((yield from self.tell("hollow.state")))
+        traffic = read_traffic()
+        accounts = {name: Account(pid, traffic) for name, pid in self.running().items()}
+        return Reading(self.scheduler.now(), accounts, state)
+
+    def running(self) -> dict[str, int]:
+        """Return the process ids of all processes that run, by name."""
+        found = {
+            process.name: process.popen.pid
+            for process in self.fleet.processes.values()
+            if process.popen is not None and not process.over
+        }
+        for place, hollow in enumerate(self.hollow):
+            if hollow.popen is not None:
+                found[f"hollow-{place}"] = hollow.popen.pid
+        return found
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.hollow:
+            process.stop()
+        self.fleet.stop()
+
+
+def list_servers(platform: PlatformStandIn, size: Size) -> None:
+    """Let the platform's stand-in list a size's servers; nothing listens at their addresses."""
+    for number in range(size.servers):
+        address = f"127.0.9.{2 + number // 200}:{10_000 + number}"
+        platform.show(service_name(number), address, zone_name(number, size.zones), 1)
+
+
+def fault_of(error: Exception) -> Plain:
+    """Return a failed request as an answer."""
+    return {"fault": str(error)}
