--- a/packages/allowance/ryelock/allowance/divide.py
+++ b/packages/allowance/ryelock/allowance/divide.py
@@ -205,21 +205,28 @@
         last = max((until for _, until in mine.shares), default=ends)
         mine.shares = [(holding, max(last, now))]
         others = sum(given.largest(now) for name, given in shares.items() if name != edge)
-        demands = self.demands.get(service, {})
-        weights = {name: max(LEAST_DEMAND, demands.get(name, 0.0)) for name in edges}
-        total = sum(weights.values()) or 1.0
         most = usable(rate, burst, len(edges))
-        mine_of_it = weights.get(edge, LEAST_DEMAND)
-        if total < most:
-            wanted = mine_of_it + (most - total) / max(1, len(edges))
-        else:
-            wanted = most * mine_of_it / total
+        wanted = self.wanted_share(service, edge, edges, most)
         given = max(0.0, min(wanted, most - others))
         mine.shares.append((given, ends))
-        for name in [
-            name
-            for name, other in shares.items()
-            if name != edge and other.largest(now) == 0.0 and name not in edges
-        ]:
-            del shares[name]
+        forget_ended(shares, {edge, *edges}, now)
         return given
+
+    def wanted_share(self, service: str, edge: str, edges: list[str], most: float) -> float:
+        """Return an edge's part of the rate `most`, by the demand of all edges."""
+        demands = self.demands.get(service, {})
+        weights = {name: max(LEAST_DEMAND, demands.get(name, 0.0)) for name in edges}
+        total = sum(weights.values()) or 1.0
+        mine = weights.get(edge, LEAST_DEMAND)
+        if total < most:
+            return mine + (most - total) / max(1, len(edges))
+        return most * mine / total
+
+
+def forget_ended(shares: dict[str, Given], present: set[str], now: float) -> None:
+    """Drop the records of edges that are gone and whose shares have all ended."""
+    ended = [
+        name for name, given in shares.items() if name not in present and not given.largest(now)
+    ]
+    for name in ended:
+        del shares[name]
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -5,13 +5,15 @@
 """
 
 import json
-from collections.abc import Callable, Mapping
+import tomllib
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Generic, TypeVar, overload
 
 from ryelock.loop.reactor import split_address
 
 Kind = TypeVar("Kind")
+HEARTBEATS_MISSED = 3
 
 
 class EnvError(Exception):
@@ -290,24 +292,52 @@
 
 
 def read_env(role: str, file: str, flags: Mapping[str, object]) -> Env:
-    """Settings of one role; raises EnvError with every fault."""
-    faults: list[str] = []
-    given: dict[str, object] = {}
-    if file:
-        import tomllib
+    """Read the settings of one role from a file and from flags, which go first.
 
-        try:
-            plain = Path(file).read_bytes()
-            found = json.loads(plain) if file.endswith(".json") else tomllib.loads(plain.decode())
-            if isinstance(found, dict):
-                given.update(found)
-            else:
-                faults.append(f"settings file {file}: not a table of settings")
-        except OSError as error:
-            faults.append(f"settings file {file}: {error.strerror}")
-        except ValueError as error:
-            faults.append(f"settings file {file}: {error}")
+    Args:
+        role: a key of NEEDED.
+        file: path of a JSON or TOML file, empty for none.
+        flags: values by key; None where a flag was not given.
+
+    Raises:
+        EnvError: with every fault found.
+    """
+    faults: list[str] = []
+    given = read_file(file, faults)
+    file_read = not faults
     given.update({key: value for key, value in flags.items() if value is not None})
+    values = checked_values(given, faults)
+    if file_read:
+        faults.extend(f"{key}: needed by {role}" for key in NEEDED[role] if key not in given)
+    faults.extend(faults_between(Env(values)))
+    if faults:
+        raise EnvError(faults)
+    if not values["machine"]:
+        values["machine"] = values["name"]
+    return Env(values)
+
+
+def read_file(file: str, faults: list[str]) -> dict[str, object]:
+    """Return the table of settings in a file; what is wrong with it is added to the faults."""
+    if not file:
+        return {}
+    try:
+        plain = Path(file).read_bytes()
+        found = json.loads(plain) if file.endswith(".json") else tomllib.loads(plain.decode())
+    except OSError as error:
+        faults.append(f"settings file {file}: {error.strerror}")
+        return {}
+    except ValueError as error:
+        faults.append(f"settings file {file}: {error}")
+        return {}
+    if not isinstance(found, dict):
+        faults.append(f"settings file {file}: not a table of settings")
+        return {}
+    return found
+
+
+def checked_values(given: Mapping[str, object], faults: list[str]) -> dict[str, object]:
+    """Return the value of every setting: the given one where it is sound, else the default."""
     known = settings_of(Env)
     values: dict[str, object] = {key: setting.default for key, setting in known.items()}
     for key, value in given.items():
@@ -318,16 +348,14 @@
             values[key] = known[key].check(value)
         except ValueError as error:
             faults.append(f"{key}: {error}")
-    if not faults or not any(fault.startswith("settings file") for fault in faults):
-        faults.extend(f"{key}: needed by {role}" for key in NEEDED[role] if key not in given)
-    if values["probe_timeout"] > values["probe_seconds"]:  # type: ignore[operator]
-        faults.append("probe_timeout: longer than probe_seconds")
-    if values["election_seconds"] < 3 * values["beat_seconds"]:  # type: ignore[operator]
-        faults.append("election_seconds: shorter than three beats")
-    if values["stale_weight"] > values["down_weight"]:  # type: ignore[operator]
-        faults.append("stale_weight: above down_weight")
-    if faults:
-        raise EnvError(faults)
-    if not values["machine"]:
-        values["machine"] = values["name"]
-    return Env(values)
+    return values
+
+
+def faults_between(env: Env) -> Iterator[str]:
+    """Yield the faults of settings that do not go together."""
+    if env.probe_timeout > env.probe_seconds:
+        yield "probe_timeout: longer than probe_seconds"
+    if env.election_seconds < HEARTBEATS_MISSED * env.beat_seconds:
+        yield "election_seconds: shorter than three beats"
+    if env.stale_weight > env.down_weight:
+        yield "stale_weight: above down_weight"
--- a/packages/operator/ryelock/operator/__init__.py
+++ b/packages/operator/ryelock/operator/__init__.py
@@ -19,7 +19,16 @@
 
 
 class OperatorError(Exception):
-    """No node answered, or not in JSON."""
+    """No node answered, or not in JSON.
+
+    Attributes:
+        code: the exit code: UNKNOWN where the request may have been done, else UNREACHED.
+    """
+
+    def __init__(self, text: str, code: int = UNREACHED) -> None:
+        """Create the error; the text is for the operator."""
+        super().__init__(text)
+        self.code = code
 
 
 def ask(
@@ -44,8 +53,8 @@
     )
     if found.is_error():
         sent = found.error.sent and method == "POST"
-        text = "outcome unknown" if sent else "not sent"
-        return Error(OperatorError(f"{address}: {found.error.reason}; {text}"))
+        text, code = ("outcome unknown", UNKNOWN) if sent else ("not sent", UNREACHED)
+        return Error(OperatorError(f"{address}: {found.error.reason}; {text}", code))
     try:
         plain = json.loads(found.ok[1])
     except ValueError:
--- a/packages/program/ryelock/program/main.py
+++ b/packages/program/ryelock/program/main.py
@@ -5,6 +5,7 @@
 import tomllib
 import uuid
 import warnings
+from http import HTTPStatus
 from pathlib import Path
 
 import defopt
@@ -15,7 +16,7 @@
 from ryelock.explain import explain_order, explain_url, in_words  # noqa: E402
 from ryelock.loop import Step  # noqa: E402
 from ryelock.loop.reactor import Reactor  # noqa: E402
-from ryelock.operator import UNKNOWN, UNREACHED, ask, code_of  # noqa: E402
+from ryelock.operator import UNREACHED, Plain, ask, code_of  # noqa: E402
 from ryelock.program.running import run_daemon, run_once  # noqa: E402
 
 BAD_SETTINGS = 2
@@ -169,9 +170,8 @@
     def work(reactor: Reactor) -> Step[int]:
         found = yield from ask(reactor.scheduler, reactor, at, method, target, given)
         if found.is_error():
-            text = str(found.error)
-            sys.stderr.write(f"ryelock: {text}\n")
-            return UNKNOWN if "outcome unknown" in text else UNREACHED
+            sys.stderr.write(f"ryelock: {found.error}\n")
+            return found.error.code
         status, plain = found.ok
         show(plain)
         return code_of(status)
@@ -198,49 +198,68 @@
     :param whole: the file is a whole configuration that replaces the present one
     :param plan: only show what the change would do, and to which version
     """
+    try:
+        given = read_change(file)
+        if plan:
+            if base is not None:
+                given["base"] = base
+            return order(at, "POST", "/plans", {"put": given, "whole": True} if whole else given)
+        change = change_of(given, id, base, whole)
+    except ChangeError as error:
+        sys.stderr.write(f"ryelock apply: {error}\n")
+        return BAD_SETTINGS
+    return run_once(lambda reactor: send_change(reactor, at, change))
+
+
+class ChangeError(Exception):
+    """The file of a change cannot be read, or is no change; the text is for the operator."""
+
+
+def read_change(file: str) -> Plain:
+    """Return the change in a JSON or TOML file; a list is taken for a JSON Patch."""
     try:
         text = Path(file).read_text()
         given = tomllib.loads(text) if file.endswith(".toml") else json.loads(text)
     except (OSError, ValueError) as error:
-        sys.stderr.write(f"ryelock apply: {file}: {error}\n")
-        return BAD_SETTINGS
+        raise ChangeError(f"{file}: {error}") from error
     if isinstance(given, list):
-        given = {"patch": given}
+        return {"patch": given}
     if not isinstance(given, dict):
-        sys.stderr.write(f"ryelock apply: {file}: neither an object nor a JSON Patch\n")
-        return BAD_SETTINGS
-    if plan:
-        if base is not None:
-            given["base"] = base
-        return order(at, "POST", "/plans", {"put": given, "whole": True} if whole else given)
+        raise ChangeError(f"{file}: neither an object nor a JSON Patch")
+    return given
+
+
+def change_of(given: Plain, identity: str, base: int | None, whole: bool) -> Plain:
+    """Return the change to send: with an id, and with the base where it is known."""
     if "patch" in given and base is None and "base" not in given:
-        sys.stderr.write("ryelock apply: a patch needs --base, the version it was planned on\n")
-        return BAD_SETTINGS
-    change = {"put": given, "whole": True} if whole else dict(given)
-    change.setdefault("id", id or uuid.uuid4().hex)
-    if id:
-        change["id"] = id
+        raise ChangeError("a patch needs --base, the version it was planned on")
+    change: Plain = {"put": given, "whole": True} if whole else dict(given)
+    if identity or "id" not in change:
+        change["id"] = identity or uuid.uuid4().hex
     if base is not None:
         change["base"] = base
+    return change
 
-    def work(reactor: Reactor) -> Step[int]:
-        if "base" not in change:
-            present = yield from ask(reactor.scheduler, reactor, at, "GET", "/configuration")
-            if present.is_error():
-                sys.stderr.write(f"ryelock: {present.error}\n")
-                return UNREACHED
-            if present.ok[0] != 200:
-                show(present.ok[1])
-                return code_of(present.ok[0])
-            change["base"] = present.ok[1]["version"]
-        found = yield from ask(reactor.scheduler, reactor, at, "POST", "/changes", change)
-        if found.is_error():
-            sys.stderr.write(f"ryelock: {found.error} (id {change['id']})\n")
-            return UNKNOWN if "outcome unknown" in str(found.error) else UNREACHED
-        show(found.ok[1])
-        return code_of(found.ok[0])
 
-    return run_once(work)
+def send_change(reactor: Reactor, at: str, change: Plain) -> Step[int]:
+    """Send a change, on top of the present version where it names none; return the exit code."""
+    if "base" not in change:
+        present = yield from ask(reactor.scheduler, reactor, at, "GET", "/configuration")
+        if present.is_error():
+            sys.stderr.write(f"ryelock: {present.error}\n")
+            return UNREACHED
+        status, configuration = present.ok
+        if status != HTTPStatus.OK:
+            show(configuration)
+            return code_of(status)
+        change["base"] = configuration["version"]
+    found = yield from ask(reactor.scheduler, reactor, at, "POST", "/changes", change)
+    if found.is_error():
+        sys.stderr.write(f"ryelock: {found.error} (id {change['id']})\n")
+        return found.error.code
+    status, answer = found.ok
+    show(answer)
+    return code_of(status)
 
 
 def read(*, at: str) -> int:
--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -121,9 +121,11 @@
 
 def found_word(seed: int, word: str, cadence: float) -> float | None:
     """Measure seconds until a zone's verdict is `word`, with probes every `cadence` seconds."""
-    scenario = Scenario(
-        seed, settings={"probe_seconds": cadence, "probe_timeout": min(6.0, cadence * 0.8)}
-    )
+    probing: dict[str, object] = {
+        "probe_seconds": cadence,
+        "probe_timeout": min(6.0, cadence * 0.8),
+    }
+    scenario = Scenario(seed, settings=probing)
     scenario.set_up()
     scenario.start_callers(4, 2.0, 0)
     scenario.world.run(4 * cadence + seed % 7)
@@ -131,29 +133,7 @@
         for name in scenario.edges[:2]:
             scenario.world.kill(name, seed % 2 == 0)
     else:
-        for server in scenario.servers.values():
-            server.lifetime = "max-age=600"
-        version = scenario.node(scenario.leader()).core.register.version
-        scenario.world.task(
-            scenario.operators,
-            scenario.change(
-                "long",
-                version,
-                {
-                    "routes": {
-                        "covers": {
-                            "path": "/covers",
-                            "service": "pages",
-                            "cached": True,
-                            "lifetime_seconds": 600,
-                        }
-                    }
-                },
-            ),
-            20,
-        )
-        scenario.world.run(3 * cadence)
-        scenario.objects["pages"].change("/covers/watched", scenario.world.time)
+        outdate_copies(scenario, 3 * cadence)
     started = scenario.world.time
 
     def found() -> bool:
@@ -165,6 +145,18 @@
     return scenario.world.time - started if back else None
 
 
+def outdate_copies(scenario: Scenario, seconds: float) -> None:
+    """Let copies of covers live long, wait until they are kept, and change the watched one."""
+    for server in scenario.servers.values():
+        server.lifetime = "max-age=600"
+    version = scenario.node(scenario.leader()).core.register.version
+    covers = {"path": "/covers", "service": "pages", "cached": True, "lifetime_seconds": 600}
+    change = scenario.change("long", version, {"routes": {"covers": covers}})
+    scenario.world.task(scenario.operators, change, 20)
+    scenario.world.run(seconds)
+    scenario.objects["pages"].change("/covers/watched", scenario.world.time)
+
+
 def lapsed_share(seed: int) -> float | None:
     """Of the orders of stubborn callers at an edge cut off for 10 s, the part declined."""
     scenario = Scenario(seed)
--- a/packages/proving/ryelock/proving/pieces.py
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -27,6 +27,10 @@
 
 REPEATS = 5
 SERVICES = 2
+SERVICE_NAMES = [f"service-{number}" for number in range(SERVICES)]
+LOOKS = 50
+SHARE_SECONDS = 600.0
+TERM_SECONDS = 60.0
 
 
 def session_of_node(number: int, zones: int) -> Session:
@@ -89,63 +93,70 @@
 
 
 def measure_sessions(nodes: int, zones: int) -> Figures:
-    """What the leader does over all sessions, and what it says of them."""
+    """Measure what the leader does over all sessions, and what it tells others of them."""
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
         node = control_node(folder)
         node.register.restore(configured(4).image_for_edges())
         for number in range(nodes):
             node.roster.renew(session_of_node(number, zones))
-        renewals, roster = node.renewals, node.roster
-        renewals.note_members()
-        looks = 50
-        look = seconds_of(lambda: [renewals.note_members() for _ in range(looks)]) / looks
-        sessions = list(roster.sessions.values())
-        for session in sessions:
-            renewals.divider.report(
-                session.name, {f"service-{service}": 10.0 for service in range(SERVICES)}
-            )
-
-        def share(session: Session) -> None:
-            renewals.shares(
-                session,
-                renewals.edges(),
-                {"service-0": 1.0, "service-1": 1.0},
-                {},
-                node.scheduler.now(),
-            )
-
-        ends = node.scheduler.now() + 600.0
-        for service in range(SERVICES):
-            for session in sessions:
-                held = Given()
-                held.shares = [(1.0, ends)]
-                renewals.divider.given.setdefault(f"service-{service}", {})[session.name] = held
-        shares = seconds_of(lambda: share(sessions[0]))
-        now = node.scheduler.now()
-        for session in sessions:
-            renewals.terms.give((session.name, "run"), 1, now + 60.0, now)
-        behind = seconds_of(lambda: renewals.terms.behind(2, now))
-        said = cbor2.dumps(roster.say())
-        say = seconds_of(lambda: cbor2.dumps(roster.say()))
-        other = Roster(node.scheduler, "core-1/1", 3.0, 600.0)
-        hear = seconds_of(lambda: other.hear(cbor2.loads(said)))
-        told = cbor2.dumps([session.plain() for session in roster.members().values()])
-        tell = seconds_of(
-            lambda: cbor2.dumps([session.plain() for session in roster.members().values()])
-        )
-        take = seconds_of(lambda: [session_of(plain) for plain in cbor2.loads(told)])
+        found = {**measure_renewals(node), **measure_roster(node)}
         node.door.close()
-        return {
-            "leader: µs of one look for news of members": 1e6 * look,
-            "leader: µs of one edge's shares, 2 services": 1e6 * shares,
-            "leader: ms to see whose terms a word waits for": 1e3 * behind,
-            "leader: KB of sessions to a follower, each beat": len(said) / 1e3,
-            "leader: ms to write them": 1e3 * say,
-            "follower: ms to read them": 1e3 * hear,
-            "leader: KB of members to one node": len(told) / 1e3,
-            "leader: ms to write them for one node": 1e3 * tell,
-            "node: ms to read them": 1e3 * take,
-        }
+        return found
+
+
+def measure_renewals(node: ControlNode) -> Figures:
+    """Measure the pieces of a renewal, with a share and a lease given to every session."""
+    renewals, now = node.renewals, node.scheduler.now()
+    sessions = list(node.roster.sessions.values())
+    renewals.note_members()
+    look = seconds_of(lambda: [renewals.note_members() for _ in range(LOOKS)]) / LOOKS
+    give_shares(node, sessions)
+    rates = dict.fromkeys(SERVICE_NAMES, 1.0)
+    shares = seconds_of(lambda: renewals.shares(sessions[0], renewals.edges(), rates, {}, now))
+    for session in sessions:
+        renewals.terms.give((session.name, "run"), 1, now + TERM_SECONDS, now)
+    behind = seconds_of(lambda: renewals.terms.behind(2, now))
+    return {
+        "leader: µs of one look for news of members": 1e6 * look,
+        "leader: µs of one edge's shares, 2 services": 1e6 * shares,
+        "leader: ms to see whose terms a word waits for": 1e3 * behind,
+    }
+
+
+def give_shares(node: ControlNode, sessions: list[Session]) -> None:
+    """Let every session demand and hold a share of each service."""
+    divider, ends = node.renewals.divider, node.scheduler.now() + SHARE_SECONDS
+    for session in sessions:
+        divider.report(session.name, dict.fromkeys(SERVICE_NAMES, 10.0))
+        for service in SERVICE_NAMES:
+            held = Given()
+            held.shares = [(1.0, ends)]
+            divider.given.setdefault(service, {})[session.name] = held
+
+
+def measure_roster(node: ControlNode) -> Figures:
+    """Measure what is written and read of sessions between control nodes and to one node."""
+    roster = node.roster
+    said = cbor2.dumps(roster.say())
+    say = seconds_of(lambda: cbor2.dumps(roster.say()))
+    other = Roster(node.scheduler, "core-1/1", 3.0, 600.0)
+    hear = seconds_of(lambda: other.hear(cbor2.loads(said)))
+    told = cbor2.dumps(members_told(roster))
+    tell = seconds_of(lambda: cbor2.dumps(members_told(roster)))
+    take = seconds_of(lambda: [session_of(plain) for plain in cbor2.loads(told)])
+    return {
+        "leader: KB of sessions to a follower, each beat": len(said) / 1e3,
+        "leader: ms to write them": 1e3 * say,
+        "follower: ms to read them": 1e3 * hear,
+        "leader: KB of members to one node": len(told) / 1e3,
+        "leader: ms to write them for one node": 1e3 * tell,
+        "node: ms to read them": 1e3 * take,
+    }
+
+
+def members_told(roster: Roster) -> list[dict[str, object]]:
+    """Return all members as a renewal tells them."""
+    return [session.plain() for session in roster.members().values()]
 
 
 def measure_configuration(servers: int, routes: int) -> Figures:
--- a/packages/proving/ryelock/proving/scale/hollow_process.py
+++ b/packages/proving/ryelock/proving/scale/hollow_process.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from ryelock.proving.fleet import picked_port
-from ryelock.proving.scale.sizes import LEASE_SECONDS, LISTING_SECONDS, Size, zone_name
+from ryelock.proving.scale.sizes import LISTING_SECONDS, TERM_SECONDS, Size, zone_name
 
 HOST = "127.0.8.1"
 STOP_SECONDS = 5
@@ -34,7 +34,7 @@
             "wire_address": self.address,
             "seeds": seeds,
             "nodes": places,
-            "term_seconds": LEASE_SECONDS,
+            "term_seconds": TERM_SECONDS,
             "listing_term": LISTING_SECONDS,
             "probe_seconds": probe_seconds,
         }
--- a/packages/proving/ryelock/proving/scale/run.py
+++ b/packages/proving/ryelock/proving/scale/run.py
@@ -11,8 +11,8 @@
 from ryelock.proving.scale.hollow_process import hollow_processes
 from ryelock.proving.scale.readings import Reading, sum_of_states
 from ryelock.proving.scale.sizes import (
-    LEASE_SECONDS,
     LISTING_SECONDS,
+    TERM_SECONDS,
     Figures,
     Plain,
     Size,
@@ -68,7 +68,7 @@
         self.lines = Lines(self.scheduler, reactor, log)
         self.platform = PlatformStandIn(self.scheduler, reactor, log, "127.0.9.1:0")
         list_servers(self.platform, size)
-        settings: Plain = {"term_seconds": LEASE_SECONDS, "listing_term": LISTING_SECONDS}
+        settings: Plain = {"term_seconds": TERM_SECONDS, "listing_term": LISTING_SECONDS}
         self.fleet = Fleet(size.shape(), folder, self.platform.address, settings)
         self.hollow = hollow_processes(size, folder, self.fleet.seeds)
         self.leader = ""
--- a/packages/proving/ryelock/proving/scale/sizes.py
+++ b/packages/proving/ryelock/proving/scale/sizes.py
@@ -4,7 +4,7 @@
 
 from ryelock.proving.shapes import Machine, Shape
 
-LEASE_SECONDS = 1.5
+TERM_SECONDS = 1.5
 LISTING_SECONDS = 1.8
 CORES = 3
 EDGE = "edge-real"
--- a/packages/proving/ryelock/proving/scale/steady.py
+++ b/packages/proving/ryelock/proving/scale/steady.py
@@ -20,7 +20,7 @@
 EVENT_SECONDS = 1.0
 MOVED_SERVER = "127.0.9.250:9999"
 Act = Callable[[ScaleRun, int], Step[None]]
-Request = tuple[str, Plain]
+Call = tuple[str, Plain]
 
 
 def at_rest(run: ScaleRun) -> Step[None]:
@@ -61,7 +61,7 @@
 def changes(run: ScaleRun) -> Step[None]:
     """Make changes one after another and time each."""
 
-    def change(number: int) -> Request:
+    def change(number: int) -> Call:
         route = {"path": f"/moved-{number}", "service": service_name(0)}
         put = {"routes": {"moved": route}}
         return "/changes", {"id": f"change-{number}", "base": run.version, "put": put}
@@ -71,15 +71,15 @@
 
 def purges(run: ScaleRun) -> Step[None]:
     """Make purges one after another and time each."""
-    yield from in_turn(run, "purge", lambda number: purge_request("purge", number))
+    yield from in_turn(run, "purge", lambda number: purge_call("purge", number))
 
 
-def purge_request(name: str, number: int) -> Request:
+def purge_call(name: str, number: int) -> Call:
     """Return a purge of one path as an operator sends it."""
     return "/purges", {"id": f"{name}-{number}", "scopes": [{"path": f"/route-0/{number}"}]}
 
 
-def in_turn(run: ScaleRun, kind: str, request: Callable[[int], Request]) -> Step[None]:
+def in_turn(run: ScaleRun, kind: str, call_of: Callable[[int], Call]) -> Step[None]:
     """Time requests to the acknowledgement and to the last node, each after the one before."""
     acknowledged: list[float] = []
     last: list[float] = []
@@ -87,7 +87,7 @@
     before = yield from run.read()
     for number in range(1, run.size.changes + 1):
         started = run.scheduler.now()
-        status, answer = yield from run.post(*request(number))
+        status, answer = yield from run.post(*call_of(number))
         if kind == "change":
             run.version = int(number_of(answer, "version"))
         if status != 200:
@@ -126,7 +126,7 @@
     def purge(self, number: int) -> Step[None]:
         """Send one purge and note when it was started."""
         started = self.run.scheduler.now()
-        status, answer = yield from self.run.post(*purge_request("flood", number))
+        status, answer = yield from self.run.post(*purge_call("flood", number))
         index = answer.get("index")
         if status == 200 and isinstance(index, int):
             self.taken.append((started, index))
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -20,6 +20,9 @@
 OPERATOR_FINAL = (200, 400, 409, 412, 413, 422)
 TRIES_MOST = 4
 MISSED_MOST = 2
+CONNECT_SECONDS = 1.0
+HEAD_MOST = 65_536
+BODY_MOST = 1 << 24
 
 
 class Note:
@@ -219,47 +222,58 @@
 
     def one_try(self, note: Note, until: float, given: Fields) -> Step[None]:
         """Send one try and fill in its note."""
-        front = self.entrance.fronts[note.edge]
-        link, reader = self.link, self.reader
-        if link is None or reader is None or link.ended or link.peer != front:
+        connected = yield from self.connect(self.entrance.fronts[note.edge], until)
+        if connected is None:
+            note.end = "no link"
             self.close()
-            link = self.link = self.network.connect(front)
-            reader = self.reader = Reader(self.scheduler, link)
-            if not (yield from link.open(min(1.0, max(0.0, until - self.scheduler.now())))):
-                note.end = "no link"
-                self.close()
-                return
-        dialect = self.words.dialect
-        left = max(1, int((until - self.scheduler.now()) * 1000))
-        send_order(
-            link,
-            note.method.encode(),
-            note.target.encode(),
-            [
-                (b"Host", note.host.encode()),
-                (dialect.identity, note.identity.encode()),
-                (dialect.deadline, b"%d" % left),
-                *given,
-            ],
-            note.body,
-        )
+            return
+        link, reader = connected
+        fields = self.fields_of(note, until, given)
+        send_order(link, note.method.encode(), note.target.encode(), fields, note.body)
         try:
-            found = yield from read_answer(reader, note.method.encode(), 65_536, until)
-            if found.is_error():
-                note.end = found.error.reason
-                self.close()
-                return
-            answer = found.ok
-            note.status, note.fields = answer.head.status, answer.head.fields
-            note.said = yield from answer.body.whole(1 << 24, until)
-            note.whole = True
-            note.end = "whole"
-            if not answer.keep or not 200 <= note.status < 300:
-                self.close()
+            keep = yield from self.take_answer(reader, note, until)
         except (Cut, Late, FramingError) as error:
             note.end = type(error).__name__
+            keep = False
+        if not keep:
             self.close()
 
+    def connect(self, front: str, until: float) -> Step[tuple[Link, Reader] | None]:
+        """Return the kept connection to a node, else a new one; None where it does not open."""
+        link, reader = self.link, self.reader
+        if link is not None and reader is not None and not link.ended and link.peer == front:
+            return link, reader
+        self.close()
+        link = self.link = self.network.connect(front)
+        reader = self.reader = Reader(self.scheduler, link)
+        left = max(0.0, until - self.scheduler.now())
+        opened = yield from link.open(min(CONNECT_SECONDS, left))
+        return (link, reader) if opened else None
+
+    def fields_of(self, note: Note, until: float, given: Fields) -> Fields:
+        """Return the header fields of a try: its identity, its deadline, and the given ones."""
+        dialect = self.words.dialect
+        left = max(1, int((until - self.scheduler.now()) * 1000))
+        return [
+            (b"Host", note.host.encode()),
+            (dialect.identity, note.identity.encode()),
+            (dialect.deadline, b"%d" % left),
+            *given,
+        ]
+
+    def take_answer(self, reader: Reader, note: Note, until: float) -> Step[bool]:
+        """Read the answer into the note; return whether the connection may be kept."""
+        found = yield from read_answer(reader, note.method.encode(), HEAD_MOST, until)
+        if found.is_error():
+            note.end = found.error.reason
+            return False
+        answer = found.ok
+        note.status, note.fields = answer.head.status, answer.head.fields
+        note.said = yield from answer.body.whole(BODY_MOST, until)
+        note.whole = True
+        note.end = "whole"
+        return answer.keep and 200 <= note.status < 300
+
 
 class OperatorCaller:
     """Sends what it sends unchanged, to any node, until it gets a clear answer."""
--- a/packages/verdict/ryelock/verdict/judge.py
+++ b/packages/verdict/ryelock/verdict/judge.py
@@ -233,63 +233,68 @@
     blind: set[str],
 ) -> ZoneVerdict:
     """Judge one zone by the rows of its edges; rows of `blind` probers prove no failure."""
+    targets = judge_targets(zone, edges, watches, history, rules, now, blind)
+    failed = failed_edges(edges, targets)
+    verdict, reason = word_of(edges, targets, failed)
+    return ZoneVerdict(zone, verdict, reason, weight, edges, targets, failed)
+
+
+def judge_targets(
+    zone: str,
+    edges: list[str],
+    watches: dict[str, Watch],
+    history: History,
+    rules: Rules,
+    now: float,
+    blind: set[str],
+) -> list[TargetVerdict]:
+    """Judge each edge for each watch; a target without rows is left out."""
     targets: list[TargetVerdict] = []
     for edge in edges:
         for name, watch in sorted(watches.items()):
             mark = watch_mark(watch)
             rows = history.window((zone, edge, name, mark), now, rules.rows, inside=True)
-            failures = [
-                row
-                for row in rows
-                if row.failed
-                and row.prober not in blind
-                and (not row.reachable or (name, mark) in history.proven)
-            ]
-            if rows:
-                targets.append(
-                    TargetVerdict(
-                        edge,
-                        name,
-                        rows,
-                        failures,
-                        rules.quorum,
-                        watch.stale_seconds or rules.stale_seconds,
-                        now,
-                    )
-                )
+            if not rows:
+                continue
+            proven = (name, mark) in history.proven
+            failures = [row for row in rows if row.prober not in blind and counts(row, proven)]
+            stale_seconds = watch.stale_seconds or rules.stale_seconds
+            targets.append(
+                TargetVerdict(edge, name, rows, failures, rules.quorum, stale_seconds, now)
+            )
+    return targets
+
+
+def counts(row: Row, proven: bool) -> bool:
+    """Whether a row is a failure of its edge.
+
+    A watch that was never fetched proves nothing, unless the edge could not be reached at all.
+    """
+    return row.failed and (proven or not row.reachable)
+
+
+def failed_edges(edges: list[str], targets: list[TargetVerdict]) -> list[str]:
+    """Return the edges of which every judged target has failed."""
+    found: list[str] = []
+    for edge in edges:
+        mine = [target for target in targets if target.edge == edge]
+        if mine and all(target.failed for target in mine):
+            found.append(edge)
+    return found
+
+
+def word_of(edges: list[str], targets: list[TargetVerdict], failed: list[str]) -> tuple[str, str]:
+    """Return a zone's verdict and its reason."""
     if not targets:
-        return ZoneVerdict(zone, UNKNOWN, "no rows", weight, edges, targets)
-    by_edge = {edge: [target for target in targets if target.edge == edge] for edge in edges}
-    failed = [
-        edge for edge, found in by_edge.items() if found and all(target.failed for target in found)
-    ]
+        return UNKNOWN, "no rows"
     if edges and len(failed) == len(edges):
-        return ZoneVerdict(
-            zone, DOWN, f"all {len(edges)} edges failed", weight, edges, targets, failed
-        )
+        return DOWN, f"all {len(edges)} edges failed"
     if any(target.stale for target in targets):
         worst = max(targets, key=lambda target: target.oldest or 0.0)
-        return ZoneVerdict(
-            zone,
-            STALE,
-            f"{worst.watch} at {worst.edge} is {worst.oldest} s old",
-            weight,
-            edges,
-            targets,
-            failed,
-        )
-    if not any(not row.failed for target in targets for row in target.rows):
-        return ZoneVerdict(
-            zone,
-            UNKNOWN,
-            "no sound row, and no quorum of failed ones",
-            weight,
-            edges,
-            targets,
-            failed,
-        )
-    reason = f"failed: {', '.join(failed)}" if failed else "fetched"
-    return ZoneVerdict(zone, HEALTHY, reason, weight, edges, targets, failed)
+        return STALE, f"{worst.watch} at {worst.edge} is {worst.oldest} s old"
+    if all(row.failed for target in targets for row in target.rows):
+        return UNKNOWN, "no sound row, and no quorum of failed ones"
+    return HEALTHY, f"failed: {', '.join(failed)}" if failed else "fetched"
 
 
 def judge(
--- a/packages/watch/ryelock/watch/probe.py
+++ b/packages/watch/ryelock/watch/probe.py
@@ -25,11 +25,12 @@
 )
 from ryelock.exchange.heads import FramingError
 from ryelock.exchange.reading import Cut, Late
-from ryelock.loop import Network, Scheduler, Step
+from ryelock.loop import Link, Network, Scheduler, Step
 from ryelock.register import Watch
 
 MARKED_BYTES = 64
 RANGE = b"bytes=0-1023"
+HEAD_MOST = 65_536
 BODY_MOST = 16_777_216
 GONE = tuple(f"manifest status {status}" for status in (401, 403, 404, 410))
 UNSEALED = "no server's seal"
@@ -333,43 +334,11 @@
     def fetch(self, target: str, fields: Fields, until: float) -> Step[Fetched]:
         """Fetch one target over a connection of its own; raises ProbeFailed."""
         link = self.network.connect(self.address)
-        fetched = Fetched()
         try:
             if not (yield from link.open(max(0.0, until - self.scheduler.now()))):
                 raise ProbeFailed("timeout" if self.scheduler.now() >= until else "no link")
-            host = self.watch.host or self.address
-            if self.dialect.deadline:
-                left = max(1, int((until - self.scheduler.now()) * 1000))
-                fields = [*fields, (self.dialect.deadline, b"%d" % left)]
-            send_order(
-                link,
-                b"GET",
-                target.encode(),
-                [
-                    (b"Host", host.encode()),
-                    (b"X-Ryelock-Probe", self.prober.encode()),
-                    *fields,
-                    (b"Connection", b"close"),
-                ],
-                b"",
-            )
-            reader = Reader(self.scheduler, link)
-            found = yield from read_answer(reader, b"GET", 65_536, until)
-            if found.is_error():
-                raise ProbeFailed(found.error.reason)
-            fetched.first_byte = fetched.at = self.scheduler.now()
-            fetched.status = found.ok.head.status
-            fetched.fields = found.ok.head.fields
-            total = 0
-            while True:
-                piece = yield from found.ok.body.piece(until)
-                if not piece and found.ok.body.over:
-                    return fetched
-                total += len(piece)
-                if total > BODY_MOST:
-                    raise ProbeFailed("body too large")
-                if len(fetched.start) < MARKED_BYTES:
-                    fetched.start += piece[:MARKED_BYTES]
+            send_order(link, b"GET", target.encode(), self.fields_with(fields, until), b"")
+            return (yield from self.read_fetched(link, until))
         except Cut:
             raise ProbeFailed("answer cut") from None
         except Late:
@@ -378,3 +347,32 @@
             raise ProbeFailed(error.reason) from None
         finally:
             link.close()
+
+    def fields_with(self, fields: Fields, until: float) -> Fields:
+        """Return the header fields of a request: the given ones and those every probe bears."""
+        host = self.watch.host or self.address
+        found = [(b"Host", host.encode()), (b"X-Ryelock-Probe", self.prober.encode()), *fields]
+        if self.dialect.deadline:
+            left = max(1, int((until - self.scheduler.now()) * 1000))
+            found.append((self.dialect.deadline, b"%d" % left))
+        return [*found, (b"Connection", b"close")]
+
+    def read_fetched(self, link: Link, until: float) -> Step[Fetched]:
+        """Read an answer to its end; only the body's first bytes are kept."""
+        answer = yield from read_answer(Reader(self.scheduler, link), b"GET", HEAD_MOST, until)
+        if answer.is_error():
+            raise ProbeFailed(answer.error.reason)
+        fetched = Fetched()
+        fetched.first_byte = fetched.at = self.scheduler.now()
+        fetched.status = answer.ok.head.status
+        fetched.fields = answer.ok.head.fields
+        total = 0
+        while True:
+            piece = yield from answer.ok.body.piece(until)
+            if not piece and answer.ok.body.over:
+                return fetched
+            total += len(piece)
+            if total > BODY_MOST:
+                raise ProbeFailed("body too large")
+            if len(fetched.start) < MARKED_BYTES:
+                fetched.start += piece[:MARKED_BYTES]
