Typed records: dataclasses for servers, sessions, rows, verdicts, events; an enum of verdicts

Cause: records were hand-written classes with slots, dicts of strings or bare tuples.

Frozen with slots: Event, Duty, Server, Told, Rules, Evidence, ZoneVerdict, Target, Fetched, Part, HollowSettings. Named tuples where other packages unpack them: CopyAnswer, operator's Reply, Grant. Filled in by their owners, so dataclasses with slots that are not frozen: Session, Listing, Row, Judged, Note. Verdict is an enum inside its package; plain() gives the same text as before. The settings of hollow nodes are one type on both sides, read by dacite. A range is a Part or None instead of a tuple, False or None. Hollow processes match on messages instead of comparing texts.

Ruled out: freezing Session and Listing, since core and edge set their fields; an enum of roles, since other packages compare them as text; a type for wire messages, which is one change with the packages that send them. TargetVerdict keeps its constructor, since a take-out test replaces it.

Cost was not measured.

Conclusion: bytes on the wire, the record and the log are as they were.

--- a/packages/allowance/ryelock/allowance/divide.py
+++ b/packages/allowance/ryelock/allowance/divide.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 WINDOW = 5.0
 OVER = 0.08
@@ -83,6 +84,20 @@
     return max(0.0, usable(rate, burst, edges) - 0.2 * rate) / max(1, edges)
 
 
+class Grant(NamedTuple):
+    """Whole requests granted to an edge of a narrow service.
+
+    Attributes:
+        granted: requests that may be sent now.
+        expected: requests a second that the edge may expect.
+        found: requests that it may find granted at once when it asks again.
+    """
+
+    granted: int
+    expected: float
+    found: float
+
+
 class Given:
     """Shares an edge may be spending: each with the moment it ends."""
 
@@ -144,8 +159,8 @@
         holding: float,
         now: float,
         fresh: bool,
-    ) -> tuple[int, float, float]:
-        """Orders granted to an edge now, what it may expect a second, and what it may find at once.
+    ) -> Grant:
+        """Return what is granted to an edge now and what it may expect.
 
         Nothing before a new leader knows what others hold.
         """
@@ -160,7 +175,7 @@
         granted = min(wanted, int(well.room))
         well.room -= granted
         part = 1 + well.others_wanting(edge, now)
-        return granted, steady_rate(rate) / part, int(well.room) / part
+        return Grant(granted, steady_rate(rate) / part, int(well.room) / part)
 
     def soon(self, service: str, rate: float, now: float) -> float:
         """Seconds until a narrow service's well has an order to grant."""
--- a/packages/cache/ryelock/cache/rules.py
+++ b/packages/cache/ryelock/cache/rules.py
@@ -6,12 +6,26 @@
 """
 
 import re
+from dataclasses import dataclass
+from typing import NamedTuple
 
 from ryelock.exchange import AnswerHead, Fields, OrderHead, field, parse_http_date, tokens
 from ryelock.register import Route
 
 KEPT_STATUSES = frozenset([200, 203, 300, 301, 308, 404, 410])
 ONE_RANGE = re.compile(rb"bytes=(\d*)-(\d*)")
+NOT_MODIFIED_FIELDS = frozenset(
+    [
+        b"etag",
+        b"date",
+        b"cache-control",
+        b"expires",
+        b"vary",
+        b"last-modified",
+        b"content-location",
+        b"age",
+    ]
+)
 
 
 class Copy:
@@ -187,8 +201,24 @@
     return since is not None and modified is not None and modified <= since
 
 
-def one_range(copy: Copy, order: Fields) -> tuple[int, int] | bool | None:
-    """The asked range as start and end; None for the whole; False where it cannot be met."""
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A range of a body: from byte `start` up to before byte `end`; empty where unsatisfiable."""
+
+    start: int
+    end: int
+
+    @property
+    def satisfiable(self) -> bool:
+        """Whether the range holds at least one byte (RFC 9110, 14.1.1)."""
+        return self.start < self.end
+
+
+UNSATISFIABLE = Part(0, 0)
+
+
+def one_range(copy: Copy, order: Fields) -> Part | None:
+    """Return the range that is asked for; None for the whole body."""
     asked = field(order, b"range")
     found = ONE_RANGE.fullmatch(asked) if asked is not None else None
     if found is None or copy.status != 200 or (not found[1] and not found[2]):
@@ -200,35 +230,35 @@
         return None
     size = len(copy.body)
     if not found[1]:
-        start, end = max(0, size - int(found[2])), size
-        return (start, end) if int(found[2]) > 0 and size > 0 else False
+        return Part(max(0, size - int(found[2])), size)
     start = int(found[1])
-    end = min(size, int(found[2]) + 1) if found[2] else size
     if found[2] and int(found[2]) < start:
         return None
-    return (start, end) if start < size else False
+    end = min(size, int(found[2]) + 1) if found[2] else size
+    return Part(start, end) if start < size else UNSATISFIABLE
+
+
+class CopyAnswer(NamedTuple):
+    """What a copy answers to a request."""
 
+    status: int
+    reason: bytes
+    fields: Fields
+    body: bytes
 
-def answer_from(copy: Copy, order: OrderHead, now: float) -> tuple[int, bytes, Fields, bytes]:
-    """What a copy answers: status, reason, fields and body."""
+
+def answer_from(copy: Copy, order: OrderHead, now: float) -> CopyAnswer:
+    """Return what a copy answers at monotonic time `now`: whole, in part, or not modified."""
     fields = [*copy.fields, (b"Age", b"%d" % int(copy.age(now)))]
-    if not_modified(copy, order.fields) and copy.status == 200:
-        kept = (
-            b"etag",
-            b"date",
-            b"cache-control",
-            b"expires",
-            b"vary",
-            b"last-modified",
-            b"content-location",
-            b"age",
-        )
-        return 304, b"", [pair for pair in fields if pair[0].lower() in kept], b""
+    if copy.status == 200 and not_modified(copy, order.fields):
+        kept = [pair for pair in fields if pair[0].lower() in NOT_MODIFIED_FIELDS]
+        return CopyAnswer(304, b"", kept, b"")
     part = one_range(copy, order.fields)
-    if part is False:
-        return 416, b"", [(b"Content-Range", b"bytes */%d" % len(copy.body))], b""
-    if isinstance(part, tuple):
-        start, end = part
-        fields.append((b"Content-Range", b"bytes %d-%d/%d" % (start, end - 1, len(copy.body))))
-        return 206, b"", fields, copy.body[start:end]
-    return copy.status, copy.reason, fields, copy.body
+    if part is None:
+        return CopyAnswer(copy.status, copy.reason, fields, copy.body)
+    size = len(copy.body)
+    if not part.satisfiable:
+        return CopyAnswer(416, b"", [(b"Content-Range", b"bytes */%d" % size)], b"")
+    place = b"bytes %d-%d/%d" % (part.start, part.end - 1, size)
+    body = copy.body[part.start : part.end]
+    return CopyAnswer(206, b"", [*fields, (b"Content-Range", place)], body)
--- a/packages/duty/ryelock/duty/__init__.py
+++ b/packages/duty/ryelock/duty/__init__.py
@@ -6,19 +6,24 @@
 """
 
 from collections.abc import Collection
+from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
 class Duty:
-    """Who does one thing for the whole network."""
+    """Who does one thing for the whole network.
 
-    __slots__ = ("epoch", "holder", "name", "successor")
+    Attributes:
+        name: name of the duty.
+        holder: the node that does it.
+        epoch: grows with every hand-over.
+        successor: the node that takes over next, empty where there is none.
+    """
 
-    def __init__(self, name: str, holder: str, epoch: int, successor: str) -> None:
-        """Create a duty's record; `successor` is empty where there is none."""
-        self.name = name
-        self.holder = holder
-        self.epoch = epoch
-        self.successor = successor
+    name: str
+    holder: str
+    epoch: int
+    successor: str
 
     def plain(self) -> dict[str, object]:
         """Return the duty as plain data, for the log of decisions and the wire."""
--- a/packages/events/ryelock/events/__init__.py
+++ b/packages/events/ryelock/events/__init__.py
@@ -6,29 +6,27 @@
 
 import logging
 import sys
+from dataclasses import dataclass
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
+@dataclass(frozen=True, slots=True)
 class Event:
-    """One kind of log event, with a number that never changes its meaning."""
-
-    __slots__ = ("asks", "level", "number", "text")
-
-    def __init__(self, number: int, level: int, text: str, asks: str) -> None:
-        """Declare an event.
-
-        Args:
-            number: the stable number.
-            level: a level of the logging module.
-            text: what happened.
-            asks: what an operator should do, "nothing" where nothing.
-        """
-        self.number = number
-        self.level = level
-        self.text = text
-        self.asks = asks
+    """One kind of log event, with a number that never changes its meaning.
+
+    Attributes:
+        number: the stable number.
+        level: a level of the logging module.
+        text: what happened.
+        asks: what an operator should do, "nothing" where nothing.
+    """
+
+    number: int
+    level: int
+    text: str
+    asks: str
 
 
 INFO, WARNING, ERROR = logging.INFO, logging.WARNING, logging.ERROR
--- a/packages/explain/ryelock/explain/__init__.py
+++ b/packages/explain/ryelock/explain/__init__.py
@@ -4,12 +4,13 @@
 instead, an edge says what it would do now.
 """
 
+from http import HTTPStatus
 from urllib.parse import urlsplit
 
 from expression import Error, Ok, Result
 
 from ryelock.loop import Network, Scheduler, Step
-from ryelock.operator import OperatorError, ask, with_query
+from ryelock.operator import OperatorError, Reply, ask, with_query
 
 Plain = dict[str, object]
 
@@ -26,18 +27,14 @@
     found = yield from ask(scheduler, network, at, "GET", "/members")
     if found.is_error():
         return Error(found.error)
-    members = found.ok[1].get("members")
+    members = found.ok.plain.get("members")
     edge = members.get(edge_of(order)) if isinstance(members, dict) else None
     if not isinstance(edge, dict):
         return Error(OperatorError(f"no edge {edge_of(order)!r} is known"))
     answer = yield from ask(
         scheduler, network, str(edge["control"]), "GET", with_query("/explain", order=order)
     )
-    if answer.is_error():
-        return Error(answer.error)
-    if answer.ok[0] != 200:
-        return Error(OperatorError(str(answer.ok[1].get("fault"))))
-    return Ok(answer.ok[1])
+    return account_of(answer)
 
 
 def explain_url(
@@ -53,11 +50,16 @@
         "GET",
         with_query("/explain", method=method, target=target or "/", host=parts.hostname or ""),
     )
+    return account_of(answer)
+
+
+def account_of(answer: Result[Reply, OperatorError]) -> Result[Plain, OperatorError]:
+    """Return the account in an edge's answer; any status but 200 is an error."""
     if answer.is_error():
         return Error(answer.error)
-    if answer.ok[0] != 200:
-        return Error(OperatorError(str(answer.ok[1].get("fault"))))
-    return Ok(answer.ok[1])
+    if answer.ok.status != HTTPStatus.OK:
+        return Error(OperatorError(str(answer.ok.plain.get("fault"))))
+    return Ok(answer.ok.plain)
 
 
 def in_words(plain: Plain) -> list[str]:
--- a/packages/operator/ryelock/operator/__init__.py
+++ b/packages/operator/ryelock/operator/__init__.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 from expression import Error, Ok, Result
@@ -18,6 +19,13 @@
 Plain = dict[str, object]
 
 
+class Reply(NamedTuple):
+    """What a node answered: the HTTP status and the JSON object of its body."""
+
+    status: int
+    plain: Plain
+
+
 class OperatorError(Exception):
     """No node answered, or not in JSON.
 
@@ -38,7 +46,7 @@
     method: str,
     target: str,
     given: object = None,
-) -> Step[Result[tuple[int, Plain], OperatorError]]:
+) -> Step[Result[Reply, OperatorError]]:
     """One order to one control address: the HTTP status and the JSON answered."""
     body = b"" if given is None else json.dumps(given).encode()
     found = yield from call(
@@ -61,7 +69,7 @@
         return Error(OperatorError(f"{address}: not JSON"))
     if not isinstance(plain, dict):
         return Error(OperatorError(f"{address}: not an object"))
-    return Ok((found.ok[0].status, plain))
+    return Ok(Reply(found.ok[0].status, plain))
 
 
 def code_of(status: int) -> int:
--- a/packages/proving/ryelock/proving/fleet.py
+++ b/packages/proving/ryelock/proving/fleet.py
@@ -170,7 +170,7 @@
         if process.over:
             return False
         found = yield from ask(scheduler, network, process.control, "GET", "/fitness/ready")
-        if found.is_ok() and found.ok[0] == 200:
+        if found.is_ok() and found.ok.status == 200:
             return True
         yield from scheduler.pause(0.1)
     return False
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -11,10 +11,12 @@
 import sys
 import time
 from collections import Counter, deque
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import cbor2
+from dacite import Config, from_dict
 from expression import Result
 
 from ryelock.edge.member import Member
@@ -33,6 +35,32 @@
 DEMAND = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class HollowSettings:
+    """What the runner tells a process of hollow nodes, as JSON.
+
+    Attributes:
+        wire_address: where the process answers the runner.
+        seeds: wire addresses of the control nodes.
+        nodes: name and zone of each node.
+        term_seconds: length of a lease.
+        listing_term: how long a listing of servers is believed.
+        probe_seconds: cadence of the made-up probes, 0 for none.
+    """
+
+    wire_address: str
+    seeds: list[str]
+    nodes: list[tuple[str, str]]
+    term_seconds: float
+    listing_term: float
+    probe_seconds: float
+
+
+def read_settings(file: Path) -> HollowSettings:
+    """Read a settings file; raises DaciteError where it is none."""
+    return from_dict(HollowSettings, json.loads(file.read_text()), Config(cast=[tuple]))
+
+
 class Counts:
     """What the nodes of one process sent and took in, for the life of the process."""
 
@@ -280,58 +308,68 @@
         "term_seconds",
     )
 
-    def __init__(self, settings: dict[str, object], scheduler: Scheduler, network: Network) -> None:
-        """Create the process from the runner's settings and listen for it."""
-        seeds, places = settings["seeds"], settings["nodes"]
-        assert isinstance(seeds, list) and isinstance(places, list)
+    def __init__(self, settings: HollowSettings, scheduler: Scheduler, network: Network) -> None:
+        """Create the process and listen for the runner; no node is started."""
         self.scheduler = scheduler
         self.network = network
         self.random = Random()
         self.counts = Counts()
         self.log = CountedLog("hollow", self.counts)
-        self.seeds = tuple(str(seed) for seed in seeds)
-        self.term_seconds = float(str(settings["term_seconds"]))
-        self.listing_term = float(str(settings["listing_term"]))
-        self.cadence = float(str(settings["probe_seconds"]))
-        self.door = Door(scheduler, network, self.log, str(settings["wire_address"]), self.on_ask)
-        self.places = [(str(name), str(zone)) for name, zone in places]
+        self.seeds = tuple(settings.seeds)
+        self.term_seconds = settings.term_seconds
+        self.listing_term = settings.listing_term
+        self.cadence = settings.probe_seconds
+        self.door = Door(scheduler, network, self.log, settings.wire_address, self.on_ask)
+        self.places = settings.nodes
         self.nodes: list[HollowNode] = []
         self.dropped: list[tuple[str, str]] = []
 
     def on_ask(self, message: Message, reply: Reply) -> None:
         """Answer one message of the runner; its `kind` says what is asked."""
-        kind, index = message.get("kind"), message.get("index")
-        since = message.get("since")
-        if kind == "hollow.start":
-            self.start(float(str(message.get("pause"))))
-            reply({"nodes": len(self.nodes)})
-        elif kind == "hollow.state":
-            reply(self.state())
-        elif kind == "hollow.reached" and isinstance(index, int):
-            found = [node.reached_at(index) for node in self.nodes]
-            reply({"times": [at for at in found if at is not None]})
-        elif kind == "hollow.listed" and isinstance(since, float):
-            reply({"times": [node.listed for node in self.nodes if node.listed > since]})
-        elif kind == "hollow.lose":
-            for node in self.nodes:
-                node.back, node.without = 0.0, str(message.get("without"))
-            reply({})
-        elif kind == "hollow.back":
-            reply({"times": [node.back for node in self.nodes if node.back]})
-        elif kind == "hollow.drop":
-            reply({"nodes": self.drop(str(message.get("zone")))})
-        elif kind == "hollow.knowing":
-            reply({"nodes": sum(node.known_edges == message.get("edges") for node in self.nodes)})
-        elif kind == "hollow.return":
-            for name, zone in self.dropped:
-                self.nodes.append(HollowNode(self, name, zone))
-                self.nodes[-1].member.start()
-            self.dropped = []
-            reply({})
-        elif kind == "hollow.restart":
-            self.scheduler.spawn("restart", self.restart(int(str(message["count"])), reply))
-        else:
-            reply({"fault": "unknown ask"})
+        match message:
+            case {"kind": "hollow.restart", "count": int(count)}:
+                self.scheduler.spawn("restart", self.restart(count, reply))
+            case {"kind": "hollow.start", "pause": int() | float() as pause}:
+                self.start(pause)
+                reply({"nodes": len(self.nodes)})
+            case {"kind": "hollow.lose", "without": str(without)}:
+                self.lose(without)
+                reply({})
+            case {"kind": "hollow.drop", "zone": str(zone)}:
+                reply({"nodes": self.drop(zone)})
+            case {"kind": "hollow.return"}:
+                self.take_back()
+                reply({})
+            case _:
+                reply(self.answer_of(message))
+
+    def answer_of(self, message: Message) -> Message:
+        """Return the answer to a message that changes nothing."""
+        match message:
+            case {"kind": "hollow.state"}:
+                return self.state()
+            case {"kind": "hollow.reached", "index": int(index)}:
+                found = [node.reached_at(index) for node in self.nodes]
+                return {"times": [at for at in found if at is not None]}
+            case {"kind": "hollow.listed", "since": float(since)}:
+                return {"times": [node.listed for node in self.nodes if node.listed > since]}
+            case {"kind": "hollow.back"}:
+                return {"times": [node.back for node in self.nodes if node.back]}
+            case {"kind": "hollow.knowing", "edges": int(edges)}:
+                return {"nodes": sum(node.known_edges == edges for node in self.nodes)}
+        return {"fault": "unknown ask"}
+
+    def lose(self, without: str) -> None:
+        """Let each node note anew when its session stands; not with the leader at an address."""
+        for node in self.nodes:
+            node.back, node.without = 0.0, without
+
+    def take_back(self) -> None:
+        """Start the nodes anew that were dropped last."""
+        for name, zone in self.dropped:
+            self.nodes.append(HollowNode(self, name, zone))
+            self.nodes[-1].member.start()
+        self.dropped = []
 
     def start(self, pause: float) -> None:
         """All nodes, one after another with a pause of seconds between them."""
@@ -424,7 +462,7 @@
         reactor.stop()
 
     reactor = Reactor(fault)
-    process = HollowProcess(json.loads(Path(sys.argv[1]).read_text()), reactor.scheduler, reactor)
+    process = HollowProcess(read_settings(Path(sys.argv[1])), reactor.scheduler, reactor)
     sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
 
     def until_told() -> Step[None]:
--- a/packages/proving/ryelock/proving/run.py
+++ b/packages/proving/ryelock/proving/run.py
@@ -16,7 +16,7 @@
 from ryelock.events import QuietLog
 from ryelock.loop import Scheduler, Step
 from ryelock.loop.reactor import Reactor
-from ryelock.operator import ask
+from ryelock.operator import Reply, ask
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings, check_bytes, check_once, check_rates, check_repeats
 from ryelock.proving.fleet import FAST, Fleet, Process, wait_ready
@@ -99,16 +99,12 @@
         ]
         return self.random.choice(able).control
 
-    def operator(
-        self, method: str, target: str, given: object = None
-    ) -> Step[tuple[int, dict[str, object]]]:
+    def operator(self, method: str, target: str, given: object = None) -> Step[Reply]:
         """Send an operator's request to any control address; status 0 where none answered."""
         found = yield from ask(self.scheduler, self.reactor, self.control(), method, target, given)
-        return found.ok if found.is_ok() else (0, {"fault": str(found.error)})
+        return found.ok if found.is_ok() else Reply(0, {"fault": str(found.error)})
 
-    def change(
-        self, identity: str, base: int, **parts: object
-    ) -> Step[tuple[int, dict[str, object]]]:
+    def change(self, identity: str, base: int, **parts: object) -> Step[Reply]:
         """Send a configuration change on top of version `base`."""
         return (
             yield from self.operator("POST", "/changes", {"id": identity, "base": base, **parts})
@@ -176,7 +172,7 @@
                 found = yield from ask(
                     self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
                 )
-                fine = found.is_ok() and found.ok[0] == 200
+                fine = found.is_ok() and found.ok.status == 200
             (self.ready.add if fine else self.ready.discard)(process.name)
             yield from self.scheduler.pause(0.15)
 
@@ -215,7 +211,7 @@
             found = yield from ask(
                 self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
             )
-            if found.is_ok() and found.ok[1].get("leads") is True:
+            if found.is_ok() and found.ok.plain.get("leads") is True:
                 return process
         return None
 
--- a/packages/proving/ryelock/proving/scale/hollow_process.py
+++ b/packages/proving/ryelock/proving/scale/hollow_process.py
@@ -3,9 +3,11 @@
 import json
 import subprocess
 import sys
+from dataclasses import asdict
 from pathlib import Path
 
 from ryelock.proving.fleet import picked_port
+from ryelock.proving.hollow import HollowSettings
 from ryelock.proving.scale.sizes import LISTING_SECONDS, TERM_SECONDS, Size, zone_name
 
 HOST = "127.0.8.1"
@@ -30,15 +32,10 @@
         self.file = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
         self.popen: subprocess.Popen[bytes] | None = None
-        settings = {
-            "wire_address": self.address,
-            "seeds": seeds,
-            "nodes": places,
-            "term_seconds": TERM_SECONDS,
-            "listing_term": LISTING_SECONDS,
-            "probe_seconds": probe_seconds,
-        }
-        self.file.write_text(json.dumps(settings))
+        settings = HollowSettings(
+            self.address, seeds, places, TERM_SECONDS, LISTING_SECONDS, probe_seconds
+        )
+        self.file.write_text(json.dumps(asdict(settings)))
 
     def start(self) -> None:
         """Start the process; its output is appended to its log file."""
--- a/packages/proving/ryelock/proving/scale/run.py
+++ b/packages/proving/ryelock/proving/scale/run.py
@@ -5,7 +5,7 @@
 from ryelock.events import QuietLog
 from ryelock.loop import Scheduler, Step
 from ryelock.loop.reactor import Reactor
-from ryelock.operator import ask
+from ryelock.operator import Reply, ask
 from ryelock.proving.accounts import Account, read_traffic
 from ryelock.proving.fleet import Fleet, Process
 from ryelock.proving.scale.hollow_process import hollow_processes
@@ -128,10 +128,10 @@
         if core.over:
             return False
         found = yield from ask(self.scheduler, self.reactor, core.control, "GET", "/fitness/ready")
-        return found.is_ok() and found.ok[1].get("leads") is True
+        return found.is_ok() and found.ok.plain.get("leads") is True
 
-    def post(self, target: str, given: object) -> Step[tuple[int, Plain]]:
-        """Send an operator's request to the leader; return the status and the answer.
+    def post(self, target: str, given: object) -> Step[Reply]:
+        """Send an operator's request to the leader; return what it answered.
 
         Where it was not taken or its outcome is unknown it is sent again under its id.
         """
@@ -139,9 +139,9 @@
         while True:
             address = self.fleet.processes[self.leader].control
             found = yield from ask(self.scheduler, self.reactor, address, "POST", target, given)
-            status, answer = found.ok if found.is_ok() else (0, fault_of(found.error))
-            if status not in RETRIED or self.scheduler.now() >= until:
-                return status, answer
+            answer = found.ok if found.is_ok() else fault_of(found.error)
+            if answer.status not in RETRIED or self.scheduler.now() >= until:
+                return answer
             self.retries += 1
             yield from self.scheduler.pause(RETRY_SECONDS)
             yield from self.find_leader()
@@ -179,6 +179,6 @@
         platform.show(service_name(number), address, zone_name(number, size.zones), 1)
 
 
-def fault_of(error: Exception) -> Plain:
-    """Return a failed request as an answer."""
-    return {"fault": str(error)}
+def fault_of(error: Exception) -> Reply:
+    """Return a failed request as an answer of status 0."""
+    return Reply(0, {"fault": str(error)})
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field as dataclass_field
 from random import Random
 
 from ryelock.exchange import Fields, Reader, call, field, read_answer, send_order
@@ -25,57 +27,48 @@
 BODY_MOST = 1 << 24
 
 
+@dataclass(slots=True, eq=False)
 class Note:
-    """One try of a caller and what it was told."""
+    """One try of a caller and what it was told.
+
+    Attributes:
+        at: monotonic time of the try.
+        edge: name of the node it was sent to.
+        kind: SAFE, UNSAFE or CACHEABLE.
+        method: HTTP method.
+        host: value of the Host field.
+        target: path with query.
+        identity: name of the try; the request's name, a dash, and the number of the try.
+        body: body that was sent.
+        deadline: seconds until the caller leaves.
+        status: status that was told, 0 without an answer.
+        fields: header fields of the answer.
+        said: body of the answer.
+        whole: whether the answer came whole.
+        end: how the try ended.
+        seconds: how long it took.
+    """
 
-    __slots__ = (
-        "at",
-        "body",
-        "deadline",
-        "edge",
-        "end",
-        "fields",
-        "host",
-        "identity",
-        "kind",
-        "method",
-        "order",
-        "said",
-        "seconds",
-        "status",
-        "target",
-        "whole",
-    )
+    at: float
+    edge: str
+    kind: str
+    method: str
+    host: str
+    target: str
+    identity: str
+    body: bytes
+    deadline: float
+    status: int = 0
+    fields: Fields = dataclass_field(default_factory=list)
+    said: bytes = b""
+    whole: bool = False
+    end: str = ""
+    seconds: float = 0.0
 
-    def __init__(
-        self,
-        at: float,
-        edge: str,
-        kind: str,
-        method: str,
-        host: str,
-        target: str,
-        identity: str,
-        body: bytes,
-        deadline: float,
-    ) -> None:
-        """Create the note of a try that was not answered yet; times are in seconds."""
-        self.at = at
-        self.edge = edge
-        self.kind = kind
-        self.method = method
-        self.host = host
-        self.target = target
-        self.identity = identity
-        self.order = identity.rpartition("-")[0]
-        self.body = body
-        self.deadline = deadline
-        self.status = 0
-        self.fields: Fields = []
-        self.said = b""
-        self.whole = False
-        self.end = ""
-        self.seconds = 0.0
+    @property
+    def order(self) -> str:
+        """Name of the request that this is a try of."""
+        return self.identity.rpartition("-")[0]
 
     @property
     def served(self) -> bool:
--- a/packages/roster/ryelock/roster/servers.py
+++ b/packages/roster/ryelock/roster/servers.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+from dataclasses import dataclass
 
 import cbor2
 from expression import Error, Ok, Result
@@ -14,31 +15,30 @@
 from ryelock.env import address as check_address
 
 SERVERS_MOST = 10_000
+NEVER = -1e18
 
 
+@dataclass(frozen=True, slots=True)
 class Server:
-    """One life of one server; `slots` is how many orders it works on at once, 0 where unknown."""
-
-    __slots__ = ("address", "cold", "incarnation", "leaving", "service", "slots", "zone")
-
-    def __init__(
-        self,
-        service: str,
-        address: str,
-        zone: str,
-        incarnation: str,
-        leaving: bool,
-        slots: int = 0,
-        cold: bool = False,
-    ) -> None:
-        """Create a server's record; `cold` says that it is still warming up."""
-        self.slots = slots
-        self.cold = cold
-        self.service = service
-        self.address = address
-        self.zone = zone
-        self.incarnation = incarnation
-        self.leaving = leaving
+    """One life of one upstream server.
+
+    Attributes:
+        service: name of the service it belongs to.
+        address: host:port where it takes requests.
+        zone: zone it stands in.
+        incarnation: tells this life from others at the same address.
+        leaving: whether it takes no new requests.
+        slots: requests it works on at once, 0 where unknown.
+        cold: whether it is still warming up.
+    """
+
+    service: str
+    address: str
+    zone: str
+    incarnation: str
+    leaving: bool
+    slots: int = 0
+    cold: bool = False
 
     @property
     def identity(self) -> tuple[str, str, str]:
@@ -58,31 +58,20 @@
         ]
 
 
+@dataclass(slots=True, eq=False)
 class Listing:
     """One source's servers at one version, when they were read, and up to when they are believed.
 
     The platform was asked not before `since` and had answered at the latest at `seen`. Of two
-    readings that overlap nobody can say which is the later one.
+    readings that overlap nobody can say which is the later one. All times are monotonic seconds.
     """
 
-    __slots__ = ("seen", "servers", "since", "source", "until", "version")
-
-    def __init__(
-        self,
-        source: str,
-        version: int,
-        servers: list[Server],
-        until: float,
-        since: float = -1e18,
-        seen: float = -1e18,
-    ) -> None:
-        """Create a listing; all times are monotonic seconds."""
-        self.source = source
-        self.version = version
-        self.servers = servers
-        self.until = until
-        self.since = since
-        self.seen = seen
+    source: str
+    version: int
+    servers: list[Server]
+    until: float
+    since: float = NEVER
+    seen: float = NEVER
 
     def follows(self, other: "Listing") -> bool:
         """Whether this was certainly read after the other."""
@@ -104,7 +93,7 @@
 
 
 def listing_of(body: bytes) -> Result[list[Server], ListingError]:
-    """The servers in an answer of the platform; the whole is declined for any fault."""
+    """Return the servers in an answer of the platform; the whole is rejected for any fault."""
     try:
         plain = json.loads(body)
     except ValueError:
@@ -113,31 +102,40 @@
     if not isinstance(listed, list) or len(listed) > SERVERS_MOST:
         return Error(ListingError("no list of servers"))
     servers: list[Server] = []
-    places: set[str] = set()
+    addresses: set[str] = set()
     for position, item in enumerate(listed):
-        if not isinstance(item, dict):
-            return Error(ListingError(f"servers[{position}]: not an object"))
-        texts = [item.get(key) for key in ("service", "address", "zone")]
-        incarnation = item.get("incarnation")
-        leaving = item.get("leaving", False)
-        if not all(isinstance(value, str) and value for value in texts):
-            return Error(ListingError(f"servers[{position}]: service, address or zone"))
-        if not isinstance(incarnation, str | int) or isinstance(incarnation, bool):
-            return Error(ListingError(f"servers[{position}]: incarnation"))
-        if not isinstance(leaving, bool):
-            return Error(ListingError(f"servers[{position}]: leaving"))
-        service, place, zone = (str(value) for value in texts)
         try:
-            check_address(place)
+            server = listed_server(item)
         except ValueError as error:
-            return Error(ListingError(f"servers[{position}]: address {error}"))
-        if place in places:
-            return Error(ListingError(f"servers[{position}]: {place} is listed twice"))
-        places.add(place)
-        servers.append(Server(service, place, zone, str(incarnation), leaving))
+            return Error(ListingError(f"servers[{position}]: {error}"))
+        if server.address in addresses:
+            return Error(ListingError(f"servers[{position}]: {server.address} is listed twice"))
+        addresses.add(server.address)
+        servers.append(server)
     return Ok(servers)
 
 
+def listed_server(item: object) -> Server:
+    """Return one server of the platform's list; raises ValueError with the faulty field."""
+    if not isinstance(item, dict):
+        raise ValueError("not an object")
+    texts = [item.get(key) for key in ("service", "address", "zone")]
+    incarnation = item.get("incarnation")
+    leaving = item.get("leaving", False)
+    if not all(isinstance(value, str) and value for value in texts):
+        raise ValueError("service, address or zone")
+    if not isinstance(incarnation, str | int) or isinstance(incarnation, bool):
+        raise ValueError("incarnation")
+    if not isinstance(leaving, bool):
+        raise ValueError("leaving")
+    service, address, zone = (str(value) for value in texts)
+    try:
+        check_address(address)
+    except ValueError as error:
+        raise ValueError(f"address {error}") from None
+    return Server(service, address, zone, str(incarnation), leaving)
+
+
 def servers_from(plain: object) -> list[Server]:
     """Servers as they came over the wire; raises ValueError."""
     if not isinstance(plain, list):
--- a/packages/roster/ryelock/roster/sessions.py
+++ b/packages/roster/ryelock/roster/sessions.py
@@ -6,6 +6,8 @@
 lost all its edges is found by real fetches rather than forgotten.
 """
 
+from dataclasses import dataclass
+
 from ryelock.loop import Scheduler
 
 Plain = dict[str, object]
@@ -21,40 +23,50 @@
     "disk",
     "mark",
 )
+TEXT_MOST = 200
+EDGE = "edge"
+ROLES = ("core", EDGE, "prober", "desk")
 
 
+@dataclass(slots=True, eq=False)
 class Session:
-    """What one node says of itself, and when it was last heard."""
+    """What one node says of itself, and when it was last heard.
 
-    __slots__ = (
-        "applied",
-        "control",
-        "disk",
-        "heard",
-        "incarnation",
-        "machine",
-        "mark",
-        "name",
-        "order",
-        "probes",
-        "ready",
-        "role",
-        "sequence",
-        "served",
-        "wire",
-        "zone",
-    )
+    Attributes:
+        name: name of the node.
+        role: one of ROLES.
+        zone: zone it stands in.
+        machine: machine it runs on.
+        wire: address where other processes reach it.
+        control: address of its control API.
+        order: address where an edge takes requests, empty for others.
+        incarnation: tells this run of the node from others.
+        disk: identity of a control node's disk, empty for others.
+        mark: secret by which edges know the node's probes.
+        probes: whether it probes.
+        ready: whether it takes traffic.
+        served: callers' requests served since its start.
+        applied: log index that it has applied.
+        heard: monotonic time of its last renewal; not told to others.
+        sequence: number of its last renewal; not told to others.
+    """
 
-    def __init__(self) -> None:
-        """Create an empty session; `session_of` fills one in from the wire."""
-        self.name = self.role = self.zone = self.machine = ""
-        self.wire = self.control = self.order = self.incarnation = self.disk = self.mark = ""
-        self.probes = False
-        self.ready = False
-        self.served = 0
-        self.applied = 0
-        self.heard = 0.0
-        self.sequence = 0
+    name: str = ""
+    role: str = ""
+    zone: str = ""
+    machine: str = ""
+    wire: str = ""
+    control: str = ""
+    order: str = ""
+    incarnation: str = ""
+    disk: str = ""
+    mark: str = ""
+    probes: bool = False
+    ready: bool = False
+    served: int = 0
+    applied: int = 0
+    heard: float = 0.0
+    sequence: int = 0
 
     @property
     def identity(self) -> str:
@@ -79,10 +91,10 @@
     session = Session()
     for key in TEXTS:
         value = plain.get(key, "")
-        if not isinstance(value, str) or len(value) > 200:
+        if not isinstance(value, str) or len(value) > TEXT_MOST:
             raise ValueError(f"session: {key}")
         setattr(session, key, value)
-    if not session.name or session.role not in ("core", "edge", "prober", "desk"):
+    if not session.name or session.role not in ROLES:
         raise ValueError("session: name or role")
     for key in ("served", "applied"):
         value = plain.get(key, 0)
@@ -94,16 +106,13 @@
     return session
 
 
+@dataclass(frozen=True, slots=True)
 class Told:
-    """The sessions that another control node told."""
-
-    __slots__ = ("at", "sessions", "version")
+    """The sessions by name that another control node told, received at monotonic time `at`."""
 
-    def __init__(self, version: int, at: float, sessions: dict[str, Session]) -> None:
-        """Keep another node's sessions by name, received at monotonic time `at`."""
-        self.version = version
-        self.at = at
-        self.sessions = sessions
+    version: int
+    at: float
+    sessions: dict[str, Session]
 
 
 class Roster:
@@ -152,7 +161,7 @@
         joined = before is None or before.incarnation != fresh.incarnation
         self.sessions[fresh.name] = fresh
         self.gone.pop(fresh.name, None)
-        if fresh.role == "edge":
+        if fresh.role == EDGE:
             self.seen[fresh.name] = fresh
         if joined or (before is not None and before.plain() != fresh.plain()):
             self.version += 1
@@ -191,7 +200,7 @@
         The leader that held their sessions may be gone together with them.
         """
         present = {
-            name: session for name, session in self.members().items() if session.role == "edge"
+            name: session for name, session in self.members().items() if session.role == EDGE
         }
         for name, session in self.seen.items():
             if name not in present and name not in self.gone and session.identity not in self.left:
--- a/packages/verdict/ryelock/verdict/__init__.py
+++ b/packages/verdict/ryelock/verdict/__init__.py
@@ -5,7 +5,16 @@
 """
 
 from ryelock.verdict.history import History
-from ryelock.verdict.judge import Judged, Rules, ZoneVerdict, gone_watches, judge
+from ryelock.verdict.judge import Judged, Rules, Verdict, ZoneVerdict, gone_watches, judge
 from ryelock.verdict.weights import Weights
 
-__all__ = ["History", "Judged", "Rules", "Weights", "ZoneVerdict", "gone_watches", "judge"]
+__all__ = [
+    "History",
+    "Judged",
+    "Rules",
+    "Verdict",
+    "Weights",
+    "ZoneVerdict",
+    "gone_watches",
+    "judge",
+]
--- a/packages/verdict/ryelock/verdict/judge.py
+++ b/packages/verdict/ryelock/verdict/judge.py
@@ -7,40 +7,59 @@
 ever fetched, or of a prober that reaches nothing anywhere while others do.
 """
 
+from dataclasses import asdict, dataclass, field
+from enum import StrEnum
+
 from ryelock.register import Watch
 from ryelock.verdict.history import History
 from ryelock.watch import Row, watch_mark
 
-HEALTHY, STALE, DOWN, UNKNOWN = "healthy", "stale", "down", "unknown"
+MACHINES_NEEDED = 2
+
+
+class Verdict(StrEnum):
+    """What a zone or the network is found to be; the values stand in the record."""
+
+    HEALTHY = "healthy"
+    STALE = "stale"
+    DOWN = "down"
+    UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
 class Rules:
-    """The numbers of the design; all are settings."""
+    """The numbers of the design; all are settings.
+
+    Attributes:
+        rows: rows of a target that are judged, the newest ones.
+        quorum: failed rows that make a target failed.
+        stale_seconds: age above which an object is stale.
+        down_weight: fraction of visitors in down zones from which the network is down.
+        stale_weight: fraction in stale zones above which the network is stale.
+    """
 
-    __slots__ = ("down_weight", "quorum", "rows", "stale_seconds", "stale_weight")
+    rows: int = 5
+    quorum: int = 3
+    stale_seconds: float = 30.0
+    down_weight: float = 0.15
+    stale_weight: float = 0.10
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """One failed row that a verdict rests on, as the prober's own store has it."""
+
+    prober: str
+    machine: str
+    sequence: int
+    seconds_ago: float
+    error: str
 
-    def __init__(
-        self,
-        rows: int = 5,
-        quorum: int = 3,
-        stale_seconds: float = 30.0,
-        down_weight: float = 0.15,
-        stale_weight: float = 0.10,
-    ) -> None:
-        """Set the thresholds.
-
-        Args:
-            rows: rows of a target that are judged, the newest ones.
-            quorum: failed rows that make a target failed.
-            stale_seconds: age above which an object is stale.
-            down_weight: fraction of visitors in down zones from which the network is down.
-            stale_weight: fraction in stale zones above which the network is stale.
-        """
-        self.rows = rows
-        self.quorum = quorum
-        self.stale_seconds = stale_seconds
-        self.down_weight = down_weight
-        self.stale_weight = stale_weight
+
+def evidence_of(row: Row, now: float) -> Evidence:
+    """Return a failed row as evidence at monotonic time `now`."""
+    seconds_ago = round(now - row.taken, 3)
+    return Evidence(row.prober, row.machine, row.sequence, seconds_ago, row.error)
 
 
 class TargetVerdict:
@@ -69,57 +88,59 @@
         now: float,
     ) -> None:
         """Judge a target by its rows; `failures` are those that count against it."""
-        self.evidence = [
-            {
-                "prober": row.prober,
-                "machine": row.machine,
-                "sequence": row.sequence,
-                "seconds_ago": round(now - row.taken, 3),
-                "error": row.error,
-            }
-            for row in failures
-        ]
+        self.evidence = [evidence_of(row, now) for row in failures]
         self.edge = edge
         self.watch = watch
         self.rows = rows
         self.failures = len(failures)
         self.machines = sorted({row.machine for row in failures})
-        self.failed = self.failures >= quorum and len(self.machines) >= 2
+        self.failed = self.failures >= quorum and len(self.machines) >= MACHINES_NEEDED
         ages = [row.age for row in rows if row.age is not None]
         self.oldest = max(ages) if ages else None
         self.stale = self.oldest is not None and self.oldest > stale_seconds
 
+    def plain(self) -> dict[str, object]:
+        """Return the outcome with its evidence as plain data."""
+        return {
+            "edge": self.edge,
+            "watch": self.watch,
+            "rows": len(self.rows),
+            "failures": self.failures,
+            "failed": self.failed,
+            "failing_machines": self.machines,
+            "age_seconds": self.oldest,
+            "failed_rows": [asdict(row) for row in self.evidence],
+        }
+
 
+@dataclass(frozen=True, slots=True)
 class ZoneVerdict:
-    """The outcome for one zone."""
-
-    __slots__ = ("edges", "failed", "reason", "targets", "verdict", "weight", "zone")
+    """The outcome for one zone.
+
+    Attributes:
+        zone: name of the zone.
+        verdict: what it is found to be.
+        reason: why, for people.
+        weight: its fraction of all visitors.
+        edges: names of its edges.
+        targets: outcomes of its edges by watch.
+        failed: names of the edges that failed.
+    """
 
-    def __init__(
-        self,
-        zone: str,
-        verdict: str,
-        reason: str,
-        weight: float,
-        edges: list[str],
-        targets: list[TargetVerdict],
-        failed: list[str] | None = None,
-    ) -> None:
-        """Record a zone's verdict, its fraction of visitors, and its failed edges."""
-        self.zone = zone
-        self.verdict = verdict
-        self.reason = reason
-        self.weight = weight
-        self.edges = edges
-        self.targets = targets
-        self.failed = failed or []
+    zone: str
+    verdict: Verdict
+    reason: str
+    weight: float
+    edges: list[str]
+    targets: list[TargetVerdict]
+    failed: list[str]
 
     def plain(self) -> dict[str, object]:
         """Return the verdict with its evidence as plain data."""
         rows = [row for target in self.targets for row in target.rows]
         ages = [target.oldest for target in self.targets if target.oldest is not None]
         return {
-            "verdict": self.verdict,
+            "verdict": self.verdict.value,
             "reason": self.reason,
             "weight": round(self.weight, 4),
             "edges": self.edges,
@@ -129,19 +150,7 @@
             "rows": len(rows),
             "failed_rows": sum(row.failed for row in rows),
             "worst_age_seconds": max(ages) if ages else None,
-            "targets": [
-                {
-                    "edge": target.edge,
-                    "watch": target.watch,
-                    "rows": len(target.rows),
-                    "failures": target.failures,
-                    "failed": target.failed,
-                    "failing_machines": target.machines,
-                    "age_seconds": target.oldest,
-                    "failed_rows": target.evidence,
-                }
-                for target in self.targets
-            ],
+            "targets": [target.plain() for target in self.targets],
             "evidence": [
                 row.shown()
                 for row in sorted(rows, key=lambda row: (not row.failed, -row.taken))[:10]
@@ -149,33 +158,32 @@
         }
 
 
+@dataclass(slots=True, eq=False)
 class Judged:
-    """The outcome for the whole network and each of its zones."""
-
-    __slots__ = ("assumed", "down_weight", "gone", "network", "reason", "stale_weight", "zones")
+    """The outcome for the whole network and each of its zones.
+
+    Attributes:
+        network: what the network is found to be.
+        reason: why, for people; empty where it is healthy.
+        down_weight: fraction of visitors in zones that are down.
+        stale_weight: fraction of visitors in zones that are stale.
+        assumed: whether the weights are only assumed, since no visitors were counted yet.
+        zones: outcome of each zone by name.
+        gone: marks of derived watches whose object is gone, by name; set by the aggregator.
+    """
 
-    def __init__(
-        self,
-        network: str,
-        reason: str,
-        down_weight: float,
-        stale_weight: float,
-        assumed: bool,
-        zones: dict[str, ZoneVerdict],
-    ) -> None:
-        """Record the outcome; `assumed` says that no visitors were counted yet."""
-        self.network = network
-        self.reason = reason
-        self.down_weight = down_weight
-        self.stale_weight = stale_weight
-        self.assumed = assumed
-        self.zones = zones
-        self.gone: dict[str, str] = {}
+    network: Verdict
+    reason: str
+    down_weight: float
+    stale_weight: float
+    assumed: bool
+    zones: dict[str, ZoneVerdict]
+    gone: dict[str, str] = field(default_factory=dict)
 
     def plain(self) -> dict[str, object]:
         """Return the outcome as plain data, as it is agreed on and shown."""
         return {
-            "network": self.network,
+            "network": self.network.value,
             "reason": self.reason,
             "down_weight": round(self.down_weight, 4),
             "stale_weight": round(self.stale_weight, 4),
@@ -283,18 +291,20 @@
     return found
 
 
-def word_of(edges: list[str], targets: list[TargetVerdict], failed: list[str]) -> tuple[str, str]:
+def word_of(
+    edges: list[str], targets: list[TargetVerdict], failed: list[str]
+) -> tuple[Verdict, str]:
     """Return a zone's verdict and its reason."""
     if not targets:
-        return UNKNOWN, "no rows"
+        return Verdict.UNKNOWN, "no rows"
     if edges and len(failed) == len(edges):
-        return DOWN, f"all {len(edges)} edges failed"
+        return Verdict.DOWN, f"all {len(edges)} edges failed"
     if any(target.stale for target in targets):
         worst = max(targets, key=lambda target: target.oldest or 0.0)
-        return STALE, f"{worst.watch} at {worst.edge} is {worst.oldest} s old"
+        return Verdict.STALE, f"{worst.watch} at {worst.edge} is {worst.oldest} s old"
     if all(row.failed for target in targets for row in target.rows):
-        return UNKNOWN, "no sound row, and no quorum of failed ones"
-    return HEALTHY, f"failed: {', '.join(failed)}" if failed else "fetched"
+        return Verdict.UNKNOWN, "no sound row, and no quorum of failed ones"
+    return Verdict.HEALTHY, f"failed: {', '.join(failed)}" if failed else "fetched"
 
 
 def judge(
@@ -314,21 +324,28 @@
         )
         for zone, edges in zones.items()
     }
-    down = sum(zone.weight for zone in found.values() if zone.verdict == DOWN)
-    stale = sum(zone.weight for zone in found.values() if zone.verdict == STALE)
-    any_down = any(zone.verdict == DOWN for zone in found.values())
-    if any_down and down >= rules.down_weight:
-        return Judged(
-            DOWN, f"zones of {down:.0%} of visitors are down", down, stale, assumed, found
-        )
-    if any_down:
-        return Judged(
-            STALE, f"a zone of {down:.0%} of visitors is down", down, stale, assumed, found
-        )
+    down = weight_of(found, Verdict.DOWN)
+    stale = weight_of(found, Verdict.STALE)
+    verdict, reason = network_word(found, down, stale, rules)
+    return Judged(verdict, reason, down, stale, assumed, found)
+
+
+def weight_of(zones: dict[str, ZoneVerdict], verdict: Verdict) -> float:
+    """Return the fraction of visitors in the zones of one verdict."""
+    return sum(zone.weight for zone in zones.values() if zone.verdict is verdict)
+
+
+def network_word(
+    zones: dict[str, ZoneVerdict], down: float, stale: float, rules: Rules
+) -> tuple[Verdict, str]:
+    """Return the network's verdict and its reason, by the weights of down and stale zones."""
+    words = [zone.verdict for zone in zones.values()]
+    if Verdict.DOWN in words and down >= rules.down_weight:
+        return Verdict.DOWN, f"zones of {down:.0%} of visitors are down"
+    if Verdict.DOWN in words:
+        return Verdict.STALE, f"a zone of {down:.0%} of visitors is down"
     if stale > rules.stale_weight:
-        return Judged(
-            STALE, f"zones of {stale:.0%} of visitors are stale", down, stale, assumed, found
-        )
-    if found and all(zone.verdict == UNKNOWN for zone in found.values()):
-        return Judged(UNKNOWN, "no zone is known", down, stale, assumed, found)
-    return Judged(HEALTHY, "", down, stale, assumed, found)
+        return Verdict.STALE, f"zones of {stale:.0%} of visitors are stale"
+    if words and all(word is Verdict.UNKNOWN for word in words):
+        return Verdict.UNKNOWN, "no zone is known"
+    return Verdict.HEALTHY, ""
--- a/packages/watch/ryelock/watch/probe.py
+++ b/packages/watch/ryelock/watch/probe.py
@@ -13,6 +13,7 @@
 
 import hashlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ryelock.exchange import (
     Dialect,
@@ -42,69 +43,47 @@
     return hashlib.sha256(repr(watch).encode()).hexdigest()[:12]
 
 
+@dataclass(slots=True, eq=False)
 class Row:
-    """What one probe came to; the source's tuple and where it is from."""
-
-    __slots__ = (
-        "age",
-        "edge",
-        "error",
-        "machine",
-        "manifest_valid",
-        "mark",
-        "object_fetchable",
-        "outside",
-        "prober",
-        "reachable",
-        "sequence",
-        "taken",
-        "ttfb",
-        "wall",
-        "watch",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        prober: str,
-        machine: str,
-        sequence: int,
-        zone: str,
-        edge: str,
-        watch: str,
-        outside: bool,
-        wall: float,
-        mark: str,
-    ) -> None:
-        """Create the row of a probe that has come to nothing yet.
-
-        Args:
-            prober: name of the probing node.
-            machine: machine it runs on.
-            sequence: number of the probe at this prober.
-            zone: zone of the edge.
-            edge: name of the edge.
-            watch: name of the watch.
-            outside: whether the edge stands in another zone than the prober.
-            wall: seconds since 1970 by the prober's clock.
-            mark: tells this watch from another of its name, see `watch_mark`.
-        """
-        self.mark = mark
-        self.prober = prober
-        self.machine = machine
-        self.sequence = sequence
-        self.zone = zone
-        self.edge = edge
-        self.watch = watch
-        self.outside = outside
-        self.wall = wall
-        self.taken = 0.0
-        self.reachable = False
-        self.manifest_valid = False
-        self.object_fetchable = False
-        self.age: float | None = None
-        self.ttfb: float | None = None
-        self.error = ""
+    """What one probe came to; the source's tuple and where it is from.
+
+    The probe fills it in step by step.
+
+    Attributes:
+        prober: name of the probing node.
+        machine: machine it runs on.
+        sequence: number of the probe at this prober.
+        zone: zone of the edge.
+        edge: name of the edge.
+        watch: name of the watch.
+        outside: whether the edge stands in another zone than the prober.
+        wall: seconds since 1970 by the prober's clock.
+        mark: tells this watch from another of its name, see `watch_mark`.
+        taken: monotonic time at which the probe began, by this process's clock.
+        reachable: whether the edge answered.
+        manifest_valid: whether the first step succeeded.
+        object_fetchable: whether the second step succeeded.
+        age: age of the served object in seconds, None where unknown.
+        ttfb: milliseconds to the first byte of the manifest, None without an answer.
+        error: why a step failed, empty where none did.
+    """
+
+    prober: str
+    machine: str
+    sequence: int
+    zone: str
+    edge: str
+    watch: str
+    outside: bool
+    wall: float
+    mark: str
+    taken: float = 0.0
+    reachable: bool = False
+    manifest_valid: bool = False
+    object_fetchable: bool = False
+    age: float | None = None
+    ttfb: float | None = None
+    error: str = ""
 
     @property
     def failed(self) -> bool:
@@ -207,18 +186,21 @@
         return now - self.newer_since
 
 
+@dataclass(frozen=True, slots=True)
 class Fetched:
-    """What one fetch of a probe brought; times are monotonic seconds."""
+    """What one fetch of a probe brought.
 
-    __slots__ = ("at", "fields", "first_byte", "start", "status")
+    Attributes:
+        status: HTTP status.
+        fields: header fields.
+        start: the body's first MARKED_BYTES bytes, or more.
+        at: monotonic time at which the head had come.
+    """
 
-    def __init__(self) -> None:
-        """Create a fetch that has no answer yet."""
-        self.status = 0
-        self.fields: Fields = []
-        self.start = b""
-        self.first_byte = 0.0
-        self.at = 0.0
+    status: int
+    fields: Fields
+    start: bytes
+    at: float
 
 
 class ProbeFailed(Exception):
@@ -272,7 +254,7 @@
                 self.watch.manifest or self.watch.object, [(b"Cache-Control", b"no-cache")], until
             )
             row.reachable = True
-            row.ttfb = round((manifest.first_byte - started) * 1000, 1)
+            row.ttfb = round((manifest.at - started) * 1000, 1)
             row.error = self.manifest_fault(manifest)
             if row.error:
                 return
@@ -362,17 +344,15 @@
         answer = yield from read_answer(Reader(self.scheduler, link), b"GET", HEAD_MOST, until)
         if answer.is_error():
             raise ProbeFailed(answer.error.reason)
-        fetched = Fetched()
-        fetched.first_byte = fetched.at = self.scheduler.now()
-        fetched.status = answer.ok.head.status
-        fetched.fields = answer.ok.head.fields
+        head, body, at = answer.ok.head, answer.ok.body, self.scheduler.now()
+        start = b""
         total = 0
         while True:
-            piece = yield from answer.ok.body.piece(until)
-            if not piece and answer.ok.body.over:
-                return fetched
+            piece = yield from body.piece(until)
+            if not piece and body.over:
+                return Fetched(head.status, head.fields, start, at)
             total += len(piece)
             if total > BODY_MOST:
                 raise ProbeFailed("body too large")
-            if len(fetched.start) < MARKED_BYTES:
-                fetched.start += piece[:MARKED_BYTES]
+            if len(start) < MARKED_BYTES:
+                start += piece[:MARKED_BYTES]
--- a/packages/watch/ryelock/watch/prober.py
+++ b/packages/watch/ryelock/watch/prober.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from ryelock.exchange import Dialect
 from ryelock.loop import Mailbox, Network, Running, Scheduler, Step
@@ -18,22 +19,31 @@
 ROWS_KEPT = 4000
 
 
+@dataclass(frozen=True, slots=True)
 class Target:
-    """An edge to be probed for a watch."""
-
-    __slots__ = ("address", "edge", "mark", "outside", "watch", "watch_name", "zone")
-
-    def __init__(
-        self, zone: str, edge: str, address: str, watch_name: str, watch: Watch, outside: bool
-    ) -> None:
-        """Create a target; `outside` says that its edge stands in another zone."""
-        self.zone = zone
-        self.edge = edge
-        self.address = address
-        self.watch_name = watch_name
-        self.watch = watch
-        self.outside = outside
-        self.mark = watch_mark(watch)
+    """An edge to be probed for a watch.
+
+    Attributes:
+        zone: zone of the edge.
+        edge: name of the edge.
+        address: host:port where the edge takes requests.
+        watch_name: name of the watch.
+        watch: what to fetch.
+        outside: whether the edge stands in another zone than the prober.
+        mark: tells this watch from another of its name.
+    """
+
+    zone: str
+    edge: str
+    address: str
+    watch_name: str
+    watch: Watch
+    outside: bool
+    mark: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work out the mark."""
+        object.__setattr__(self, "mark", watch_mark(self.watch))
 
     @property
     def key(self) -> tuple[str, str, str]:
