--- a/packages/program/ryelock/program/main.py
+++ b/packages/program/ryelock/program/main.py
@@ -290,6 +290,12 @@
     return order(at, "POST", "/purges", {"id": id or uuid.uuid4().hex, "scopes": [scope]})
 
 
+def planned(at: str, path: str, identity: str, target: str, force: bool, reason: str) -> int:
+    """Send a drain or a recovery of an edge or zone; return the exit code."""
+    given = {"target": target, "force": force, "reason": reason}
+    return order(at, "POST", path, {"id": identity or uuid.uuid4().hex, **given})
+
+
 def drain(target: str, *, at: str, force: bool = False, reason: str = "", id: str = "") -> int:
     """Empty an edge or a zone; declined where the network needs it.
 
@@ -299,12 +305,7 @@
     :param reason: kept in the record
     :param id: id of the order
     """
-    return order(
-        at,
-        "POST",
-        "/drains",
-        {"id": id or uuid.uuid4().hex, "target": target, "force": force, "reason": reason},
-    )
+    return planned(at, "/drains", id, target, force, reason)
 
 
 def recover(target: str, *, at: str, force: bool = False, reason: str = "", id: str = "") -> int:
@@ -316,12 +317,7 @@
     :param reason: kept in the record
     :param id: id of the order
     """
-    return order(
-        at,
-        "POST",
-        "/recoveries",
-        {"id": id or uuid.uuid4().hex, "target": target, "force": force, "reason": reason},
-    )
+    return planned(at, "/recoveries", id, target, force, reason)
 
 
 def verdicts(*, at: str) -> int:
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -23,6 +23,7 @@
 from ryelock.events import TERM_LAPSED, Event, QuietLog
 from ryelock.loop import Network, Scheduler, Step
 from ryelock.loop.reactor import Reactor
+from ryelock.proving.reactors import run_to_end
 from ryelock.register import Register
 from ryelock.roster import Listing, Session
 from ryelock.watch import Row
@@ -454,24 +455,16 @@
 
 def main() -> None:
     """Run the hollow nodes that a settings file describes, until a signal comes."""
-    codes: list[int] = []
+    settings = read_settings(Path(sys.argv[1]))
 
-    def fault(task: str, error: BaseException) -> None:
-        sys.stderr.write(f"{task}: {error!r}\n")
-        codes.append(1)
-        reactor.stop()
-
-    reactor = Reactor(fault)
-    process = HollowProcess(read_settings(Path(sys.argv[1])), reactor.scheduler, reactor)
-    sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
-
-    def until_told() -> Step[None]:
+    def work(reactor: Reactor) -> Step[None]:
+        process = HollowProcess(settings, reactor.scheduler, reactor)
+        sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
         yield from reactor.signals.take()
-        reactor.stop()
 
-    reactor.scheduler.spawn("signals", until_told())
-    reactor.run()
-    sys.exit(codes[0] if codes else 0)
+    faults = run_to_end(work).faults
+    sys.stderr.writelines(f"{fault}\n" for fault in faults)
+    sys.exit(1 if faults else 0)
 
 
 if __name__ == "__main__":
--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -14,49 +14,42 @@
 from ryelock.proving.standins import FAILING, SLOW, WHOLE
 
 Measure = Callable[[int], float | None]
+STANDING_SECONDS = 4
 
 
-def change_delay(seed: int) -> float | None:
-    """From the asking to the acknowledgement of a change, all edges there."""
+def standing(seed: int) -> Scenario:
+    """Return a network that has been up for some seconds, with its first configuration."""
     scenario = Scenario(seed)
     scenario.set_up()
-    scenario.world.run(4)
+    scenario.world.run(STANDING_SECONDS)
+    return scenario
+
+
+def timed_change(scenario: Scenario, through: str = "") -> float | None:
+    """Return seconds to acknowledge a change, None where it is not; `through` names a node."""
     started = scenario.world.time
-    found = scenario.world.task(
-        scenario.operators,
-        scenario.change("measured", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}),
-        20,
-    )
+    put: dict[str, object] = {"routes": {"m": {"path": "/m", "service": "pages"}}}
+    change = scenario.change("measured", 1, put, "", through)
+    found = scenario.world.task(scenario.operators, change, 20)
     return scenario.world.time - started if found.status == 200 else None
 
 
+def change_delay(seed: int) -> float | None:
+    """From the asking to the acknowledgement of a change, all edges there."""
+    return timed_change(standing(seed))
+
+
 def change_with_a_cut_edge(seed: int) -> float | None:
     """The same with one edge cut off from the core the moment before."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     for core in scenario.cores:
         scenario.world.cut(scenario.edges[0], core)
-    started = scenario.world.time
-    found = scenario.world.task(
-        scenario.operators,
-        scenario.change(
-            "measured",
-            1,
-            {"routes": {"m": {"path": "/m", "service": "pages"}}},
-            "",
-            scenario.leader(),
-        ),
-        20,
-    )
-    return scenario.world.time - started if found.status == 200 else None
+    return timed_change(scenario, scenario.leader())
 
 
 def purge_delay(seed: int) -> float | None:
     """Measure seconds from sending a purge to its acknowledgement."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     started = scenario.world.time
     status, _ = scenario.ask_now("POST", "/purges", {"id": "m", "scopes": [{"prefix": "/c"}]})
     return scenario.world.time - started if status == 200 else None
@@ -64,9 +57,7 @@
 
 def after_leader_lost(seed: int) -> float | None:
     """From the leader's end to the next acknowledged change."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     leader = scenario.leader()
     scenario.world.kill(leader, seed % 2 == 0)
     started = scenario.world.time
@@ -87,9 +78,7 @@
 
 def edges_without_leader(seed: int) -> float | None:
     """How long the worst edge held no term around the loss of the leader."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     scenario.world.kill(scenario.leader(), seed % 2 == 0)
     idle = dict.fromkeys(scenario.edges, 0.0)
     for _ in range(400):
@@ -101,9 +90,7 @@
 
 def voter_replaced(seed: int) -> float | None:
     """From an empty machine's start to its being a voter."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     lost = scenario.cores[seed % 3]
     scenario.lose_disk(lost)
     scenario.world.run(1)
--- a/packages/proving/ryelock/proving/run.py
+++ b/packages/proving/ryelock/proving/run.py
@@ -20,6 +20,7 @@
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings, check_bytes, check_once, check_rates, check_repeats
 from ryelock.proving.fleet import FAST, Fleet, Process, wait_ready
+from ryelock.proving.reactors import run_to_end
 from ryelock.proving.shapes import SHAPES, Kind, Shape
 from ryelock.proving.standins import Objects, PlatformStandIn, Ran, ServerStandIn
 
@@ -533,31 +534,23 @@
 
 def run_fleet(name: str, seconds: float, seed: int, faults: bool, keep: str) -> int:
     """Bring a shape up, run it, print the report; the exit code tells whether rules held."""
-    shape = SHAPES[name]()
-    codes: list[int] = []
-
-    def fault(task: str, error: BaseException) -> None:
-        sys.stderr.write(f"{task}: {error!r}\n")
-        codes.append(1)
-        reactor.stop()
-
-    reactor = Reactor(fault)
+    settings: dict[str, object] = dict(FAST)
+    if name != "small":
+        settings["probe_seconds"] = 3.0
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
-        settings: dict[str, object] = dict(FAST)
-        if name != "small":
-            settings["probe_seconds"] = 3.0
-        run = Run(shape, Path(keep or folder), reactor, seed, settings)
+        runs: list[Run] = []
 
-        def whole() -> Step[None]:
-            codes.append((yield from quick(run, seconds, faults)))
-            reactor.stop()
+        def begin(reactor: Reactor) -> Step[int]:
+            runs.append(Run(SHAPES[name](), Path(keep or folder), reactor, seed, settings))
+            return quick(runs[0], seconds, faults)
 
-        reactor.scheduler.spawn("run", whole())
         started = time.monotonic()
         try:
-            reactor.run()
+            ended = run_to_end(begin)
         finally:
-            run.fleet.stop()
+            for run in runs:
+                run.fleet.stop()
         run.report["seconds"] = round(time.monotonic() - started, 1)
+    sys.stderr.writelines(f"{fault}\n" for fault in ended.faults)
     sys.stdout.write(json.dumps(run.report, indent=2) + "\n")
-    return codes[0] if codes else 1
+    return 1 if ended.faults or ended.result is None else ended.result
--- a/packages/proving/ryelock/proving/scale/sweep.py
+++ b/packages/proving/ryelock/proving/scale/sweep.py
@@ -9,6 +9,7 @@
 
 from ryelock.loop import Step
 from ryelock.loop.reactor import Reactor
+from ryelock.proving.reactors import run_to_end
 from ryelock.proving.scale.judging import measure_judging
 from ryelock.proving.scale.losses import lose_all, lose_leader, lose_zone
 from ryelock.proving.scale.report import Point, plot
@@ -65,26 +66,19 @@
 
 def run_size(size: Size, keep: str = "") -> Outcome:
     """Bring up one size from empty disks; `keep` names a folder that stays."""
-    faults: list[str] = []
-
-    def fault(task: str, error: BaseException) -> None:
-        faults.append(f"{task}: {error!r}")
-        reactor.stop()
-
-    reactor = Reactor(fault)
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
-        run = ScaleRun(size, Path(keep or folder), reactor)
+        runs: list[ScaleRun] = []
 
-        def whole() -> Step[None]:
-            yield from work(run)
-            reactor.stop()
+        def begin(reactor: Reactor) -> Step[None]:
+            runs.append(ScaleRun(size, Path(keep or folder), reactor))
+            return work(runs[0])
 
-        reactor.scheduler.spawn("run", whole())
         try:
-            reactor.run()
+            ended = run_to_end(begin)
         finally:
-            run.stop()
-    return Outcome(run.figures, run.faults + faults, run.notes)
+            for run in runs:
+                run.stop()
+    return Outcome(run.figures, run.faults + ended.faults, run.notes)
 
 
 def run_scale(
--- a/packages/wire/ryelock/wire/__init__.py
+++ b/packages/wire/ryelock/wire/__init__.py
@@ -83,6 +83,28 @@
     return ""
 
 
+class GreetedFrames(Frames):
+    """Turns pieces of bytes into messages; the first frame must name this protocol."""
+
+    __slots__ = ("greeted",)
+
+    def __init__(self) -> None:
+        """Create a decoder that has not seen the first frame."""
+        super().__init__()
+        self.greeted = False
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Return the whole messages behind the first frame; raises FrameError."""
+        found = super().feed(data)
+        if self.greeted or not found:
+            return found
+        fault = hello(found[0])
+        if fault:
+            raise FrameError(fault)
+        self.greeted = True
+        return found[1:]
+
+
 HELLO = encode({"protocol": PROTOCOL, "version": VERSION})
 Reply = Callable[[Message], None]
 Answerer = Callable[[Message, Reply], None]
@@ -117,8 +139,7 @@
 
     def serve(self, link: Link) -> Step[None]:
         """Read frames of one connection until it ends or sends a malformed one."""
-        frames = Frames()
-        greeted = False
+        frames = GreetedFrames()
         link.write(HELLO)
         try:
             while True:
@@ -126,12 +147,6 @@
                 if not data:
                     return
                 for message in frames.feed(data):
-                    if not greeted:
-                        fault = hello(message)
-                        if fault:
-                            raise FrameError(fault)
-                        greeted = True
-                        continue
                     number = message.pop("ask", None)
                     if not isinstance(number, int):
                         raise FrameError("an ask without a number")
@@ -212,8 +227,7 @@
 
     def read(self, link: Link) -> Step[None]:
         """Hand answers to those who wait for them until the connection ends."""
-        frames = Frames()
-        greeted = False
+        frames = GreetedFrames()
         try:
             while True:
                 data = yield from link.receive(None)
@@ -221,12 +235,6 @@
                     return
                 self.heard += 1
                 for message in frames.feed(data):
-                    if not greeted:
-                        fault = hello(message)
-                        if fault:
-                            raise FrameError(fault)
-                        greeted = True
-                        continue
                     number = message.pop("answer", None)
                     box = self.open_asks.get(number) if isinstance(number, int) else None
                     if box is not None:
