--- /dev/null
+++ b/packages/council/ryelock/council/log.py
@@ -0,0 +1,180 @@
+"""The durable replicated log of one member: epoch, vote, image and the entries behind it.
+
+`ReplicatedLog` holds what Raft calls persistent state and nothing else: it knows no network, no
+clock and no role, so that it can be tested alone. Each method that changes the log writes it to
+the journal first; where the journal fails, the log in memory stays as it was and the method
+returns False.
+"""
+
+from bisect import bisect_left, bisect_right
+
+from ryelock.council.entries import (
+    VOTERS,
+    WORD,
+    Entry,
+    Image,
+    Stored,
+    Voters,
+    entry_record,
+    promise_record,
+    vote_record,
+    voters_of,
+)
+from ryelock.journal import Journal
+
+
+def epoch_of(entry: Entry) -> int:
+    """The key by which a log's entries are in order."""
+    return entry.epoch
+
+
+class ReplicatedLog:
+    """Entries with indexes from `image.index + 1` up to `last_index`, without a gap.
+
+    `epoch` and `voted` are the current epoch and the disk that got this member's vote in it
+    (empty: none). `promise_noted` says that the member may have promised to follow no leader.
+    """
+
+    __slots__ = ("entries", "epoch", "image", "journal", "promise_noted", "restored", "voted")
+
+    def __init__(self, journal: Journal) -> None:
+        stored = Stored(journal.image, journal.records)
+        self.journal = journal
+        self.restored = journal.image is not None or bool(journal.records)
+        journal.image = None
+        journal.records = []
+        self.image = stored.image
+        self.entries = stored.entries
+        self.epoch = stored.epoch
+        self.voted = stored.voted
+        self.promise_noted = stored.promised
+
+    # Reading.
+
+    @property
+    def last_index(self) -> int:
+        return self.image.index + len(self.entries)
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing was ever written to this disk."""
+        return not self.restored and not self.entries and self.epoch == 0
+
+    def epoch_at(self, index: int) -> int:
+        """The epoch of the entry at an index from `image.index` to `last_index`."""
+        if index == self.image.index:
+            return self.image.epoch
+        return self.entry_at(index).epoch
+
+    def entry_at(self, index: int) -> Entry:
+        """The entry at an index behind the image."""
+        return self.entries[index - self.image.index - 1]
+
+    def entries_from(self, index: int) -> list[Entry]:
+        """All entries from an index on; the index lies behind the image."""
+        return self.entries[index - self.image.index - 1 :]
+
+    def holds(self, index: int, epoch: int) -> bool:
+        """Whether the log has an entry of that epoch at that index, or its image ends there."""
+        return self.image.index <= index <= self.last_index and self.epoch_at(index) == epoch
+
+    def first_of_epoch_at(self, index: int) -> int:
+        """The first index behind the image whose entry has the epoch of the one at an index."""
+        epoch = self.epoch_at(index)
+        return self.image.index + 1 + bisect_left(self.entries, epoch, key=epoch_of)
+
+    def last_of_epochs_until(self, epoch: int) -> int:
+        """The last index whose entry's epoch is not above one; the image's end if there is none."""
+        return self.image.index + bisect_right(self.entries, epoch, key=epoch_of)
+
+    def voters_at(self, index: int) -> Voters:
+        """The voters as the entries up to an index name them, agreed or not."""
+        for entry in reversed(self.entries[: index - self.image.index]):
+            if entry.kind == VOTERS:
+                return voters_of(entry.data)
+        return self.image.voters
+
+    def configuration_place(self) -> tuple[int, int]:
+        """Epoch and index up to which this log certainly names the newest voters it knows."""
+        for entry in reversed(self.entries):
+            if entry.kind == VOTERS:
+                return entry.epoch, entry.index
+        return self.image.epoch, self.image.index
+
+    def words_between(self, index: int, last: int) -> list[tuple[int, bytes]]:
+        """The words behind an index, up to and with the last; both lie within the log."""
+        between = self.entries[index - self.image.index : last - self.image.index]
+        return [(entry.index, entry.data) for entry in between if entry.kind == WORD]
+
+    def last_word(self) -> int:
+        """The index of the last word, agreed or not."""
+        for entry in reversed(self.entries):
+            if entry.kind == WORD:
+                return entry.index
+        return self.image.word
+
+    # Changing.
+
+    def save_vote(self, epoch: int, voted: str) -> bool:
+        """Enter an epoch, with the vote given in it."""
+        if self.journal.write([vote_record(epoch, voted)]).is_error():
+            return False
+        self.epoch = epoch
+        self.voted = voted
+        return True
+
+    def save_promise(self, noted: bool) -> bool:
+        """Note on disk that a promise may stand, or that none does."""
+        if self.journal.write([promise_record(noted)]).is_error():
+            return False
+        self.promise_noted = noted
+        return True
+
+    def begin(self, epoch: int, entry: Entry) -> bool:
+        """Write the first epoch and entry of an empty log in one."""
+        if self.journal.write([vote_record(epoch, ""), entry_record(entry)]).is_error():
+            return False
+        self.epoch = epoch
+        self.entries = [entry]
+        return True
+
+    def append(self, entries: list[Entry]) -> bool:
+        """Write the entries that are lacking; the first one of another epoch cuts the tail off."""
+        lacking = list(entries)
+        while lacking and lacking[0].index <= self.last_index:
+            first = lacking[0]
+            if first.index > self.image.index and self.epoch_at(first.index) != first.epoch:
+                break
+            lacking.pop(0)
+        if not lacking:
+            return True
+        if self.journal.write([entry_record(entry) for entry in lacking]).is_error():
+            return False
+        del self.entries[lacking[0].index - self.image.index - 1 :]
+        self.entries += lacking
+        return True
+
+    def compact(self, image: Image) -> bool:
+        """Put an image of this log's own entries in their place."""
+        return self.replace_start(image, self.entries_from(image.index + 1))
+
+    def install(self, image: Image) -> bool:
+        """Take a leader's image, which reaches farther than what this member has applied.
+
+        Where the entry at its end has its epoch the logs agree up to there, and the entries behind
+        it stay: they were acknowledged, and a leader may count on them.
+        """
+        agrees = self.holds(image.index, image.epoch)
+        return self.replace_start(image, self.entries_from(image.index + 1) if agrees else [])
+
+    def replace_start(self, image: Image, kept: list[Entry]) -> bool:
+        records = [
+            vote_record(self.epoch, self.voted),
+            promise_record(self.promise_noted),
+            *(entry_record(entry) for entry in kept),
+        ]
+        if self.journal.write_image(image.encode(), records).is_error():
+            return False
+        self.image = image
+        self.entries = kept
+        return True
