--- a/packages/proving/ryelock/proving/control_cases.py
+++ b/packages/proving/ryelock/proving/control_cases.py
@@ -91,28 +91,33 @@
 
 
 def isolate_both_ways(scenario: Scenario, name: str) -> None:
+    """Cut a control node off from the others, both ways."""
     for other in scenario.cores:
         if other != name:
             scenario.world.cut(name, other)
 
 
 def isolate_outgoing(scenario: Scenario, name: str) -> None:
+    """Cut what a control node sends to the others."""
     for other in scenario.cores:
         if other != name:
             scenario.world.cut(name, other, False)
 
 
 def isolate_incoming(scenario: Scenario, name: str) -> None:
+    """Cut what the others send to a control node."""
     for other in scenario.cores:
         if other != name:
             scenario.world.cut(other, name, False)
 
 
 def freeze(scenario: Scenario, name: str) -> None:
+    """Let a control node stand still while its connections stay."""
     scenario.world.freeze(name, True)
 
 
 def fill_disk(scenario: Scenario, name: str) -> None:
+    """Let a control node's disk take no more writes, and cut the node off."""
     folder = scenario.node(name).folder
     assert folder is not None
     folder.full = True
@@ -120,6 +125,7 @@
 
 
 def step_clock(scenario: Scenario, name: str) -> None:
+    """Set a control node's wall clock an hour ahead, and cut the node off."""
     scenario.node(name).clock.error += 3600.0
     isolate_both_ways(scenario, name)
 
@@ -135,6 +141,7 @@
 
 
 def reconnect(scenario: Scenario, name: str) -> None:
+    """Undo every isolation of a control node."""
     folder = scenario.node(name).folder
     assert folder is not None
     folder.full = False
@@ -257,6 +264,7 @@
 def ask_once(
     scenario: Scenario, watcher: Watcher, method: str, target: str, given: object
 ) -> Step[None]:
+    """Send one request to the watched node and note what it answered, and when."""
     asked = scenario.world.time
     status, _ = yield from scenario.operator(method, target, given, watcher.name)
     watcher.answers.append(Answered(method, target, asked, scenario.world.time, status))
@@ -274,6 +282,7 @@
 
 
 def renew_once(scenario: Scenario, watcher: Watcher, lines: Lines, count: int) -> Step[None]:
+    """Renew one session of a returning edge with the isolated node."""
     session = Session()
     session.name = f"returned{count}"
     session.role = "edge"
@@ -488,30 +497,35 @@
 
 
 def kill_leader(scenario: Scenario) -> None:
+    """Kill the leader's process, if there is a leader."""
     leader = scenario.leader()
     if leader:
         scenario.world.kill(leader)
 
 
 def cut_leader_power(scenario: Scenario) -> None:
+    """Cut the power of the leader's machine, if there is a leader."""
     leader = scenario.leader()
     if leader:
         scenario.world.kill(leader, True)
 
 
 def cut_leader_off(scenario: Scenario) -> None:
+    """Cut the leader off from the other control nodes, if there is one."""
     leader = scenario.leader()
     if leader:
         isolate_both_ways(scenario, leader)
 
 
 def cut_all_power(scenario: Scenario) -> None:
+    """Cut the power of all control nodes and start them again after half a second."""
     for name in scenario.cores:
         scenario.world.kill(name, True)
     scenario.world.later(0.5, lambda: restart_all(scenario))
 
 
 def restart_all(scenario: Scenario) -> None:
+    """Start every control node that does not run."""
     for name in scenario.cores:
         if not scenario.node(name).alive:
             scenario.start(name)
@@ -633,6 +647,7 @@
 
 
 def wipe_follower(scenario: Scenario) -> None:
+    """Let a follower lose its disk."""
     leader = scenario.leader()
     scenario.lose_disk(next(name for name in scenario.cores if name != leader))
 
