--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -14,48 +14,42 @@
 from ryelock.proving.standins import FAILING, SLOW, WHOLE
 
 Measure = Callable[[int], float | None]
+STANDING_SECONDS = 4
 
 
-def change_delay(seed: int) -> float | None:
-    """From the asking to the acknowledgement of a change, all edges there."""
+def standing(seed: int) -> Scenario:
+    """Return a network that has been up for some seconds, with its first configuration."""
     scenario = Scenario(seed)
     scenario.set_up()
-    scenario.world.run(4)
+    scenario.world.run(STANDING_SECONDS)
+    return scenario
+
+
+def timed_change(scenario: Scenario, through: str = "") -> float | None:
+    """Return seconds to acknowledge a change, None where it is not; `through` names a node."""
     started = scenario.world.time
-    found = scenario.world.task(
-        scenario.operators,
-        scenario.change("measured", 1, {"routes": {"m": {"path": "/m", "service": "pages"}}}),
-        20,
-    )
+    put: dict[str, object] = {"routes": {"m": {"path": "/m", "service": "pages"}}}
+    change = scenario.change("measured", 1, put, "", through)
+    found = scenario.world.task(scenario.operators, change, 20)
     return scenario.world.time - started if found.status == 200 else None
 
 
+def change_delay(seed: int) -> float | None:
+    """From the asking to the acknowledgement of a change, all edges there."""
+    return timed_change(standing(seed))
+
+
 def change_with_a_cut_edge(seed: int) -> float | None:
     """The same with one edge cut off from the core the moment before."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     for core in scenario.cores:
         scenario.world.cut(scenario.edges[0], core)
-    started = scenario.world.time
-    found = scenario.world.task(
-        scenario.operators,
-        scenario.change(
-            "measured",
-            1,
-            {"routes": {"m": {"path": "/m", "service": "pages"}}},
-            "",
-            scenario.leader(),
-        ),
-        20,
-    )
-    return scenario.world.time - started if found.status == 200 else None
+    return timed_change(scenario, scenario.leader())
 
 
 def purge_delay(seed: int) -> float | None:
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    """Measure seconds from sending a purge to its acknowledgement."""
+    scenario = standing(seed)
     started = scenario.world.time
     status, _ = scenario.ask_now("POST", "/purges", {"id": "m", "scopes": [{"prefix": "/c"}]})
     return scenario.world.time - started if status == 200 else None
@@ -63,9 +57,7 @@
 
 def after_leader_lost(seed: int) -> float | None:
     """From the leader's end to the next acknowledged change."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     leader = scenario.leader()
     scenario.world.kill(leader, seed % 2 == 0)
     started = scenario.world.time
@@ -86,9 +78,7 @@
 
 def edges_without_leader(seed: int) -> float | None:
     """How long the worst edge held no term around the loss of the leader."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     scenario.world.kill(scenario.leader(), seed % 2 == 0)
     idle = dict.fromkeys(scenario.edges, 0.0)
     for _ in range(400):
@@ -100,9 +90,7 @@
 
 def voter_replaced(seed: int) -> float | None:
     """From an empty machine's start to its being a voter."""
-    scenario = Scenario(seed)
-    scenario.set_up()
-    scenario.world.run(4)
+    scenario = standing(seed)
     lost = scenario.cores[seed % 3]
     scenario.lose_disk(lost)
     scenario.world.run(1)
@@ -119,9 +107,12 @@
 
 
 def found_word(seed: int, word: str, cadence: float) -> float | None:
-    scenario = Scenario(
-        seed, settings={"probe_seconds": cadence, "probe_timeout": min(6.0, cadence * 0.8)}
-    )
+    """Measure seconds until a zone's verdict is `word`, with probes every `cadence` seconds."""
+    probing: dict[str, object] = {
+        "probe_seconds": cadence,
+        "probe_timeout": min(6.0, cadence * 0.8),
+    }
+    scenario = Scenario(seed, settings=probing)
     scenario.set_up()
     scenario.start_callers(4, 2.0, 0)
     scenario.world.run(4 * cadence + seed % 7)
@@ -129,29 +120,7 @@
         for name in scenario.edges[:2]:
             scenario.world.kill(name, seed % 2 == 0)
     else:
-        for server in scenario.servers.values():
-            server.lifetime = "max-age=600"
-        version = scenario.node(scenario.leader()).core.register.version
-        scenario.world.task(
-            scenario.operators,
-            scenario.change(
-                "long",
-                version,
-                {
-                    "routes": {
-                        "covers": {
-                            "path": "/covers",
-                            "service": "pages",
-                            "cached": True,
-                            "lifetime_seconds": 600,
-                        }
-                    }
-                },
-            ),
-            20,
-        )
-        scenario.world.run(3 * cadence)
-        scenario.objects["pages"].change("/covers/watched", scenario.world.time)
+        outdate_copies(scenario, 3 * cadence)
     started = scenario.world.time
 
     def found() -> bool:
@@ -163,6 +132,18 @@
     return scenario.world.time - started if back else None
 
 
+def outdate_copies(scenario: Scenario, seconds: float) -> None:
+    """Let copies of covers live long, wait until they are kept, and change the watched one."""
+    for server in scenario.servers.values():
+        server.lifetime = "max-age=600"
+    version = scenario.node(scenario.leader()).core.register.version
+    covers = {"path": "/covers", "service": "pages", "cached": True, "lifetime_seconds": 600}
+    change = scenario.change("long", version, {"routes": {"covers": covers}})
+    scenario.world.task(scenario.operators, change, 20)
+    scenario.world.run(seconds)
+    scenario.objects["pages"].change("/covers/watched", scenario.world.time)
+
+
 def lapsed_share(seed: int) -> float | None:
     """Of the orders of stubborn callers at an edge cut off for 10 s, the part declined."""
     scenario = Scenario(seed)
@@ -186,8 +167,10 @@
 
 
 def goodput(seed: int, rate: float, edges: int, busy: int) -> float | None:
-    """In a crowd of three times a desk's rate at so many of its edges, the part of the rate that
-    was served, over 20 s."""
+    """Measure the fraction of a service's rate that is served in a crowd, over 20 s.
+
+    The crowd sends three times the rate, to `busy` of the edges.
+    """
     scenario = Scenario(seed, zones=2, edges=edges // 2, probers=0)
     scenario.set_up()
     scenario.world.task(
@@ -270,6 +253,7 @@
 
 
 def plain_orders(scenario: Scenario, rate: float) -> Step[None]:
+    """Send plain reads to random edges, so many a second."""
     count = 0
     while scenario.callers_on:
         count += 1
--- a/packages/proving/ryelock/proving/scripted.py
+++ b/packages/proving/ryelock/proving/scripted.py
@@ -93,6 +93,7 @@
     __slots__ = ("done", "event", "moment", "name")
 
     def __init__(self, name: str, moment: Moment, event: Event) -> None:
+        """Plan one event at a moment of the named request."""
         self.name = name
         self.moment = moment
         self.event = event
@@ -105,6 +106,7 @@
     __slots__ = ("address", "at", "method", "name", "ran", "target", "turned_away")
 
     def __init__(self, at: float, address: str, head: OrderHead) -> None:
+        """Note a request's head as a server read it."""
         self.at = at
         self.address = address
         self.method = head.method
@@ -130,6 +132,7 @@
 
 
 def not_run(name: str, status: bytes = b"503 Full") -> bytes:
+    """Return a whole answer which says that the named request was not run."""
     head, body = answer_bytes(status, name, b"", [(DIALECT.not_run, b"1")])
     return head + body
 
@@ -140,6 +143,7 @@
     __slots__ = ("address", "fleet", "last", "life", "mute", "node", "slow", "waiting")
 
     def __init__(self, fleet: "AnswerFleet", node: SimNode, address: str, life: str) -> None:
+        """Listen on an address as one life of a server."""
         self.fleet = fleet
         self.node = node
         self.address = address
@@ -151,6 +155,7 @@
         node.network.listen(address, self.greet)
 
     def greet(self, link: Link) -> None:
+        """Take a new connection."""
         self.node.scheduler.spawn("requests", self.take(link))
 
     def take(self, link: Link) -> Step[None]:
@@ -217,6 +222,7 @@
         return (yield from self.moment(link, Moment.BEHIND, arrival))
 
     def whole(self, arrival: Arrival) -> tuple[bytes, bytes]:
+        """Return head and body of a proper answer."""
         return answer_bytes(
             b"200 OK",
             arrival.name,
@@ -225,6 +231,7 @@
         )
 
     def moment(self, link: Link, moment: Moment, arrival: Arrival) -> Step[bool]:
+        """Play what is planned at a moment; False where the connection is done with."""
         script = self.fleet.due(moment, arrival)
         if script is None:
             return True
@@ -236,6 +243,7 @@
             self.node.scheduler.spawn("idle", self.on_idle(link, script, self.last.get(link)))
 
     def on_idle(self, link: Link, script: Script, last: Arrival | None) -> Step[None]:
+        """Play an event on a kept connection that carries no request."""
         if script.event is Event.SILENCE:
             self.mute.add(link)
         elif script.event is Event.LATE:
@@ -267,6 +275,7 @@
         return True
 
     def write_answer(self, link: Link, event: Event, arrival: Arrival | None) -> bool:
+        """Write the answer that an event asks for; False where the connection ends."""
         if arrival is None:
             answer = b"".join(answer_bytes(b"200 OK", "", b"unasked", [(DIALECT.seal, b"seal")]))
         else:
@@ -279,6 +288,7 @@
         return False
 
     def bytes_for(self, event: Event, arrival: Arrival | None) -> bytes:
+        """Return the bytes that an event puts on the connection."""
         name = arrival.name if arrival is not None else ""
         return {
             Event.NAMELESS: not_run(""),
@@ -295,6 +305,7 @@
     __slots__ = ("body", "seconds", "status")
 
     def __init__(self, status: int, body: bytes, seconds: float) -> None:
+        """Keep what a caller was answered."""
         self.status = status
         self.body = body
         self.seconds = seconds
@@ -316,6 +327,7 @@
     )
 
     def __init__(self, seed: int, edges: int = 1) -> None:
+        """Build the fleet of a seed; nothing runs yet."""
         self.world = World(seed)
         self.world.spikes = 0.0
         self.history: list[Arrival] = []
@@ -338,12 +350,14 @@
     # Building.
 
     def add_server(self, number: int) -> None:
+        """Add one scripted server and list it."""
         host = f"10.8.0.{1 + number}"
         node = self.world.add(f"server{number}", f"server{number}", host)
         self.servers.append(ScriptedServer(self, node, f"{host}:80", "1"))
         self.platform.show(SERVICE, f"{host}:80", "zone0", 1)
 
     def start(self, name: str, host: str) -> None:
+        """Start one control node or edge."""
         node = self.world.add(name, name, host)
         plain: dict[str, object] = {
             "name": name,
@@ -395,6 +409,7 @@
         world.run(2.0)
 
     def way(self, edge: int = 0) -> Way:
+        """Return the request path of a running edge."""
         way = self.world.nodes[self.edges[edge]].traffic.way
         assert way is not None
         return way
@@ -456,7 +471,9 @@
     def ask_now(
         self, name: str, method: str, target: str, more: Fields | None = None, edge: int = 0
     ) -> Told:
+        """Send one request and run the simulation until it is answered."""
         return self.world.task(self.outside, self.ask(name, method, target, more, edge), 20)
 
     def arrivals(self, name: str) -> list[Arrival]:
+        """Return what servers saw of the named request, in order."""
         return [arrival for arrival in self.history if arrival.name == name]
--- a/packages/verdict/ryelock/verdict/judge.py
+++ b/packages/verdict/ryelock/verdict/judge.py
@@ -7,34 +7,64 @@
 ever fetched, or of a prober that reaches nothing anywhere while others do.
 """
 
+from dataclasses import asdict, dataclass, field
+from enum import StrEnum
+
 from ryelock.register import Watch
 from ryelock.verdict.history import History
 from ryelock.watch import Row, watch_mark
 
-HEALTHY, STALE, DOWN, UNKNOWN = "healthy", "stale", "down", "unknown"
+MACHINES_NEEDED = 2
+
+
+class Verdict(StrEnum):
+    """What a zone or the network is found to be; the values stand in the record."""
+
+    HEALTHY = "healthy"
+    STALE = "stale"
+    DOWN = "down"
+    UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
 class Rules:
-    """The numbers of the design; all are settings."""
+    """The numbers of the design; all are settings.
 
-    __slots__ = ("down_weight", "quorum", "rows", "stale_seconds", "stale_weight")
+    Attributes:
+        rows: rows of a target that are judged, the newest ones.
+        quorum: failed rows that make a target failed.
+        stale_seconds: age above which an object is stale.
+        down_weight: fraction of visitors in down zones from which the network is down.
+        stale_weight: fraction in stale zones above which the network is stale.
+    """
 
-    def __init__(
-        self,
-        rows: int = 5,
-        quorum: int = 3,
-        stale_seconds: float = 30.0,
-        down_weight: float = 0.15,
-        stale_weight: float = 0.10,
-    ) -> None:
-        self.rows = rows
-        self.quorum = quorum
-        self.stale_seconds = stale_seconds
-        self.down_weight = down_weight
-        self.stale_weight = stale_weight
+    rows: int = 5
+    quorum: int = 3
+    stale_seconds: float = 30.0
+    down_weight: float = 0.15
+    stale_weight: float = 0.10
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """One failed row that a verdict rests on, as the prober's own store has it."""
+
+    prober: str
+    machine: str
+    sequence: int
+    seconds_ago: float
+    error: str
+
+
+def evidence_of(row: Row, now: float) -> Evidence:
+    """Return a failed row as evidence at monotonic time `now`."""
+    seconds_ago = round(now - row.taken, 3)
+    return Evidence(row.prober, row.machine, row.sequence, seconds_ago, row.error)
 
 
 class TargetVerdict:
+    """The outcome for one edge and watch, with the rows it rests on."""
+
     __slots__ = (
         "edge",
         "evidence",
@@ -57,53 +87,60 @@
         stale_seconds: float,
         now: float,
     ) -> None:
-        self.evidence = [
-            {
-                "prober": row.prober,
-                "machine": row.machine,
-                "sequence": row.sequence,
-                "seconds_ago": round(now - row.taken, 3),
-                "error": row.error,
-            }
-            for row in failures
-        ]
+        """Judge a target by its rows; `failures` are those that count against it."""
+        self.evidence = [evidence_of(row, now) for row in failures]
         self.edge = edge
         self.watch = watch
         self.rows = rows
         self.failures = len(failures)
         self.machines = sorted({row.machine for row in failures})
-        self.failed = self.failures >= quorum and len(self.machines) >= 2
+        self.failed = self.failures >= quorum and len(self.machines) >= MACHINES_NEEDED
         ages = [row.age for row in rows if row.age is not None]
         self.oldest = max(ages) if ages else None
         self.stale = self.oldest is not None and self.oldest > stale_seconds
 
+    def plain(self) -> dict[str, object]:
+        """Return the outcome with its evidence as plain data."""
+        return {
+            "edge": self.edge,
+            "watch": self.watch,
+            "rows": len(self.rows),
+            "failures": self.failures,
+            "failed": self.failed,
+            "failing_machines": self.machines,
+            "age_seconds": self.oldest,
+            "failed_rows": [asdict(row) for row in self.evidence],
+        }
+
 
+@dataclass(frozen=True, slots=True)
 class ZoneVerdict:
-    __slots__ = ("edges", "failed", "reason", "targets", "verdict", "weight", "zone")
+    """The outcome for one zone.
 
-    def __init__(
-        self,
-        zone: str,
-        verdict: str,
-        reason: str,
-        weight: float,
-        edges: list[str],
-        targets: list[TargetVerdict],
-        failed: list[str] | None = None,
-    ) -> None:
-        self.zone = zone
-        self.verdict = verdict
-        self.reason = reason
-        self.weight = weight
-        self.edges = edges
-        self.targets = targets
-        self.failed = failed or []
+    Attributes:
+        zone: name of the zone.
+        verdict: what it is found to be.
+        reason: why, for people.
+        weight: its fraction of all visitors.
+        edges: names of its edges.
+        targets: outcomes of its edges by watch.
+        failed: names of the edges that failed.
+    """
+
+    zone: str
+    verdict: Verdict
+    reason: str
+    weight: float
+    edges: list[str]
+    targets: list[TargetVerdict]
+    failed: list[str]
 
     def plain(self) -> dict[str, object]:
+        """Return the verdict with its evidence as plain data."""
         rows = [row for target in self.targets for row in target.rows]
         ages = [target.oldest for target in self.targets if target.oldest is not None]
         return {
-            "verdict": self.verdict,
+            "verdict": self.verdict.value,
             "reason": self.reason,
             "weight": round(self.weight, 4),
             "edges": self.edges,
@@ -113,19 +150,7 @@
             "rows": len(rows),
             "failed_rows": sum(row.failed for row in rows),
             "worst_age_seconds": max(ages) if ages else None,
-            "targets": [
-                {
-                    "edge": target.edge,
-                    "watch": target.watch,
-                    "rows": len(target.rows),
-                    "failures": target.failures,
-                    "failed": target.failed,
-                    "failing_machines": target.machines,
-                    "age_seconds": target.oldest,
-                    "failed_rows": target.evidence,
-                }
-                for target in self.targets
-            ],
+            "targets": [target.plain() for target in self.targets],
             "evidence": [
                 row.shown()
                 for row in sorted(rows, key=lambda row: (not row.failed, -row.taken))[:10]
@@ -133,29 +158,32 @@
         }
 
 
+@dataclass(slots=True, eq=False)
 class Judged:
-    __slots__ = ("assumed", "down_weight", "gone", "network", "reason", "stale_weight", "zones")
+    """The outcome for the whole network and each of its zones.
 
-    def __init__(
-        self,
-        network: str,
-        reason: str,
-        down_weight: float,
-        stale_weight: float,
-        assumed: bool,
-        zones: dict[str, ZoneVerdict],
-    ) -> None:
-        self.network = network
-        self.reason = reason
-        self.down_weight = down_weight
-        self.stale_weight = stale_weight
-        self.assumed = assumed
-        self.zones = zones
-        self.gone: dict[str, str] = {}
+    Attributes:
+        network: what the network is found to be.
+        reason: why, for people; empty where it is healthy.
+        down_weight: fraction of visitors in zones that are down.
+        stale_weight: fraction of visitors in zones that are stale.
+        assumed: whether the weights are only assumed, since no visitors were counted yet.
+        zones: outcome of each zone by name.
+        gone: marks of derived watches whose object is gone, by name; set by the aggregator.
+    """
+
+    network: Verdict
+    reason: str
+    down_weight: float
+    stale_weight: float
+    assumed: bool
+    zones: dict[str, ZoneVerdict]
+    gone: dict[str, str] = field(default_factory=dict)
 
     def plain(self) -> dict[str, object]:
+        """Return the outcome as plain data, as it is agreed on and shown."""
         return {
-            "network": self.network,
+            "network": self.network.value,
             "reason": self.reason,
             "down_weight": round(self.down_weight, 4),
             "stale_weight": round(self.stale_weight, 4),
@@ -212,63 +240,71 @@
     now: float,
     blind: set[str],
 ) -> ZoneVerdict:
+    """Judge one zone by the rows of its edges; rows of `blind` probers prove no failure."""
+    targets = judge_targets(zone, edges, watches, history, rules, now, blind)
+    failed = failed_edges(edges, targets)
+    verdict, reason = word_of(edges, targets, failed)
+    return ZoneVerdict(zone, verdict, reason, weight, edges, targets, failed)
+
+
+def judge_targets(
+    zone: str,
+    edges: list[str],
+    watches: dict[str, Watch],
+    history: History,
+    rules: Rules,
+    now: float,
+    blind: set[str],
+) -> list[TargetVerdict]:
+    """Judge each edge for each watch; a target without rows is left out."""
     targets: list[TargetVerdict] = []
     for edge in edges:
         for name, watch in sorted(watches.items()):
             mark = watch_mark(watch)
             rows = history.window((zone, edge, name, mark), now, rules.rows, inside=True)
-            failures = [
-                row
-                for row in rows
-                if row.failed
-                and row.prober not in blind
-                and (not row.reachable or (name, mark) in history.proven)
-            ]
-            if rows:
-                targets.append(
-                    TargetVerdict(
-                        edge,
-                        name,
-                        rows,
-                        failures,
-                        rules.quorum,
-                        watch.stale_seconds or rules.stale_seconds,
-                        now,
-                    )
-                )
+            if not rows:
+                continue
+            proven = (name, mark) in history.proven
+            failures = [row for row in rows if row.prober not in blind and counts(row, proven)]
+            stale_seconds = watch.stale_seconds or rules.stale_seconds
+            targets.append(
+                TargetVerdict(edge, name, rows, failures, rules.quorum, stale_seconds, now)
+            )
+    return targets
+
+
+def counts(row: Row, proven: bool) -> bool:
+    """Whether a row is a failure of its edge.
+
+    A watch that was never fetched proves nothing, unless the edge could not be reached at all.
+    """
+    return row.failed and (proven or not row.reachable)
+
+
+def failed_edges(edges: list[str], targets: list[TargetVerdict]) -> list[str]:
+    """Return the edges of which every judged target has failed."""
+    found: list[str] = []
+    for edge in edges:
+        mine = [target for target in targets if target.edge == edge]
+        if mine and all(target.failed for target in mine):
+            found.append(edge)
+    return found
+
+
+def word_of(
+    edges: list[str], targets: list[TargetVerdict], failed: list[str]
+) -> tuple[Verdict, str]:
+    """Return a zone's verdict and its reason."""
     if not targets:
-        return ZoneVerdict(zone, UNKNOWN, "no rows", weight, edges, targets)
-    by_edge = {edge: [target for target in targets if target.edge == edge] for edge in edges}
-    failed = [
-        edge for edge, found in by_edge.items() if found and all(target.failed for target in found)
-    ]
+        return Verdict.UNKNOWN, "no rows"
     if edges and len(failed) == len(edges):
-        return ZoneVerdict(
-            zone, DOWN, f"all {len(edges)} edges failed", weight, edges, targets, failed
-        )
+        return Verdict.DOWN, f"all {len(edges)} edges failed"
     if any(target.stale for target in targets):
         worst = max(targets, key=lambda target: target.oldest or 0.0)
-        return ZoneVerdict(
-            zone,
-            STALE,
-            f"{worst.watch} at {worst.edge} is {worst.oldest} s old",
-            weight,
-            edges,
-            targets,
-            failed,
-        )
-    if not any(not row.failed for target in targets for row in target.rows):
-        return ZoneVerdict(
-            zone,
-            UNKNOWN,
-            "no sound row, and no quorum of failed ones",
-            weight,
-            edges,
-            targets,
-            failed,
-        )
-    reason = f"failed: {', '.join(failed)}" if failed else "fetched"
-    return ZoneVerdict(zone, HEALTHY, reason, weight, edges, targets, failed)
+        return Verdict.STALE, f"{worst.watch} at {worst.edge} is {worst.oldest} s old"
+    if all(row.failed for target in targets for row in target.rows):
+        return Verdict.UNKNOWN, "no sound row, and no quorum of failed ones"
+    return Verdict.HEALTHY, f"failed: {', '.join(failed)}" if failed else "fetched"
 
 
 def judge(
@@ -288,21 +324,28 @@
         )
         for zone, edges in zones.items()
     }
-    down = sum(zone.weight for zone in found.values() if zone.verdict == DOWN)
-    stale = sum(zone.weight for zone in found.values() if zone.verdict == STALE)
-    any_down = any(zone.verdict == DOWN for zone in found.values())
-    if any_down and down >= rules.down_weight:
-        return Judged(
-            DOWN, f"zones of {down:.0%} of visitors are down", down, stale, assumed, found
-        )
-    if any_down:
-        return Judged(
-            STALE, f"a zone of {down:.0%} of visitors is down", down, stale, assumed, found
-        )
+    down = weight_of(found, Verdict.DOWN)
+    stale = weight_of(found, Verdict.STALE)
+    verdict, reason = network_word(found, down, stale, rules)
+    return Judged(verdict, reason, down, stale, assumed, found)
+
+
+def weight_of(zones: dict[str, ZoneVerdict], verdict: Verdict) -> float:
+    """Return the fraction of visitors in the zones of one verdict."""
+    return sum(zone.weight for zone in zones.values() if zone.verdict is verdict)
+
+
+def network_word(
+    zones: dict[str, ZoneVerdict], down: float, stale: float, rules: Rules
+) -> tuple[Verdict, str]:
+    """Return the network's verdict and its reason, by the weights of down and stale zones."""
+    words = [zone.verdict for zone in zones.values()]
+    if Verdict.DOWN in words and down >= rules.down_weight:
+        return Verdict.DOWN, f"zones of {down:.0%} of visitors are down"
+    if Verdict.DOWN in words:
+        return Verdict.STALE, f"a zone of {down:.0%} of visitors is down"
     if stale > rules.stale_weight:
-        return Judged(
-            STALE, f"zones of {stale:.0%} of visitors are stale", down, stale, assumed, found
-        )
-    if found and all(zone.verdict == UNKNOWN for zone in found.values()):
-        return Judged(UNKNOWN, "no zone is known", down, stale, assumed, found)
-    return Judged(HEALTHY, "", down, stale, assumed, found)
+        return Verdict.STALE, f"zones of {stale:.0%} of visitors are stale"
+    if words and all(word is Verdict.UNKNOWN for word in words):
+        return Verdict.UNKNOWN, "no zone is known"
+    return Verdict.HEALTHY, ""
