--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -18,6 +18,7 @@
 import cbor2
 from expression import Error, Ok, Result
 
+from ryelock.council.compaction import Compaction
 from ryelock.council.entries import (
     NOTE,
     NOTHING,
@@ -27,12 +28,17 @@
     Image,
     Voters,
     entry_of,
-    image_of,
     majority_of,
     voters_of,
 )
 from ryelock.council.log import ReplicatedLog
 from ryelock.council.membership import VOTERS_MOST
+from ryelock.council.transfer import (
+    IMAGE_PIECE_BYTES,
+    IncomingImage,
+    OutgoingImage,
+    piece_of,
+)
 from ryelock.events import (
     FOLLOWING,
     FOUNDED,
@@ -51,6 +57,14 @@
 """The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
 BATCH_BYTES_LEAST = 16_384
 ENTRY_OVERHEAD_BYTES = 32
+IMAGE_PIECE_SECONDS = 2.0
+"""How long a leader waits for the answer to one piece of an image."""
+APPLY_ENTRIES = 64
+"""The most entries applied before the owner looks at its queue again."""
+APPLY_SECONDS = 0.02
+"""The longest that entries are applied before it, but for the last of them."""
+APPLY_PAUSE_SECONDS = 0.0005
+"""What the other tasks of the process get between two such batches."""
 WHO_SECONDS = 0.5
 DISK_RETRY_SECONDS = 2.0
 """A node whose disk refused a write stands for no election for so long."""
@@ -68,7 +82,10 @@
 class Machine(Protocol):
     """The state that words change; must come to the same on every node."""
 
-    def apply(self, index: int, data: bytes) -> object: ...
+    def apply(self, index: int, data: bytes) -> object:
+        """The outcome; a map in which `again` is True says that nothing was changed by it."""
+        ...
+
     def image(self) -> bytes: ...
     def restore(self, data: bytes) -> None: ...
 
@@ -76,7 +93,15 @@
 class Pace:
     """How fast a council beats, elects, replaces and writes images; whether it may be founded."""
 
-    __slots__ = ("beat", "election", "image_records", "may_found", "promise", "replace")
+    __slots__ = (
+        "beat",
+        "disk_bytes",
+        "election",
+        "image_records",
+        "may_found",
+        "promise",
+        "replace",
+    )
 
     def __init__(
         self,
@@ -86,6 +111,7 @@
         replace: float = 8.0,
         image_records: int = 4000,
         may_found: bool = True,
+        disk_bytes: int = 0,
     ) -> None:
         self.beat = beat
         self.election = election
@@ -93,6 +119,7 @@
         self.replace = replace
         self.image_records = image_records
         self.may_found = may_found
+        self.disk_bytes = disk_bytes
 
 
 class Peer:
@@ -107,6 +134,7 @@
         "match",
         "news",
         "next",
+        "outgoing",
         "running",
         "stored",
     )
@@ -117,6 +145,7 @@
         self.next = following
         self.match = 0
         self.batch_bytes = BATCH_BYTES
+        self.outgoing: OutgoingImage | None = None
         self.heard = -1e9
         self.stored = -1e9
         self.gone = False
@@ -155,11 +184,13 @@
         "applied_word",
         "commands",
         "commit",
+        "compaction",
         "disk",
         "disk_failed_at",
         "elected_at",
         "election_at",
         "hear",
+        "incoming",
         "last_round_failed",
         "leader",
         "leader_address",
@@ -205,6 +236,8 @@
         self.lines = lines
         self.log = log
         self.replicated_log = ReplicatedLog(journal)
+        self.incoming: IncomingImage | None = None
+        self.compaction = Compaction(pace.image_records, pace.disk_bytes)
         self.machine = machine
         self.name = name
         self.disk = disk
@@ -314,7 +347,8 @@
     def work(self) -> Step[None]:
         """The owner: every change of this seat happens here, in turn."""
         while True:
-            command = yield from self.commands.take(self.pace.beat / 2)
+            behind = self.applied < self.commit
+            command = yield from self.commands.take(0.0 if behind else self.pace.beat / 2)
             proposals: list[Proposal] = []
             while command is not None:
                 if isinstance(command, Proposal):
@@ -327,7 +361,10 @@
                 command = self.commands.items.popleft() if self.commands.items else None
             if proposals:
                 self.take_proposals(proposals)
+            self.apply_committed()
             self.look_at_clock()
+            if self.applied < self.commit:
+                yield from self.scheduler.pause(APPLY_PAUSE_SECONDS)
 
     def look_at_clock(self) -> None:
         now = self.scheduler.now()
@@ -507,7 +544,7 @@
 
     def store(self, entries: list[Entry]) -> bool:
         """Write the entries this log lacks; one that differs replaces the tail."""
-        if not self.replicated_log.append(entries):
+        if not self.replicated_log.append(entries) and not self.append_after_compaction(entries):
             return False
         before = self.voters
         self.find_voters()
@@ -515,28 +552,47 @@
             self.log.write(VOTERS_CHANGED, voters=sorted(self.voters.values()))
         return True
 
+    def append_after_compaction(self, entries: list[Entry]) -> bool:
+        """Where the disk took no more, an image may make room."""
+        if not self.compaction.due(self.journal):
+            return False
+        self.write_image()
+        return self.replicated_log.append(entries)
+
     def on_image(self, message: Message) -> Message:
         epoch = whole(message["epoch"])
         answer, follows = self.answer_to_leader(message, epoch)
         if not follows:
             return answer
-        data = message["image"]
-        if not isinstance(data, bytes):
-            raise ValueError("no image")
-        image = image_of(data)
-        if not self.follow(epoch, str(message["disk"]), str(message["address"])):
+        piece = piece_of(message["piece"])
+        leader = str(message["disk"])
+        if not self.follow(epoch, leader, str(message["address"])):
             return answer
-        if image.index <= self.applied:
-            return {**answer, "ok": True, "epoch": self.epoch, "last": self.applied}
+        answer["epoch"] = self.epoch
+        if piece.index <= self.commit:
+            self.incoming = None
+            return {**answer, "ok": True, "last": self.commit}
+        if self.incoming is None or not self.incoming.belongs(leader, piece):
+            self.incoming = IncomingImage(leader, piece)
+        self.incoming.take(piece)
+        if not self.incoming.whole:
+            return {**answer, "received": len(self.incoming.buffer)}
+        image, self.incoming = self.incoming.image(), None
+        if not self.install(image, leader):
+            return {**answer, "received": 0}
+        return {**answer, "ok": True, "last": image.index}
+
+    def install(self, image: Image, source: str) -> bool:
+        """Take a whole image that reaches beyond what is known to be agreed."""
         if not self.replicated_log.install(image):
-            return answer
+            return False
         self.commit = self.applied = image.index
         self.applied_word = image.word
         self.find_voters()
         self.machine.restore(image.machine)
-        self.log.write(IMAGE_TAKEN, index=image.index, source=str(message["disk"]))
+        self.log.write(IMAGE_TAKEN, index=image.index, source=source)
         self.tell_applied()
-        return {**answer, "ok": True, "epoch": self.epoch, "last": image.index}
+        return True
 
     def on_join(self, message: Message) -> Message:
         disk = str(message["disk"])
@@ -712,11 +768,9 @@
         """One peer's task: beat, carry entries or an image, hand what comes back to the owner."""
         while self.role == "leader" and self.epoch == epoch:
             sent = self.scheduler.now()
-            image = peer.next <= self.base.index
-            message = self.image_message(peer) if image else self.beat_message(peer)
-            found = yield from self.lines.ask(
-                peer.address, message, 15.0 if image else self.pace.election
-            )
+            message = self.next_message(peer)
+            seconds = self.pace.election if peer.outgoing is None else IMAGE_PIECE_SECONDS
+            found = yield from self.lines.ask(peer.address, message, seconds)
             self.commands.put(
                 Command(
                     lambda found=found, sent=sent: (  # type: ignore[misc]
@@ -736,8 +790,17 @@
             "epoch": self.epoch,
         }
 
-    def image_message(self, peer: Peer) -> Message:
-        return {**self.message_to(peer, "council.image"), "image": self.base.encode()}
+    def next_message(self, peer: Peer) -> Message:
+        """What a peer needs next: entries, or an image where they are not kept any more.
+
+        An image that has begun to cross is finished, also when a newer one was written since.
+        """
+        if peer.outgoing is None and peer.next <= self.base.index:
+            peer.outgoing = OutgoingImage(self.base)
+        if peer.outgoing is None:
+            return self.beat_message(peer)
+        piece = peer.outgoing.next_piece(min(IMAGE_PIECE_BYTES, peer.batch_bytes))
+        return {**self.message_to(peer, "council.image"), "piece": piece.plain()}
 
     def beat_message(self, peer: Peer) -> Message:
         """A heartbeat with as many entries as the peer takes in time."""
@@ -787,12 +850,16 @@
         if answer.get("ok") is not True:
             if theirs == epoch:
                 peer.heard = max(peer.heard, sent)
+            if peer.outgoing is not None:
+                self.heard_received(peer, answer, sent)
+                return
             following = self.next_for(peer, answer, last)
             if following != peer.next:
                 peer.next = following
                 peer.news.put(True)
             return
         peer.heard = max(peer.heard, sent)
+        peer.outgoing = None
         peer.stored = max(peer.stored, sent)
         peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
         peer.match = max(peer.match, last)
@@ -804,6 +871,18 @@
         if peer.next <= self.last_index:
             peer.news.put(True)
 
+    def heard_received(self, peer: Peer, answer: Message, sent: float) -> None:
+        """How much of an image a peer has; go on behind it."""
+        received = answer.get("received")
+        if peer.outgoing is None or not isinstance(received, int):
+            return
+        goes_on = received > peer.outgoing.received
+        peer.outgoing.received = max(0, min(received, len(peer.outgoing.image.machine)))
+        if goes_on:
+            peer.stored = max(peer.stored, sent)
+            peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
+            peer.news.put(True)
+
     def next_for(self, peer: Peer, answer: Message, last: int) -> int:
         """The index to go on from after a peer declined; `last` is how far its log may agree.
 
@@ -842,29 +921,50 @@
                 peer.news.put(True)
 
     def advance(self, commit: int) -> None:
+        """Entries up to an index are agreed; apply a batch of them, the owner the others."""
         if commit <= self.commit:
             return
         self.commit = commit
+        self.apply_committed()
+
+    def apply_committed(self) -> None:
+        """Apply agreed entries for a bounded while; `applied` may stay behind `commit`.
+
+        The owner goes on after it has served its queue, so that a long catch-up holds up no
+        heartbeat. At least one entry is applied.
+        """
+        if self.applied == self.commit:
+            return
+        until = self.scheduler.now() + APPLY_SECONDS
+        last = min(self.commit, self.applied + APPLY_ENTRIES)
+        while self.applied < last:
+            self.apply_entry(self.entry_at(self.applied + 1))
+            if self.scheduler.now() >= until:
+                break
         if self.role == "leader" and self.settled_at < self.elected_at and self.settled:
             self.settled_at = self.scheduler.now()
-        while self.applied < commit:
-            entry = self.entry_at(self.applied + 1)
-            result: object = None
-            if entry.kind in (WORD, NOTE):
-                result = self.machine.apply(entry.index, entry.data)
-            self.applied += 1
-            if entry.kind == WORD:
-                self.applied_word = entry.index
-            waiting = self.waiting.pop(entry.index, None)
-            if waiting is not None:
-                if waiting[0] == entry.epoch:
-                    waiting[1].put(Ok(result))
-                else:
-                    waiting[1].put(Error(CouncilError("another word took its place", True)))
         self.tell_applied()
-        if self.journal.written > self.pace.image_records:
+        if self.compaction.due(self.journal):
             self.write_image()
 
+    def apply_entry(self, entry: Entry) -> None:
+        """Apply the next entry and answer who proposed it."""
+        result: object = None
+        if entry.kind in (WORD, NOTE):
+            result = self.machine.apply(entry.index, entry.data)
+            entry.repeated = isinstance(result, dict) and result.get("again") is True
+        self.applied = entry.index
+        if entry.kind == WORD:
+            self.applied_word = entry.index
+        waiting = self.waiting.pop(entry.index, None)
+        if waiting is None:
+            return
+        epoch, box = waiting
+        if epoch == entry.epoch:
+            box.put(Ok(result))
+        else:
+            box.put(Error(CouncilError("another word took its place", True)))
+
     def tell_applied(self) -> None:
         for tell in self.applied_news:
             tell()
@@ -877,7 +977,10 @@
             self.machine.image(),
             self.applied_word,
         )
-        if self.replicated_log.compact(image):
+        if not self.replicated_log.compact(image):
+            self.compaction.failed(self.journal)
+        else:
+            self.compaction.done()
             self.log.write(IMAGE_WRITTEN, index=image.index)
 
     def held_since(self) -> float:
@@ -891,8 +994,8 @@
 
     @property
     def settled(self) -> bool:
-        """Leads, and has seen a word of its own epoch agreed."""
-        return self.role == "leader" and self.epoch_at(self.commit) == self.epoch
+        """Leads, and has applied an entry of its own epoch, so all that was agreed before it."""
+        return self.role == "leader" and self.epoch_at(self.applied) == self.epoch
 
     # What the rest of the process calls.
 
@@ -986,10 +1089,15 @@
             peer.running.cancel()
 
     def confirm(self, seconds: float) -> Step[bool]:
-        """Whether this node led at a moment after the ask, by a majority's word."""
+        """Whether this node led at a moment after the ask, by a majority's word.
+
+        Its state then has every entry that was agreed when it was asked: a read of it is
+        linearizable.
+        """
         asked = self.scheduler.now()
+        agreed = self.commit
         while self.role == "leader" and self.scheduler.now() < asked + seconds:
-            if self.settled and self.held_since() >= asked:
+            if self.settled and self.applied >= agreed and self.held_since() >= asked:
                 return True
             for peer in self.peers.values():
                 if not len(peer.news):
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -5,19 +5,22 @@
 """
 
 import json
-from collections.abc import Callable, Mapping
+import tomllib
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Generic, TypeVar, overload
 
 from ryelock.loop.reactor import split_address
 
 Kind = TypeVar("Kind")
+HEARTBEATS_MISSED = 3
 
 
 class EnvError(Exception):
     """Every fault found, one line each."""
 
     def __init__(self, faults: list[str]) -> None:
+        """Create the error; each fault is one line for the operator."""
         super().__init__("\n".join(faults))
         self.faults = faults
 
@@ -28,12 +31,20 @@
     __slots__ = ("check", "default", "key", "note")
 
     def __init__(self, default: Kind, check: Callable[[object], Kind], note: str) -> None:
+        """Declare a setting.
+
+        Args:
+            default: value where the operator gives none.
+            check: converts a given value or raises ValueError with the reason.
+            note: one line of help.
+        """
         self.default = default
         self.check = check
         self.note = note
         self.key = ""
 
     def __set_name__(self, owner: type, name: str) -> None:
+        """Take the attribute's name as the setting's key."""
         self.key = name
 
     @overload
@@ -41,12 +52,15 @@
     @overload
     def __get__(self, env: "Env", owner: type) -> Kind: ...
     def __get__(self, env: "Env | None", owner: type) -> "Setting[Kind] | Kind":
+        """Return the value from an Env; the setting itself where read from the class."""
         if env is None:
             return self
         return env.values[self.key]  # type: ignore[return-value]
 
 
 def number(lowest: float, highest: float) -> Callable[[object], float]:
+    """Return a check for numbers within bounds, both included."""
+
     def check(value: object) -> float:
         if isinstance(value, str):
             try:
@@ -63,6 +77,7 @@
 
 
 def whole(lowest: int, highest: int) -> Callable[[object], int]:
+    """Return a check for whole numbers within bounds, both included."""
     plain = number(lowest, highest)
 
     def check(value: object) -> int:
@@ -75,6 +90,7 @@
 
 
 def noun(value: object) -> str:
+    """Check a name of letters, digits, '-', '_' and '.'."""
     if not isinstance(value, str) or not value or len(value) > 64:
         raise ValueError("not a name of 1 to 64 characters")
     if not all(character.isalnum() or character in "-_." for character in value):
@@ -83,12 +99,14 @@
 
 
 def text(value: object) -> str:
+    """Check that a value is text."""
     if not isinstance(value, str):
         raise ValueError("not text")
     return value
 
 
 def address(value: object) -> str:
+    """Check an IPv4 address with a port, like 10.0.0.1:8000."""
     if not isinstance(value, str):
         raise ValueError("not an address of the form 10.0.0.1:8000")
     try:
@@ -104,10 +122,12 @@
 
 
 def optional_address(value: object) -> str:
+    """Check an address that may be empty."""
     return "" if value == "" else address(value)
 
 
 def seed_addresses(value: object) -> tuple[str, ...]:
+    """Check one to three different addresses, as a list or divided by commas."""
     if isinstance(value, str):
         value = [part.strip() for part in value.split(",") if part.strip()]
     if not isinstance(value, list | tuple) or not 1 <= len(value) <= 3:
@@ -128,6 +148,7 @@
 
 
 def flag(value: object) -> bool:
+    """Check a truth value."""
     if value in (True, "true", "yes", "1"):
         return True
     if value in (False, "false", "no", "0"):
@@ -215,11 +236,14 @@
     term_seconds = Setting(1.5, number(0.3, 5), "how long an edge may serve on one term")
     beat_seconds = Setting(0.15, number(0.02, 1), "how often a leader beats to each voter")
     election_seconds = Setting(0.7, number(0.1, 5), "shortest silence before an election")
-    replace_seconds = Setting(8.0, number(0.5, 3600), "silence after which a voter is replaced")
+    replace_seconds = Setting(
+        2.0, number(0.5, 3600), "silence after which a voter is replaced by a spare"
+    )
     listing_seconds = Setting(0.3, number(0.05, 5), "how often servers are read anew")
     listing_term = Setting(1.8, number(0.3, 30), "how long a listing of servers is believed")
     gone_seconds = Setting(600.0, number(1, 86_400), "how long a lost edge is still probed")
     image_records = Setting(4000, whole(10, 10_000_000), "records between two images")
+    disk_bytes = Setting(0, whole(0, 1 << 50), "size of the data folder's disk; 0: not known")
     segment_bytes = Setting(4_194_304, whole(4096, 1 << 30), "size at which a segment is closed")
 
     head_bytes = Setting(32_768, whole(1024, 1 << 20), "longest head of an order or answer")
@@ -253,10 +277,12 @@
     verdict_seconds = Setting(1.0, number(0.05, 600), "how often verdicts are worked out")
 
     def __init__(self, values: dict[str, object]) -> None:
+        """Hold checked values by key; use `read_env` to get them checked."""
         self.values = values
 
 
 def settings_of(owner: type[Env]) -> dict[str, Setting[object]]:
+    """Return the declared settings of a class by key."""
     return {key: value for key, value in vars(owner).items() if isinstance(value, Setting)}
 
 
@@ -269,24 +295,52 @@
 
 
 def read_env(role: str, file: str, flags: Mapping[str, object]) -> Env:
-    """Settings of one role; raises EnvError with every fault."""
-    faults: list[str] = []
-    given: dict[str, object] = {}
-    if file:
-        import tomllib
+    """Read the settings of one role from a file and from flags, which go first.
 
-        try:
-            plain = Path(file).read_bytes()
-            found = json.loads(plain) if file.endswith(".json") else tomllib.loads(plain.decode())
-            if isinstance(found, dict):
-                given.update(found)
-            else:
-                faults.append(f"settings file {file}: not a table of settings")
-        except OSError as error:
-            faults.append(f"settings file {file}: {error.strerror}")
-        except ValueError as error:
-            faults.append(f"settings file {file}: {error}")
+    Args:
+        role: a key of NEEDED.
+        file: path of a JSON or TOML file, empty for none.
+        flags: values by key; None where a flag was not given.
+
+    Raises:
+        EnvError: with every fault found.
+    """
+    faults: list[str] = []
+    given = read_file(file, faults)
+    file_read = not faults
     given.update({key: value for key, value in flags.items() if value is not None})
+    values = checked_values(given, faults)
+    if file_read:
+        faults.extend(f"{key}: needed by {role}" for key in NEEDED[role] if key not in given)
+    faults.extend(faults_between(Env(values)))
+    if faults:
+        raise EnvError(faults)
+    if not values["machine"]:
+        values["machine"] = values["name"]
+    return Env(values)
+
+
+def read_file(file: str, faults: list[str]) -> dict[str, object]:
+    """Return the table of settings in a file; what is wrong with it is added to the faults."""
+    if not file:
+        return {}
+    try:
+        plain = Path(file).read_bytes()
+        found = json.loads(plain) if file.endswith(".json") else tomllib.loads(plain.decode())
+    except OSError as error:
+        faults.append(f"settings file {file}: {error.strerror}")
+        return {}
+    except ValueError as error:
+        faults.append(f"settings file {file}: {error}")
+        return {}
+    if not isinstance(found, dict):
+        faults.append(f"settings file {file}: not a table of settings")
+        return {}
+    return found
+
+
+def checked_values(given: Mapping[str, object], faults: list[str]) -> dict[str, object]:
+    """Return the value of every setting: the given one where it is sound, else the default."""
     known = settings_of(Env)
     values: dict[str, object] = {key: setting.default for key, setting in known.items()}
     for key, value in given.items():
@@ -297,16 +351,14 @@
             values[key] = known[key].check(value)
         except ValueError as error:
             faults.append(f"{key}: {error}")
-    if not faults or not any(fault.startswith("settings file") for fault in faults):
-        faults.extend(f"{key}: needed by {role}" for key in NEEDED[role] if key not in given)
-    if values["probe_timeout"] > values["probe_seconds"]:  # type: ignore[operator]
-        faults.append("probe_timeout: longer than probe_seconds")
-    if values["election_seconds"] < 3 * values["beat_seconds"]:  # type: ignore[operator]
-        faults.append("election_seconds: shorter than three beats")
-    if values["stale_weight"] > values["down_weight"]:  # type: ignore[operator]
-        faults.append("stale_weight: above down_weight")
-    if faults:
-        raise EnvError(faults)
-    if not values["machine"]:
-        values["machine"] = values["name"]
-    return Env(values)
+    return values
+
+
+def faults_between(env: Env) -> Iterator[str]:
+    """Yield the faults of settings that do not go together."""
+    if env.probe_timeout > env.probe_seconds:
+        yield "probe_timeout: longer than probe_seconds"
+    if env.election_seconds < HEARTBEATS_MISSED * env.beat_seconds:
+        yield "election_seconds: shorter than three beats"
+    if env.stale_weight > env.down_weight:
+        yield "stale_weight: above down_weight"
--- a/packages/operator/ryelock/operator/__init__.py
+++ b/packages/operator/ryelock/operator/__init__.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 from expression import Error, Ok, Result
@@ -18,8 +19,24 @@
 Plain = dict[str, object]
 
 
+class Reply(NamedTuple):
+    """What a node answered: the HTTP status and the JSON object of its body."""
+
+    status: int
+    plain: Plain
+
+
 class OperatorError(Exception):
-    """No node answered, or not in JSON."""
+    """No node answered, or not in JSON.
+
+    Attributes:
+        code: the exit code: UNKNOWN where the request may have been done, else UNREACHED.
+    """
+
+    def __init__(self, text: str, code: int = UNREACHED) -> None:
+        """Create the error; the text is for the operator."""
+        super().__init__(text)
+        self.code = code
 
 
 def ask(
@@ -29,7 +46,7 @@
     method: str,
     target: str,
     given: object = None,
-) -> Step[Result[tuple[int, Plain], OperatorError]]:
+) -> Step[Result[Reply, OperatorError]]:
     """One order to one control address: the HTTP status and the JSON answered."""
     body = b"" if given is None else json.dumps(given).encode()
     found = yield from call(
@@ -44,20 +61,22 @@
     )
     if found.is_error():
         sent = found.error.sent and method == "POST"
-        text = "outcome unknown" if sent else "not sent"
-        return Error(OperatorError(f"{address}: {found.error.reason}; {text}"))
+        text, code = ("outcome unknown", UNKNOWN) if sent else ("not sent", UNREACHED)
+        return Error(OperatorError(f"{address}: {found.error.reason}; {text}", code))
     try:
         plain = json.loads(found.ok[1])
     except ValueError:
         return Error(OperatorError(f"{address}: not JSON"))
     if not isinstance(plain, dict):
         return Error(OperatorError(f"{address}: not an object"))
-    return Ok((found.ok[0].status, plain))
+    return Ok(Reply(found.ok[0].status, plain))
 
 
 def code_of(status: int) -> int:
+    """Return the exit code for an HTTP status."""
     return CODES.get(status, DECLINED)
 
 
 def with_query(path: str, **query: str) -> str:
+    """Append query parameters to a path."""
     return f"{path}?{urlencode(query)}" if query else path
--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -3,28 +3,20 @@
 import sys
 import time
 import warnings
-from pathlib import Path
 
 import defopt
 
 warnings.filterwarnings("ignore", message="pkg_resources is deprecated")
 
-from ryelock.proving.aimed import AIMS, draw_aimed  # noqa: E402
 from ryelock.proving.cases import CASES  # noqa: E402
-from ryelock.proving.dayfile import SiteError, read_site, write_day  # noqa: E402
-from ryelock.proving.days import (  # noqa: E402
-    CoverageError,
-    coverage,
-    coverage_lines,
-    draw_days,
-)
+from ryelock.proving.catchup_measure import measure_catch_up  # noqa: E402
+from ryelock.proving.days_command import days  # noqa: E402
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
 from ryelock.proving.pieces import measure_pieces  # noqa: E402
 from ryelock.proving.run import run_fleet  # noqa: E402
 from ryelock.proving.scale import Point, Size, run_scale, table  # noqa: E402
 from ryelock.proving.schedules import run_schedule  # noqa: E402
-from ryelock.proving.troubles import KINDS, open_kinds  # noqa: E402
 
 
 def fleet(
@@ -282,46 +274,30 @@
     return 0
 
 
-def days(
-    *, site: str, out: str, count: int = 16, seed: int = 1, aim: str = "", kinds: str = ""
-) -> int:
-    """Write day files for the users' bench, drawn from a seed, and print what they cover.
-
-    Without an aim, each pair of kinds of trouble is on at least one of the days.
+def catch_up(*, changes: str = "100,400,1600", routes: str = "5,650", runs: int = 3) -> int:
+    """Measure what it costs a control node and an edge that were away to catch up.
 
-    :param site: site file of the bench
-    :param out: folder for the day files
-    :param count: how many days
-    :param seed: seed of the days
-    :param aim: one of the aims in ryelock.proving.aimed in place of pairs of kinds
-    :param kinds: only these kinds, divided by commas
+    :param changes: changes that they lack, divided by commas
+    :param routes: routes that each change sets anew, divided by commas
+    :param runs: times that each pair is measured
     """
-    if aim and aim not in AIMS:
-        sys.stderr.write(f"no aim {aim!r}; there are {', '.join(AIMS)}\n")
-        return 2
-    chosen = kinds.split(",") if kinds else []
-    unknown = [name for name in chosen if name not in KINDS]
-    if unknown:
-        sys.stderr.write(f"no kinds {', '.join(unknown)}; there are {', '.join(KINDS)}\n")
-        return 2
-    try:
-        place = read_site(Path(site))
-        drawn = (
-            draw_aimed(place, aim, count, seed) if aim else draw_days(place, count, seed, chosen)
-        )
-    except (SiteError, CoverageError, OSError) as error:
-        sys.stderr.write(f"{error}\n")
-        return 2
-    note = f"Drawn for {place.name}: count {count}, seed {seed}" + (f", aim {aim}" if aim else "")
-    for day in drawn:
-        sys.stdout.write(f"{write_day(day, note, Path(out))}\n")
-    wanted = () if aim else chosen or open_kinds(place.contracts)
-    sys.stdout.writelines(f"{line}\n" for line in coverage_lines(coverage(drawn, wanted)))
+    for route_count in whole_numbers(routes):
+        points = [
+            Point(f"{count} changes", Size(1, 1, 0, route_count))
+            for count in whole_numbers(changes)
+        ]
+        for point, count in zip(points, whole_numbers(changes), strict=True):
+            point.runs = [measure_catch_up(count, route_count) for _ in range(runs)]
+        sys.stdout.write(f"{route_count} routes\n\n{table(points, 'changes')}\n")
     return 0
 
 
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces, days], short={}))
+    sys.exit(
+        defopt.run(
+            [fleet, simulate, case, finals, measures, scale, pieces, catch_up, days], short={}
+        )
+    )
 
 
 main()
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/tenants.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field as dataclass_field
 from random import Random
 
 from ryelock.exchange import Fields, Reader, call, field, read_answer, send_order
@@ -20,64 +22,61 @@
 OPERATOR_FINAL = (200, 400, 409, 412, 413, 422)
 TRIES_MOST = 4
 MISSED_MOST = 2
+CONNECT_SECONDS = 1.0
+HEAD_MOST = 65_536
+BODY_MOST = 1 << 24
 
 
+@dataclass(slots=True, eq=False)
 class Note:
-    """One try of a caller and what it was told."""
+    """One try of a caller and what it was told.
+
+    Attributes:
+        at: monotonic time of the try.
+        edge: name of the node it was sent to.
+        kind: SAFE, UNSAFE or CACHEABLE.
+        method: HTTP method.
+        host: value of the Host field.
+        target: path with query.
+        identity: name of the try; the request's name, a dash, and the number of the try.
+        body: body that was sent.
+        deadline: seconds until the caller leaves.
+        status: status that was told, 0 without an answer.
+        fields: header fields of the answer.
+        said: body of the answer.
+        whole: whether the answer came whole.
+        end: how the try ended.
+        seconds: how long it took.
+    """
 
-    __slots__ = (
-        "at",
-        "body",
-        "deadline",
-        "edge",
-        "end",
-        "fields",
-        "host",
-        "identity",
-        "kind",
-        "method",
-        "order",
-        "said",
-        "seconds",
-        "status",
-        "target",
-        "whole",
-    )
+    at: float
+    edge: str
+    kind: str
+    method: str
+    host: str
+    target: str
+    identity: str
+    body: bytes
+    deadline: float
+    status: int = 0
+    fields: Fields = dataclass_field(default_factory=list)
+    said: bytes = b""
+    whole: bool = False
+    end: str = ""
+    seconds: float = 0.0
 
-    def __init__(
-        self,
-        at: float,
-        edge: str,
-        kind: str,
-        method: str,
-        host: str,
-        target: str,
-        identity: str,
-        body: bytes,
-        deadline: float,
-    ) -> None:
-        self.at = at
-        self.edge = edge
-        self.kind = kind
-        self.method = method
-        self.host = host
-        self.target = target
-        self.identity = identity
-        self.order = identity.rpartition("-")[0]
-        self.body = body
-        self.deadline = deadline
-        self.status = 0
-        self.fields: Fields = []
-        self.said = b""
-        self.whole = False
-        self.end = ""
-        self.seconds = 0.0
+    @property
+    def order(self) -> str:
+        """Name of the request that this is a try of."""
+        return self.identity.rpartition("-")[0]
 
     @property
     def served(self) -> bool:
+        """Whether the caller got a whole success."""
         return self.whole and 200 <= self.status < 300
 
     def field(self, name: bytes) -> bytes | None:
+        """Return a field of the answer, None where it has none."""
         return field(self.fields, name.lower())
 
 
@@ -87,6 +86,7 @@
     __slots__ = ("asked", "fronts", "missed", "network", "readiness", "scheduler", "zones")
 
     def __init__(self, scheduler: Scheduler, network: Network) -> None:
+        """Create an entrance without nodes."""
         self.scheduler = scheduler
         self.network = network
         self.fronts: dict[str, str] = {}
@@ -96,16 +96,19 @@
         self.asked = 0
 
     def add(self, name: str, zone: str, front: str, readiness: str) -> None:
+        """Add a node by its request and readiness addresses; it starts as not ready."""
         self.fronts[name], self.readiness[name], self.zones[name] = front, readiness, zone
         self.missed[name] = MISSED_MOST
 
     def work(self) -> Step[None]:
+        """Check every node's readiness each second."""
         while True:
             for name in self.fronts:
                 self.scheduler.spawn(f"asks {name}", self.ask(name))
             yield from self.scheduler.pause(1.0)
 
     def ask(self, name: str) -> Step[None]:
+        """Check one node's readiness."""
         found = yield from call(
             self.scheduler, self.network, self.readiness[name], b"GET", b"/readiness", [], b"", 0.9
         )
@@ -150,6 +153,7 @@
         notes: list[Note],
         seed: int = 0,
     ) -> None:
+        """Create a caller of a zone; its tries are appended to `notes`."""
         self.scheduler = scheduler
         self.network = network
         self.words = words
@@ -163,6 +167,7 @@
         self.reader: Reader | None = None
 
     def close(self) -> None:
+        """Close the kept connection."""
         if self.link is not None:
             self.link.close()
             self.link = None
@@ -201,6 +206,7 @@
             yield from self.scheduler.pause(min(back, left / 3))
 
     def may_try_again(self, note: Note) -> bool:
+        """Tell whether the rules let the caller send the request again."""
         if note.whole and (200 <= note.status < 400 or note.status in FINAL):
             return False
         if note.kind == UNSAFE:
@@ -208,47 +214,59 @@
         return True
 
     def one_try(self, note: Note, until: float, given: Fields) -> Step[None]:
-        front = self.entrance.fronts[note.edge]
-        link, reader = self.link, self.reader
-        if link is None or reader is None or link.ended or link.peer != front:
+        """Send one try and fill in its note."""
+        connected = yield from self.connect(self.entrance.fronts[note.edge], until)
+        if connected is None:
+            note.end = "no link"
             self.close()
-            link = self.link = self.network.connect(front)
-            reader = self.reader = Reader(self.scheduler, link)
-            if not (yield from link.open(min(1.0, max(0.0, until - self.scheduler.now())))):
-                note.end = "no link"
-                self.close()
-                return
-        dialect = self.words.dialect
-        left = max(1, int((until - self.scheduler.now()) * 1000))
-        send_order(
-            link,
-            note.method.encode(),
-            note.target.encode(),
-            [
-                (b"Host", note.host.encode()),
-                (dialect.identity, note.identity.encode()),
-                (dialect.deadline, b"%d" % left),
-                *given,
-            ],
-            note.body,
-        )
+            return
+        link, reader = connected
+        fields = self.fields_of(note, until, given)
+        send_order(link, note.method.encode(), note.target.encode(), fields, note.body)
         try:
-            found = yield from read_answer(reader, note.method.encode(), 65_536, until)
-            if found.is_error():
-                note.end = found.error.reason
-                self.close()
-                return
-            answer = found.ok
-            note.status, note.fields = answer.head.status, answer.head.fields
-            note.said = yield from answer.body.whole(1 << 24, until)
-            note.whole = True
-            note.end = "whole"
-            if not answer.keep or not 200 <= note.status < 300:
-                self.close()
+            keep = yield from self.take_answer(reader, note, until)
         except (Cut, Late, FramingError) as error:
             note.end = type(error).__name__
+            keep = False
+        if not keep:
             self.close()
 
+    def connect(self, front: str, until: float) -> Step[tuple[Link, Reader] | None]:
+        """Return the kept connection to a node, else a new one; None where it does not open."""
+        link, reader = self.link, self.reader
+        if link is not None and reader is not None and not link.ended and link.peer == front:
+            return link, reader
+        self.close()
+        link = self.link = self.network.connect(front)
+        reader = self.reader = Reader(self.scheduler, link)
+        left = max(0.0, until - self.scheduler.now())
+        opened = yield from link.open(min(CONNECT_SECONDS, left))
+        return (link, reader) if opened else None
+
+    def fields_of(self, note: Note, until: float, given: Fields) -> Fields:
+        """Return the header fields of a try: its identity, its deadline, and the given ones."""
+        dialect = self.words.dialect
+        left = max(1, int((until - self.scheduler.now()) * 1000))
+        return [
+            (b"Host", note.host.encode()),
+            (dialect.identity, note.identity.encode()),
+            (dialect.deadline, b"%d" % left),
+            *given,
+        ]
+
+    def take_answer(self, reader: Reader, note: Note, until: float) -> Step[bool]:
+        """Read the answer into the note; return whether the connection may be kept."""
+        found = yield from read_answer(reader, note.method.encode(), HEAD_MOST, until)
+        if found.is_error():
+            note.end = found.error.reason
+            return False
+        answer = found.ok
+        note.status, note.fields = answer.head.status, answer.head.fields
+        note.said = yield from answer.body.whole(BODY_MOST, until)
+        note.whole = True
+        note.end = "whole"
+        return answer.keep and 200 <= note.status < 300
+
 
 class OperatorCaller:
     """Sends what it sends unchanged, to any node, until it gets a clear answer."""
@@ -256,6 +274,7 @@
     __slots__ = ("network", "nodes", "random", "scheduler")
 
     def __init__(self, scheduler: Scheduler, network: Network, seed: int = 0) -> None:
+        """Create an operator that knows no node yet."""
         self.scheduler = scheduler
         self.network = network
         self.nodes: list[str] = []
@@ -264,6 +283,7 @@
     def once(
         self, node: str, method: bytes, place: bytes, fields: Fields, body: bytes
     ) -> Step[tuple[int, bytes]]:
+        """Send one request to a node; status 0 where no answer came."""
         found = yield from call(
             self.scheduler, self.network, node, method, place, fields, body, 5.0
         )
@@ -272,6 +292,7 @@
     def send(
         self, method: bytes, place: bytes, fields: Fields, body: bytes = b"", seconds: float = 20.0
     ) -> Step[tuple[int, bytes]]:
+        """Send until a clear answer comes; return the last status and body."""
         until = self.scheduler.now() + seconds
         pause = 0.1
         status, said = 0, b""
