--- a/packages/proving/ryelock/proving/troubles.py
+++ b/packages/proving/ryelock/proving/troubles.py
@@ -273,6 +273,7 @@
     __slots__ = ("_random", "_rest")
 
     def __init__(self, random: Random) -> None:
+        """Deal with a source of randomness; no variant is dealt yet."""
         self._random = random
         self._rest: dict[tuple[str, ...], list[str]] = {}
 
