Test of a failed sync: the disk takes nothing more until the restart

The test cut the record off again since a member whose write fails now tries to compact; a disk with input and output errors refuses that as well. The assertions stay.

--- a/tests/test_control_cases.py
+++ b/tests/test_control_cases.py
@@ -1,7 +1,7 @@
 """The control plane under isolation: each case holds, and fails without its mechanism."""
 
-from collections.abc import Callable, Generator
-from contextlib import AbstractContextManager, ExitStack
+from collections.abc import Callable, Generator, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 from typing import Any
 from unittest import mock
 
@@ -19,6 +19,7 @@
 
 Patch = AbstractContextManager[Any]
 SEEDS = range(len(ISOLATIONS))
+DISK_WRITES = ("append", "sync", "truncate", "write_whole")
 
 
 def confirmed_at_once(_council: Council, _seconds: float) -> Generator[Any, None, bool]:
@@ -148,7 +149,7 @@
         other, third = [core for core in scenario.cores if core != leader]
         folder = scenario.node(leader).folder
         assert folder is not None
-        with mock.patch.object(SimFolder, "sync", failing_sync(folder)):
+        with failing_after_sync(folder):
             change = route_change("unsynced", 1)
             status, _ = scenario.ask_now("POST", "/changes", change, leader)
             for core in scenario.cores:
@@ -162,12 +163,23 @@
         self.assertFalse(scenario.node(third).alive)
 
 
-def failing_sync(failing: SimFolder) -> Callable[[SimFolder, str], None]:
-    plain = SimFolder.sync
+@contextmanager
+def failing_after_sync(failing: SimFolder) -> Iterator[None]:
+    """A disk whose syncs fail, and which takes no other write or cut once one has failed."""
+    failed = False
+    plain = {name: getattr(SimFolder, name) for name in DISK_WRITES}
 
-    def sync(folder: SimFolder, name: str) -> None:
-        if folder is failing:
-            raise FolderError("input/output error")
-        plain(folder, name)
+    def write(name: str) -> Callable[..., None]:
+        def act(folder: SimFolder, *arguments: Any) -> None:
+            nonlocal failed
+            failed = failed or (folder is failing and name == "sync")
+            if folder is failing and failed:
+                raise FolderError("input/output error")
+            plain[name](folder, *arguments)
 
-    return sync
+        return act
+
+    with ExitStack() as stack:
+        for name in DISK_WRITES:
+            stack.enter_context(mock.patch.object(SimFolder, name, write(name)))
+        yield
