Council: the last entries an image replaced are retained for replicas a little behind

Cause: an image is written right after its last entry was applied, before anybody was told of it; so at each image every edge, and a follower with its answer under way, lacked one entry and was sent a whole image. Up to 1 MiB of entries stays in memory; nothing is kept over a restart.

--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -22,20 +22,45 @@
 )
 from ryelock.journal import Journal
 
+RETAINED_BYTES = 1_048_576
+"""The most bytes of entries kept in memory behind the image that replaced them."""
+ENTRY_OVERHEAD_BYTES = 32
+
 
 def epoch_of(entry: Entry) -> int:
     """The key by which a log's entries are in order."""
     return entry.epoch
 
 
+def last_of(entries: list[Entry], most: int) -> list[Entry]:
+    """The last entries that come to so many bytes at most."""
+    size = 0
+    for place in range(len(entries) - 1, -1, -1):
+        size += len(entries[place].data) + ENTRY_OVERHEAD_BYTES
+        if size > most:
+            return entries[place + 1 :]
+    return entries
+
+
 class ReplicatedLog:
     """Entries with indexes from `image.index + 1` up to `last_index`, without a gap.
 
     `epoch` and `voted` are the current epoch and the disk that got this member's vote in it
     (empty: none). `promise_noted` says that the member may have promised to follow no leader.
+    `retained` are the last entries that the image replaced, kept in memory for replicas that are
+    only a little behind; they end at the image's index and are gone after a restart.
     """
 
-    __slots__ = ("entries", "epoch", "image", "journal", "promise_noted", "restored", "voted")
+    __slots__ = (
+        "entries",
+        "epoch",
+        "image",
+        "journal",
+        "promise_noted",
+        "restored",
+        "retained",
+        "voted",
+    )
 
     def __init__(self, journal: Journal) -> None:
         stored = Stored(journal.image, journal.records)
@@ -45,6 +70,7 @@
         journal.records = []
         self.image = stored.image
         self.entries = stored.entries
+        self.retained: list[Entry] = []
         self.epoch = stored.epoch
         self.voted = stored.voted
         self.promise_noted = stored.promised
@@ -61,14 +87,24 @@
         return not self.restored and not self.entries and self.epoch == 0
 
     def epoch_at(self, index: int) -> int:
-        """The epoch of the entry at an index from `image.index` to `last_index`."""
+        """The epoch of the entry at an index that is retained, the image's or behind it."""
         if index == self.image.index:
             return self.image.epoch
         return self.entry_at(index).epoch
 
     def entry_at(self, index: int) -> Entry:
-        """The entry at an index behind the image."""
-        return self.entries[index - self.image.index - 1]
+        """The entry at an index that is retained or behind the image."""
+        place = index - self.image.index - 1
+        return self.entries[place] if place >= 0 else self.retained[place]
+
+    @property
+    def retained_from(self) -> int:
+        """The first index that is retained; the one behind the image where none is."""
+        return self.image.index + 1 - len(self.retained)
+
+    def reaches_back(self, index: int) -> bool:
+        """Whether the entry at an index is known, or is the last that the image replaced."""
+        return index >= min(self.retained_from, self.image.index)
 
     def entries_from(self, index: int) -> list[Entry]:
         """All entries from an index on; the index lies behind the image."""
@@ -106,7 +142,9 @@
 
         Both indexes lie within the log, and all up to the last were applied here.
         """
-        between = self.entries[index - self.image.index : last - self.image.index]
+        between = self.entries[max(0, index - self.image.index) : last - self.image.index]
+        if index < self.image.index:
+            between = self.retained[index - self.image.index :] + between
         return [
             (entry.index, entry.data)
             for entry in between
@@ -162,8 +200,12 @@
         return True
 
     def compact(self, image: Image) -> bool:
-        """Put an image of this log's own entries in their place."""
-        return self.replace_start(image, self.entries_from(image.index + 1))
+        """Put an image of this log's own entries in their place; the last of them are retained."""
+        replaced = self.retained + self.entries[: image.index - self.image.index]
+        if not self.replace_start(image, self.entries_from(image.index + 1)):
+            return False
+        self.retained = last_of(replaced, RETAINED_BYTES)
+        return True
 
     def install(self, image: Image) -> bool:
         """Take a leader's image, which reaches farther than what this member has applied.
@@ -172,7 +214,10 @@
         it stay: they were acknowledged, and a leader may count on them.
         """
         agrees = self.holds(image.index, image.epoch)
-        return self.replace_start(image, self.entries_from(image.index + 1) if agrees else [])
+        if not self.replace_start(image, self.entries_from(image.index + 1) if agrees else []):
+            return False
+        self.retained = []
+        return True
 
     def replace_start(self, image: Image, kept: list[Entry]) -> bool:
         records = [
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -31,7 +31,7 @@
     majority_of,
     voters_of,
 )
-from ryelock.council.log import ReplicatedLog
+from ryelock.council.log import ENTRY_OVERHEAD_BYTES, ReplicatedLog
 from ryelock.council.membership import VOTERS_MOST
 from ryelock.council.transfer import (
     IMAGE_PIECE_BYTES,
@@ -56,7 +56,6 @@
 BATCH_BYTES = 1_048_576
 """The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
 BATCH_BYTES_LEAST = 16_384
-ENTRY_OVERHEAD_BYTES = 32
 IMAGE_PIECE_SECONDS = 2.0
 """How long a leader waits for the answer to one piece of an image."""
 APPLY_ENTRIES = 64
@@ -325,7 +324,7 @@
 
     def words_since(self, index: int) -> list[tuple[int, bytes]] | None:
         """Applied words behind an index, or None where only an image can tell."""
-        if index < self.base.index or index > self.applied:
+        if index + 1 < self.replicated_log.retained_from or index > self.applied:
             return None
         return self.replicated_log.words_between(index, self.applied)
 
@@ -795,7 +794,7 @@
 
         An image that has begun to cross is finished, also when a newer one was written since.
         """
-        if peer.outgoing is None and peer.next <= self.base.index:
+        if peer.outgoing is None and not self.replicated_log.reaches_back(peer.next - 1):
             peer.outgoing = OutgoingImage(self.base)
         if peer.outgoing is None:
             return self.beat_message(peer)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok
 
 from ryelock.council.entries import WORD, Entry, Image
-from ryelock.council.log import ReplicatedLog
+from ryelock.council.log import RETAINED_BYTES, ReplicatedLog
 from ryelock.council.seat import BATCH_BYTES, BATCH_BYTES_LEAST, Council, Pace, Peer
 from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
 from ryelock.events import QuietLog
@@ -204,6 +204,41 @@
         lab.peer.next = 1
         return lab
 
+    def test_a_replica_a_little_behind_a_new_image_gets_entries(self) -> None:
+        """Every edge and the slower follower were sent a whole image whenever one was written."""
+        lab = Lab()
+        for council in (lab.leader, lab.follower):
+            self.assertTrue(council.replicated_log.append(entries(1, 200, 1)))
+        lab.lead(2)
+        lab.leader.commit = 200
+        while lab.leader.applied < 200:
+            lab.leader.apply_committed()
+        lab.peer.next = 199
+        lab.leader.write_image()
+        self.assertEqual((200, []), (lab.leader.base.index, lab.leader.entries))
+        since = lab.leader.words_since(197)
+        self.assertEqual([198, 199, 200], [index for index, _ in since or []])
+        self.assertEqual("council.beat", lab.round()["kind"])
+        self.assertEqual(200, lab.peer.match)
+
+    def test_retained_entries_are_bounded_and_end_with_a_restart(self) -> None:
+        lab = Lab()
+        log = lab.leader.replicated_log
+        for last in range(100, 1100, 100):
+            self.assertTrue(log.append(entries(last - 99, last, 1, 10_000)))
+            self.assertTrue(log.compact(Image(last, 1, {}, b"", last)))
+        size = sum(len(entry.data) for entry in log.retained)
+        self.assertTrue(RETAINED_BYTES // 2 < size < RETAINED_BYTES, size)
+        self.assertEqual(1000, log.retained[-1].index)
+        self.assertEqual(log.retained_from, log.retained[0].index)
+        self.assertFalse(log.reaches_back(log.retained_from - 1))
+        self.assertTrue(log.reaches_back(log.retained_from))
+        self.assertIsNone(lab.leader.words_since(log.retained_from - 2))
+        again = lab.council("leader", lab.leader.journal.folder)  # type: ignore[arg-type]
+        self.assertEqual((1000, []), (again.base.index, again.replicated_log.retained))
+        self.assertTrue(again.replicated_log.reaches_back(1000))
+        self.assertFalse(again.replicated_log.reaches_back(999))
+
     def test_an_image_crosses_in_pieces_also_over_a_slow_link(self) -> None:
         lab = self.with_image(3_000_000)
         pieces: list[int] = []
@@ -231,6 +266,7 @@
         lab = self.with_image(1_000_000)
         lab.round()
         self.assertTrue(lab.leader.replicated_log.compact(Image(110, 1, {}, b"x" * 900_000, 110)))
+        lab.leader.replicated_log.retained = []
         while lab.follower.applied == 0:
             lab.round()
         self.assertEqual(100, lab.follower.base.index)
