--- a/packages/council/ryelock/council/compaction.py
+++ b/packages/council/ryelock/council/compaction.py
@@ -42,14 +42,13 @@
     def due(self, journal: Journal) -> bool:
         """Whether an image should be written now.
 
-        A journal that could not be written to may stand on a full disk: there an image is due as
-        soon as it makes the journal smaller.
+        On a disk that took no more an image is due as soon as it makes the journal smaller.
         """
         most = journal_bytes_most(journal.image_bytes, self.disk_bytes)
         wanted = (
             journal.written > self.records_most
             or journal.replay_bytes > most
-            or (journal.broken and journal.replay_bytes > journal.image_bytes)
+            or (journal.full and journal.replay_bytes > journal.image_bytes)
         )
         waited = (
             journal.replay_bytes >= self.not_before_bytes
--- a/packages/journal/ryelock/journal/__init__.py
+++ b/packages/journal/ryelock/journal/__init__.py
@@ -57,12 +57,14 @@
 
     `size` is the length of the current segment that is known to be good. `written` and
     `replay_bytes` count the records, and the bytes of their frames, that a replay would read
-    besides the image; `image_bytes` is the size of the image's file.
+    besides the image; `image_bytes` is the size of the image's file. `full` says that the disk took
+    not all of the last write; a sync that failed does not set it.
     """
 
     __slots__ = (
         "broken",
         "folder",
+        "full",
         "image",
         "image_bytes",
         "log",
@@ -87,6 +89,7 @@
         self.replay_bytes = 0
         self.written = 0
         self.broken = False
+        self.full = False
         self.rotation_due = False
 
     def write(self, records: list[bytes]) -> Result[None, JournalError]:
@@ -98,7 +101,9 @@
                 self.start_segment()
             name = segment_name(self.segment)
             self.broken = True
+            self.full = True
             self.folder.append(name, data)
+            self.full = False
             self.folder.sync(name)
             self.broken = False
         except FolderError as error:
