--- a/packages/proving/ryelock/proving/answer_cases.py
+++ b/packages/proving/ryelock/proving/answer_cases.py
@@ -59,11 +59,13 @@
     __slots__ = ("event", "kind", "moment")
 
     def __init__(self, kind: Kind, moment: Moment, event: Event) -> None:
+        """Name one cell of the table."""
         self.kind = kind
         self.moment = moment
         self.event = event
 
     def __str__(self) -> str:
+        """Return the cell's place in the table."""
         return f"{self.kind.value} / {self.moment.value} / {self.event.value}"
 
 
@@ -84,6 +86,7 @@
     )
 
     def __init__(self, fleet: AnswerFleet, kind: Kind, name: str, target: str, told: Told) -> None:
+        """Collect what the servers saw of a request that was answered."""
         arrivals = fleet.arrivals(name)
         self.kind = kind
         self.name = name
@@ -133,6 +136,7 @@
         self.following = following
 
     def faults(self) -> list[str]:
+        """Return what broke a rule, one text each; empty where nothing did."""
         found = [*self.asked.faults(), *self.following.faults()]
         idle = self.cell.moment is Moment.IDLE
         served_at_once = self.asked.told.status == 200 and self.asked.sends == 1
@@ -167,6 +171,7 @@
 
 
 def ask_one(fleet: AnswerFleet, kind: Kind, name: str) -> Asked:
+    """Send one request of a kind and wait for its answer."""
     method, path = TARGETS[kind]
     target = f"{path}/{name}"
     more: Fields = [(b"Idempotency-Key", name.encode())] if kind is Kind.KEYED else []
@@ -181,6 +186,7 @@
 
 
 def ignore(fleet: AnswerFleet, name: str) -> Step[None]:
+    """Send a request whose answer nobody looks at."""
     yield from fleet.ask(name, "GET", f"/plain/{name}")
 
 
--- a/packages/proving/ryelock/proving/catchup.py
+++ b/packages/proving/ryelock/proving/catchup.py
@@ -40,6 +40,7 @@
     """The operator: what was acknowledged, by version, and what it was told in between."""
 
     def __init__(self, scenario: Scenario, found: Findings) -> None:
+        """Start at version 1, with nothing acknowledged."""
         self.scenario = scenario
         self.found = found
         self.version = 1
@@ -55,6 +56,7 @@
             yield from self.scenario.operators.scheduler.pause(PAUSE_SECONDS)
 
     def write_one(self, number: int) -> Step[None]:
+        """Send one change until it is acknowledged or the run ends."""
         name, path = f"many-{number % ROUTES}", f"/many/{number}"
         put: dict[str, object] = {"routes": {name: {"path": path, "service": "pages"}}}
         while self.going:
@@ -76,6 +78,7 @@
     """The run; each step waits for the operator's progress, never for a length of time alone."""
 
     def __init__(self, seed: int) -> None:
+        """Build the fleet of a seed; nothing runs yet."""
         self.found = Findings()
         self.scenario = Scenario(
             seed, edges=1, probers=0, settings={"image_records": IMAGE_RECORDS}
@@ -83,6 +86,7 @@
         self.writer = Writer(self.scenario, self.found)
 
     def council(self, name: str) -> Council:
+        """Return the consensus member of a running control node."""
         return self.scenario.node(name).core.council
 
     def run_until_written(self, count: int) -> bool:
@@ -110,6 +114,7 @@
         return level
 
     def play(self) -> Findings:
+        """Run the whole case."""
         scenario = self.scenario
         scenario.set_up()
         scenario.operators.scheduler.spawn("writer", self.writer.write())
--- a/packages/proving/ryelock/proving/catchup_measure.py
+++ b/packages/proving/ryelock/proving/catchup_measure.py
@@ -89,6 +89,7 @@
 
 
 def apply_all(council: Council) -> None:
+    """Apply everything that is committed."""
     while council.applied < council.commit:
         council.apply_committed()
 
--- a/packages/proving/ryelock/proving/loss_cases.py
+++ b/packages/proving/ryelock/proving/loss_cases.py
@@ -42,6 +42,7 @@
 
 
 def every_loss() -> list[Loss]:
+    """Return each kind of loss of each role."""
     return [Loss(kind, role) for kind in LOSS_KINDS for role in ROLES]
 
 
--- a/packages/watch/ryelock/watch/probe.py
+++ b/packages/watch/ryelock/watch/probe.py
@@ -13,6 +13,7 @@
 
 import hashlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ryelock.exchange import (
     Dialect,
@@ -25,11 +26,12 @@
 )
 from ryelock.exchange.heads import FramingError
 from ryelock.exchange.reading import Cut, Late
-from ryelock.loop import Network, Scheduler, Step
+from ryelock.loop import Link, Network, Scheduler, Step
 from ryelock.register import Watch
 
 MARKED_BYTES = 64
 RANGE = b"bytes=0-1023"
+HEAD_MOST = 65_536
 BODY_MOST = 16_777_216
 GONE = tuple(f"manifest status {status}" for status in (401, 403, 404, 410))
 UNSEALED = "no server's seal"
@@ -41,59 +43,51 @@
     return hashlib.sha256(repr(watch).encode()).hexdigest()[:12]
 
 
+@dataclass(slots=True, eq=False)
 class Row:
-    """What one probe came to; the source's tuple and where it is from."""
-
-    __slots__ = (
-        "age",
-        "edge",
-        "error",
-        "machine",
-        "manifest_valid",
-        "mark",
-        "object_fetchable",
-        "outside",
-        "prober",
-        "reachable",
-        "sequence",
-        "taken",
-        "ttfb",
-        "wall",
-        "watch",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        prober: str,
-        machine: str,
-        sequence: int,
-        zone: str,
-        edge: str,
-        watch: str,
-        outside: bool,
-        wall: float,
-        mark: str,
-    ) -> None:
-        self.mark = mark
-        self.prober = prober
-        self.machine = machine
-        self.sequence = sequence
-        self.zone = zone
-        self.edge = edge
-        self.watch = watch
-        self.outside = outside
-        self.wall = wall
-        self.taken = 0.0
-        self.reachable = False
-        self.manifest_valid = False
-        self.object_fetchable = False
-        self.age: float | None = None
-        self.ttfb: float | None = None
-        self.error = ""
+    """What one probe came to; the source's tuple and where it is from.
+
+    The probe fills it in step by step.
+
+    Attributes:
+        prober: name of the probing node.
+        machine: machine it runs on.
+        sequence: number of the probe at this prober.
+        zone: zone of the edge.
+        edge: name of the edge.
+        watch: name of the watch.
+        outside: whether the edge stands in another zone than the prober.
+        wall: seconds since 1970 by the prober's clock.
+        mark: tells this watch from another of its name, see `watch_mark`.
+        taken: monotonic time at which the probe began, by this process's clock.
+        reachable: whether the edge answered.
+        manifest_valid: whether the first step succeeded.
+        object_fetchable: whether the second step succeeded.
+        age: age of the served object in seconds, None where unknown.
+        ttfb: milliseconds to the first byte of the manifest, None without an answer.
+        error: why a step failed, empty where none did.
+    """
+
+    prober: str
+    machine: str
+    sequence: int
+    zone: str
+    edge: str
+    watch: str
+    outside: bool
+    wall: float
+    mark: str
+    taken: float = 0.0
+    reachable: bool = False
+    manifest_valid: bool = False
+    object_fetchable: bool = False
+    age: float | None = None
+    ttfb: float | None = None
+    error: str = ""
 
     @property
     def failed(self) -> bool:
+        """Whether a step of the probe failed."""
         return not (self.reachable and self.manifest_valid and self.object_fetchable)
 
     @property
@@ -123,6 +117,7 @@
         ]
 
     def shown(self) -> dict[str, object]:
+        """Return the row as the record of decisions shows it, under the source's names."""
         return {
             "prober": self.prober,
             "machine": self.machine,
@@ -176,9 +171,11 @@
     __slots__ = ("newer_since",)
 
     def __init__(self) -> None:
+        """Start with no newer object known."""
         self.newer_since: float | None = None
 
     def age(self, fresh: bytes | None, served: bytes | None, now: float) -> float | None:
+        """Return for how long the served ETag has been outdated; None without both ETags."""
         if fresh is None or served is None:
             return None
         if fresh == served:
@@ -189,15 +186,21 @@
         return now - self.newer_since
 
 
+@dataclass(frozen=True, slots=True)
 class Fetched:
-    __slots__ = ("at", "fields", "first_byte", "start", "status")
+    """What one fetch of a probe brought.
 
-    def __init__(self) -> None:
-        self.status = 0
-        self.fields: Fields = []
-        self.start = b""
-        self.first_byte = 0.0
-        self.at = 0.0
+    Attributes:
+        status: HTTP status.
+        fields: header fields.
+        start: the body's first MARKED_BYTES bytes, or more.
+        at: monotonic time at which the head had come.
+    """
+
+    status: int
+    fields: Fields
+    start: bytes
+    at: float
 
 
 class ProbeFailed(Exception):
@@ -222,6 +225,17 @@
         prober: str,
         dialect: Dialect,
     ) -> None:
+        """Prepare a probe.
+
+        Args:
+            scheduler: clock and timers.
+            network: where connections are opened.
+            address: host:port of the edge.
+            watch: what to fetch and how to judge its age.
+            timeout: deadline of the whole probe in seconds.
+            prober: the prober's name and mark, which the edge checks.
+            dialect: field names of the deployment.
+        """
         self.dialect = dialect
         self.scheduler = scheduler
         self.network = network
@@ -240,7 +254,7 @@
                 self.watch.manifest or self.watch.object, [(b"Cache-Control", b"no-cache")], until
             )
             row.reachable = True
-            row.ttfb = round((manifest.first_byte - started) * 1000, 1)
+            row.ttfb = round((manifest.at - started) * 1000, 1)
             row.error = self.manifest_fault(manifest)
             if row.error:
                 return
@@ -259,6 +273,7 @@
             row.error = str(error)
 
     def manifest_fault(self, manifest: Fetched) -> str:
+        """Return what is wrong with the manifest; empty where nothing is."""
         if manifest.status != 200:
             crowded = field(manifest.fields, b"x-ryelock-outcome") == CROWD
             return CROWDED if crowded else f"manifest status {manifest.status}"
@@ -272,6 +287,7 @@
         return ""
 
     def sealed(self, fetched: Fetched) -> bool:
+        """Tell whether the answer bears the server's seal, where the deployment has one."""
         seal = self.dialect.seal.lower()
         return not seal or field(fetched.fields, seal) is not None
 
@@ -298,44 +314,13 @@
         return None if age is None else round(age, 1)
 
     def fetch(self, target: str, fields: Fields, until: float) -> Step[Fetched]:
+        """Fetch one target over a connection of its own; raises ProbeFailed."""
         link = self.network.connect(self.address)
-        fetched = Fetched()
         try:
             if not (yield from link.open(max(0.0, until - self.scheduler.now()))):
                 raise ProbeFailed("timeout" if self.scheduler.now() >= until else "no link")
-            host = self.watch.host or self.address
-            if self.dialect.deadline:
-                left = max(1, int((until - self.scheduler.now()) * 1000))
-                fields = [*fields, (self.dialect.deadline, b"%d" % left)]
-            send_order(
-                link,
-                b"GET",
-                target.encode(),
-                [
-                    (b"Host", host.encode()),
-                    (b"X-Ryelock-Probe", self.prober.encode()),
-                    *fields,
-                    (b"Connection", b"close"),
-                ],
-                b"",
-            )
-            reader = Reader(self.scheduler, link)
-            found = yield from read_answer(reader, b"GET", 65_536, until)
-            if found.is_error():
-                raise ProbeFailed(found.error.reason)
-            fetched.first_byte = fetched.at = self.scheduler.now()
-            fetched.status = found.ok.head.status
-            fetched.fields = found.ok.head.fields
-            total = 0
-            while True:
-                piece = yield from found.ok.body.piece(until)
-                if not piece and found.ok.body.over:
-                    return fetched
-                total += len(piece)
-                if total > BODY_MOST:
-                    raise ProbeFailed("body too large")
-                if len(fetched.start) < MARKED_BYTES:
-                    fetched.start += piece[:MARKED_BYTES]
+            send_order(link, b"GET", target.encode(), self.fields_with(fields, until), b"")
+            return (yield from self.read_fetched(link, until))
         except Cut:
             raise ProbeFailed("answer cut") from None
         except Late:
@@ -344,3 +329,30 @@
             raise ProbeFailed(error.reason) from None
         finally:
             link.close()
+
+    def fields_with(self, fields: Fields, until: float) -> Fields:
+        """Return the header fields of a request: the given ones and those every probe bears."""
+        host = self.watch.host or self.address
+        found = [(b"Host", host.encode()), (b"X-Ryelock-Probe", self.prober.encode()), *fields]
+        if self.dialect.deadline:
+            left = max(1, int((until - self.scheduler.now()) * 1000))
+            found.append((self.dialect.deadline, b"%d" % left))
+        return [*found, (b"Connection", b"close")]
+
+    def read_fetched(self, link: Link, until: float) -> Step[Fetched]:
+        """Read an answer to its end; only the body's first bytes are kept."""
+        answer = yield from read_answer(Reader(self.scheduler, link), b"GET", HEAD_MOST, until)
+        if answer.is_error():
+            raise ProbeFailed(answer.error.reason)
+        head, body, at = answer.ok.head, answer.ok.body, self.scheduler.now()
+        start = b""
+        total = 0
+        while True:
+            piece = yield from body.piece(until)
+            if not piece and body.over:
+                return Fetched(head.status, head.fields, start, at)
+            total += len(piece)
+            if total > BODY_MOST:
+                raise ProbeFailed("body too large")
+            if len(start) < MARKED_BYTES:
+                start += piece[:MARKED_BYTES]
