--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -347,10 +347,13 @@
         return size > len(self.last_edge_image or self.edge_image())
 
     def edge_image(self) -> bytes:
-        """The register's image for edges, made once for all that ask at one index."""
-        if self.last_edge_image_index != self.council.applied or not self.last_edge_image:
+        """The register's image for edges, made once for all that ask between two words.
+
+        Notes, which edges are not told of, leave it as it is.
+        """
+        if self.last_edge_image_index != self.council.applied_word or not self.last_edge_image:
             self.last_edge_image = self.register.image_for_edges()
-            self.last_edge_image_index = self.council.applied
+            self.last_edge_image_index = self.council.applied_word
         return self.last_edge_image
 
     def shares(
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -513,6 +513,7 @@
         entries = [entry_of(plain) for plain in listed(message["entries"])]
         if not self.store(entries):
             return {**answer, "failed": True}
+        self.incoming = None
         reached = previous + len(entries)
         self.advance(min(whole(message["commit"]), reached))
         said = message.get("said")
--- a/tests/test_edge_catchup.py
+++ b/tests/test_edge_catchup.py
@@ -9,7 +9,7 @@
 from test_replication import Lab
 
 from ryelock.core.renewals import WORDS_BYTES_SMALL, Renewals
-from ryelock.council.entries import WORD, Entry
+from ryelock.council.entries import NOTE, WORD, Entry
 from ryelock.council.seat import Council
 from ryelock.register import Register, encode_word
 
@@ -94,4 +94,17 @@
         with mock.patch.object(Register, "image_for_edges", counted):
             for _ in range(20):
                 self.assertIn("image", renewals.words({"register": 1}))
-        self.assertEqual(1, made.count)
+            council = renewals.council
+            note = encode_word("claim", key=b"key", order="order")
+            self.assertTrue(council.store([Entry(council.last_index + 1, 1, NOTE, note)]))
+            council.advance(council.last_index)
+            answer = renewals.words({"register": 1})
+            self.assertEqual((1, council.applied), (made.count, answer["index"]))
+            word = encode_word("drain", id="d", target="edge", on=True)
+            self.assertTrue(council.store([Entry(council.last_index + 1, 1, WORD, word)]))
+            council.advance(council.last_index)
+            edge = Register()
+            answer = renewals.words({"register": 1})
+            assert isinstance(answer["image"], bytes)
+            edge.restore(answer["image"])
+        self.assertEqual((2, {"edge"}), (made.count, set(edge.drains)))
