--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -290,8 +290,29 @@
                     seen.add(key)
                     outcomes += 1
                     self.check(files, writer, faults)
+            outcomes += self.check_killed(writer, faults)
         return outcomes
 
+    def check_killed(self, writer: Writer, told: object) -> int:
+        """The process dies, another opens what it left, and then power is lost.
+
+        Opening the folder syncs its names, as `MachineFolder` does; what the second process read
+        it may have answered for, so none of it may be lost.
+        """
+        folder = writer.folder
+        folder.faults = {}
+        folder.sync_names()
+        journal = Writer(folder, []).open()
+        assert journal is not None
+        found = state_of(journal)
+        count = 0
+        for files in folder.after_power_loss():
+            again = Writer(folder_of(files), []).open()
+            assert again is not None
+            self.assertEqual(found, state_of(again), str(told))
+            count += 1
+        return count
+
     def test_nothing_acknowledged_is_lost_or_changed_at_any_point(self) -> None:
         self.assertTrue(self.play_all() > 10_000)
 
