--- a/packages/allowance/ryelock/allowance/divide.py
+++ b/packages/allowance/ryelock/allowance/divide.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 WINDOW = 5.0
 OVER = 0.08
@@ -30,6 +31,7 @@
     __slots__ = ("at", "room", "wanting")
 
     def __init__(self, now: float) -> None:
+        """Create an empty well; `now` is monotonic time in seconds."""
         self.at = now
         self.room = 0.0
         self.wanting: dict[str, float] = {}
@@ -41,10 +43,12 @@
         self.at = now
 
     def others_wanting(self, edge: str, now: float) -> int:
+        """Count the other edges that lately had requests waiting."""
         return sum(name != edge and now - at < WANTING_SECONDS for name, at in self.wanting.items())
 
 
 def most_room(rate: float) -> float:
+    """Return how many requests a well of this rate may save up."""
     return max(1.0, WELL_SECONDS * rate)
 
 
@@ -59,6 +63,7 @@
 
 
 def is_narrow(rate: float, burst: float, edges: int) -> bool:
+    """Tell whether too little of a rate is left to give each of so many edges a share."""
     return usable(rate, burst, edges) < NARROW * rate
 
 
@@ -79,15 +84,31 @@
     return max(0.0, usable(rate, burst, edges) - 0.2 * rate) / max(1, edges)
 
 
+class Grant(NamedTuple):
+    """Whole requests granted to an edge of a narrow service.
+
+    Attributes:
+        granted: requests that may be sent now.
+        expected: requests a second that the edge may expect.
+        found: requests that it may find granted at once when it asks again.
+    """
+
+    granted: int
+    expected: float
+    found: float
+
+
 class Given:
     """Shares an edge may be spending: each with the moment it ends."""
 
     __slots__ = ("shares",)
 
     def __init__(self) -> None:
+        """Create a record without shares."""
         self.shares: list[tuple[float, float]] = []
 
     def largest(self, now: float) -> float:
+        """Return the largest share that has not expired, in requests per second."""
         self.shares = [(share, ends) for share, ends in self.shares if ends > now]
         return max((share for share, _ in self.shares), default=0.0)
 
@@ -98,11 +119,13 @@
     __slots__ = ("demands", "given", "wells")
 
     def __init__(self) -> None:
+        """Create a divider that knows no edge and no service."""
         self.given: dict[str, dict[str, Given]] = {}
         self.demands: dict[str, dict[str, float]] = {}
         self.wells: dict[str, Well] = {}
 
     def report(self, edge: str, demand: dict[str, float]) -> None:
+        """Note an edge's demand, in requests per second by service."""
         for service, amount in demand.items():
             self.demands.setdefault(service, {})[edge] = amount
 
@@ -136,8 +159,8 @@
         holding: float,
         now: float,
         fresh: bool,
-    ) -> tuple[int, float, float]:
-        """Orders granted to an edge now, what it may expect a second, and what it may find at once.
+    ) -> Grant:
+        """Return what is granted to an edge now and what it may expect.
 
         Nothing before a new leader knows what others hold.
         """
@@ -152,7 +175,7 @@
         granted = min(wanted, int(well.room))
         well.room -= granted
         part = 1 + well.others_wanting(edge, now)
-        return granted, steady_rate(rate) / part, int(well.room) / part
+        return Grant(granted, steady_rate(rate) / part, int(well.room) / part)
 
     def soon(self, service: str, rate: float, now: float) -> float:
         """Seconds until a narrow service's well has an order to grant."""
@@ -197,21 +220,28 @@
         last = max((until for _, until in mine.shares), default=ends)
         mine.shares = [(holding, max(last, now))]
         others = sum(given.largest(now) for name, given in shares.items() if name != edge)
-        demands = self.demands.get(service, {})
-        weights = {name: max(LEAST_DEMAND, demands.get(name, 0.0)) for name in edges}
-        total = sum(weights.values()) or 1.0
         most = usable(rate, burst, len(edges))
-        mine_of_it = weights.get(edge, LEAST_DEMAND)
-        if total < most:
-            wanted = mine_of_it + (most - total) / max(1, len(edges))
-        else:
-            wanted = most * mine_of_it / total
+        wanted = self.wanted_share(service, edge, edges, most)
         given = max(0.0, min(wanted, most - others))
         mine.shares.append((given, ends))
-        for name in [
-            name
-            for name, other in shares.items()
-            if name != edge and other.largest(now) == 0.0 and name not in edges
-        ]:
-            del shares[name]
+        forget_ended(shares, {edge, *edges}, now)
         return given
+
+    def wanted_share(self, service: str, edge: str, edges: list[str], most: float) -> float:
+        """Return an edge's part of the rate `most`, by the demand of all edges."""
+        demands = self.demands.get(service, {})
+        weights = {name: max(LEAST_DEMAND, demands.get(name, 0.0)) for name in edges}
+        total = sum(weights.values()) or 1.0
+        mine = weights.get(edge, LEAST_DEMAND)
+        if total < most:
+            return mine + (most - total) / max(1, len(edges))
+        return most * mine / total
+
+
+def forget_ended(shares: dict[str, Given], present: set[str], now: float) -> None:
+    """Drop the records of edges that are gone and whose shares have all ended."""
+    ended = [
+        name for name, given in shares.items() if name not in present and not given.largest(now)
+    ]
+    for name in ended:
+        del shares[name]
--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -7,8 +7,10 @@
 from ryelock.loop import Step
 from ryelock.proving.answer_cases import foreign_answer, silent_server
 from ryelock.proving.callers import Caller, Told
+from ryelock.proving.catchup import many_changes
 from ryelock.proving.checks import Findings
 from ryelock.proving.control_cases import CONTROL_CASES
+from ryelock.proving.loss_cases import LOSS_CASES
 from ryelock.proving.scenario import Scenario
 from ryelock.proving.simulated import SimNode
 from ryelock.proving.standins import CUT, DEAF, FAILING, LONG, LOST, SHORT, WRONG
@@ -707,7 +709,9 @@
     "crash-claim": crash_claim,
     "crash-image": crash_image,
     "crash-voters": crash_voters,
+    "many-changes": many_changes,
     "foreign-answer": foreign_answer,
     "silent-server": silent_server,
     **CONTROL_CASES,
+    **LOSS_CASES,
 }
--- a/packages/watch/ryelock/watch/prober.py
+++ b/packages/watch/ryelock/watch/prober.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from ryelock.exchange import Dialect
 from ryelock.loop import Mailbox, Network, Running, Scheduler, Step
@@ -18,28 +19,41 @@
 ROWS_KEPT = 4000
 
 
+@dataclass(frozen=True, slots=True)
 class Target:
-    """An edge to be probed for a watch."""
-
-    __slots__ = ("address", "edge", "mark", "outside", "watch", "watch_name", "zone")
-
-    def __init__(
-        self, zone: str, edge: str, address: str, watch_name: str, watch: Watch, outside: bool
-    ) -> None:
-        self.zone = zone
-        self.edge = edge
-        self.address = address
-        self.watch_name = watch_name
-        self.watch = watch
-        self.outside = outside
-        self.mark = watch_mark(watch)
+    """An edge to be probed for a watch.
+
+    Attributes:
+        zone: zone of the edge.
+        edge: name of the edge.
+        address: host:port where the edge takes requests.
+        watch_name: name of the watch.
+        watch: what to fetch.
+        outside: whether the edge stands in another zone than the prober.
+        mark: tells this watch from another of its name.
+    """
+
+    zone: str
+    edge: str
+    address: str
+    watch_name: str
+    watch: Watch
+    outside: bool
+    mark: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work out the mark."""
+        object.__setattr__(self, "mark", watch_mark(self.watch))
 
     @property
     def key(self) -> tuple[str, str, str]:
+        """What tells targets apart: edge, watch and the watch's mark."""
         return self.edge, self.watch_name, self.mark
 
 
 class Prober:
+    """Runs the probes of one node and keeps their rows."""
+
     __slots__ = (
         "cadence",
         "daters",
@@ -77,6 +91,22 @@
         targets: Callable[[], list[Target]],
         dialect: Dialect | None = None,
     ) -> None:
+        """Create a prober; `start` makes it run.
+
+        Args:
+            scheduler: clock and timers.
+            network: where connections are opened.
+            name: name of this node.
+            mark: secret of this node's session, by which edges know its probes.
+            machine: machine this node runs on.
+            zone: zone of this node.
+            cadence: seconds between two probes of one target.
+            timeout: deadline of one probe in seconds.
+            flight: most probes at once.
+            span: seconds for which rows are kept.
+            targets: returns the present targets.
+            dialect: field names of the deployment.
+        """
         self.dialect = dialect or Dialect()
         self.scheduler = scheduler
         self.network = network
@@ -98,11 +128,13 @@
         self.tasks: list[Running] = []
 
     def start(self) -> None:
+        """Start probing."""
         for _ in range(self.flight):
             self.room.put(True)
         self.tasks.append(self.scheduler.spawn("prober", self.work()))
 
     def stop(self) -> None:
+        """Cancel all probes."""
         for running in self.tasks:
             running.cancel()
 
@@ -134,6 +166,7 @@
             yield from self.scheduler.pause(min(1.0, self.cadence / 10))
 
     def probe(self, target: Target) -> Step[None]:
+        """Probe one target and keep the row, unless the service was only overloaded."""
         self.sequence += 1
         row = Row(
             self.name,
