proving: seven more modules documented; shapes and notes of checkers are dataclasses

Cause: accounts, callers, checks, landlord, load, shapes and standins were in the list of modules without docstring rules, and nobody else changes them now.

Ruled out: a frozen Probed, since a test plants violations by changing one.

Conclusion: left in proving: __main__, cases, finals, scenario, schedules, simulated.

--- a/packages/proving/ryelock/proving/accounts.py
+++ b/packages/proving/ryelock/proving/accounts.py
@@ -26,6 +26,7 @@
     __slots__ = ("cpu", "descriptors", "disk", "memory", "sockets")
 
     def __init__(self, number: int, traffic: dict[int, Traffic]) -> None:
+        """Read the accounts of a running process; `traffic` is what `read_traffic` gave."""
         folder = Path(f"/proc/{number}")
         fields = (folder / "stat").read_text().rpartition(")")[2].split()
         self.cpu = (int(fields[11]) + int(fields[12])) / TICKS
@@ -61,6 +62,7 @@
     )
 
     def __init__(self, before: Account | None, after: Account) -> None:
+        """Take the difference; without an earlier account the process was started since."""
         self.cpu = after.cpu - (before.cpu if before is not None else 0.0)
         self.disk = after.disk - (before.disk if before is not None else 0)
         self.memory = after.memory
--- a/packages/proving/ryelock/proving/callers.py
+++ b/packages/proving/ryelock/proving/callers.py
@@ -34,6 +34,7 @@
     )
 
     def __init__(self, at: float, edge: str, method: str, target: str, identity: str) -> None:
+        """Create the note of a request that has no answer yet; `at` is monotonic seconds."""
         self.at = at
         self.edge = edge
         self.method = method
@@ -63,6 +64,7 @@
         notes: list[Told],
         seconds: float = 15.0,
     ) -> None:
+        """Create a caller whose requests are given up after so many seconds."""
         self.scheduler = scheduler
         self.network = network
         self.random = random
@@ -72,6 +74,7 @@
         self.reader: Reader | None = None
 
     def close(self) -> None:
+        """Close the kept connection."""
         if self.link is not None:
             self.link.close()
             self.link = None
@@ -132,4 +135,5 @@
 
 
 def text(fields: Fields, name: bytes) -> str:
+    """Return a field's value as text, empty where there is none."""
     return (field(fields, name) or b"").decode("latin-1")
--- a/packages/proving/ryelock/proving/checks.py
+++ b/packages/proving/ryelock/proving/checks.py
@@ -4,6 +4,8 @@
 violation for each of them.
 """
 
+from dataclasses import dataclass
+
 from ryelock.proving.callers import Told
 from ryelock.proving.standins import Objects, Ran, body_for
 
@@ -15,16 +17,21 @@
 
 
 class Findings:
+    """What checkers looked at, by rule, and what they found broken."""
+
     __slots__ = ("checked", "violations")
 
     def __init__(self) -> None:
+        """Create findings of nothing."""
         self.checked: dict[str, int] = {}
         self.violations: list[str] = []
 
     def look(self, rule: str, count: int = 1) -> None:
+        """Count what was looked at for a rule."""
         self.checked[rule] = self.checked.get(rule, 0) + count
 
     def broken(self, rule: str, text: str) -> None:
+        """Note a violation of a rule."""
         self.violations.append(f"{rule}: {text}")
 
 
@@ -123,6 +130,7 @@
     __slots__ = ("asked", "identity", "mark", "status", "told", "version")
 
     def __init__(self, identity: str, mark: str, asked: float) -> None:
+        """Create the note of a change that is not answered yet."""
         self.identity = identity
         self.mark = mark
         self.asked = asked
@@ -137,6 +145,7 @@
     __slots__ = ("revision", "target", "told")
 
     def __init__(self, target: str, revision: int) -> None:
+        """Create the note of a purge that is not acknowledged yet."""
         self.target = target
         self.revision = revision
         self.told = 1e9
@@ -260,48 +269,34 @@
 
 
 def revision_of(body: bytes) -> int | None:
+    """Return the revision that a body is of; None where it is no object's."""
     parts = body.split(b" ", 4)
     if len(parts) < 5 or parts[0] != b"OBJECT" or not parts[3].isdigit():
         return None
     return int(parts[3])
 
 
+@dataclass(frozen=True, slots=True)
 class Down:
-    """A down verdict as the record showed it."""
-
-    __slots__ = ("at", "edges", "targets", "zone")
+    """A down verdict as the record showed it, with the rows it rests on by target."""
 
-    def __init__(
-        self, at: float, zone: str, edges: list[str], targets: list[dict[str, object]]
-    ) -> None:
-        self.at = at
-        self.zone = zone
-        self.edges = edges
-        self.targets = targets
+    at: float
+    zone: str
+    edges: list[str]
+    targets: list[dict[str, object]]
 
 
+@dataclass(slots=True, eq=False)
 class Probed:
     """One probe as its prober kept it, on the world's time."""
 
-    __slots__ = ("at", "edge", "failed", "machine", "prober", "sequence", "watch")
-
-    def __init__(
-        self,
-        at: float,
-        edge: str,
-        watch: str,
-        machine: str,
-        prober: str,
-        sequence: int,
-        failed: bool,
-    ) -> None:
-        self.at = at
-        self.edge = edge
-        self.watch = watch
-        self.machine = machine
-        self.prober = prober
-        self.sequence = sequence
-        self.failed = failed
+    at: float
+    edge: str
+    watch: str
+    machine: str
+    prober: str
+    sequence: int
+    failed: bool
 
 
 QUORUM = 3
--- a/packages/proving/ryelock/proving/landlord.py
+++ b/packages/proving/ryelock/proving/landlord.py
@@ -91,6 +91,7 @@
         describe: Describe,
         table: Table,
     ) -> None:
+        """Set how the platform spells things."""
         self.dialect = dialect
         self.life = life
         self.listing = listing
@@ -130,6 +131,17 @@
         work_seconds: float = 0.02,
         size: int = 600,
     ) -> None:
+        """Create a service.
+
+        Args:
+            name: name of the service.
+            rate: requests a second above which a server answers 429.
+            slots: requests that a server runs at once.
+            queue: requests that wait at a server for a slot.
+            hangs: whether a full server says nothing instead of 503.
+            work_seconds: how long a request runs.
+            size: bytes of an object.
+        """
         self.name = name
         self.rate = rate
         self.slots = slots
@@ -151,6 +163,7 @@
         return len(self.taken) > self.rate
 
     def body(self, target: str, revision: int) -> bytes:
+        """Return the body of an object at a revision."""
         return body_for(self.name, target, revision, self.objects.size)
 
     def seal(self, target: str, revision: int) -> bytes:
@@ -179,6 +192,7 @@
     )
 
     def __init__(self, at: float, life: "ServerLife", exchange: Exchange, body: bytes) -> None:
+        """Note a request as it reached a server."""
         head = exchange.head
         dialect = life.words.dialect
         self.at = at
@@ -203,6 +217,7 @@
     __slots__ = ()
 
     def greet(self, link: Link) -> None:
+        """Accept a connection, or reset it where there are too many."""
         if len(self.links) >= self.limits.links_most:
             link.abort()
             return
@@ -247,6 +262,7 @@
         history: list[Arrival],
         cold_seconds: float = 0.0,
     ) -> None:
+        """Start a server at an address; it is slow for so many seconds."""
         self.scheduler = scheduler
         self.words = words
         self.service = service
@@ -290,6 +306,7 @@
     # One order.
 
     def serve(self, exchange: Exchange) -> Step[None]:
+        """Serve one request as the manner says."""
         try:
             body = yield from exchange.whole_body()
         except (Cut, Late):
@@ -331,6 +348,7 @@
         return 503 if manner == FULL else 0
 
     def decline(self, exchange: Exchange, arrival: Arrival, status: int) -> Step[None]:
+        """Answer that a request was not run."""
         dialect = self.words.dialect
         arrival.status = status
         fields = self.named(arrival)
@@ -351,6 +369,7 @@
         return fields
 
     def tell_fitness(self, exchange: Exchange, until: float) -> Step[None]:
+        """Answer a readiness check; it needs a slot as a request does."""
         why = yield from self.enter(min(until, self.scheduler.now() + 1.0))
         if not why:
             self.leave()
@@ -378,6 +397,7 @@
         return "" if found else "late"
 
     def leave(self) -> None:
+        """Give the slot to the next request that waits, or free it."""
         if self.waiting:
             self.waiting.popleft().put(True)
         else:
@@ -386,6 +406,7 @@
     # Running.
 
     def run(self, exchange: Exchange, arrival: Arrival, manner: str, until: float) -> Step[None]:
+        """Run one request, and answer as the manner says."""
         arrival.ran = True
         now = self.scheduler.now()
         cold = COLD_FACTOR if now < self.cold_until else 1.0
@@ -468,6 +489,7 @@
 
 
 def raw_answer(status: int, fields: Fields, body: bytes) -> bytes:
+    """Return a whole answer as bytes."""
     lines = [
         b"HTTP/1.1 %d OK" % status,
         *(name + b": " + value for name, value in fields),
@@ -508,6 +530,18 @@
         rate: float = 50.0,
         page_size: int = 50,
     ) -> None:
+        """Start the list's listener.
+
+        Args:
+            scheduler: clock and timers.
+            network: where to listen.
+            log: event log.
+            words: how the platform spells things.
+            address: host:port to listen at.
+            lag: seconds by which the list is behind.
+            rate: requests a second above which it answers 429.
+            page_size: servers on a page.
+        """
         self.scheduler = scheduler
         self.words = words
         self.lag = lag
@@ -527,6 +561,7 @@
     # What happens to servers; the list shows it later.
 
     def show(self, life: ServerLife) -> None:
+        """List a server as ready."""
         self.lives[life.identifier] = life
         self.shown.append((self.scheduler.now(), life.identifier, "ready"))
 
@@ -559,6 +594,7 @@
         return found
 
     def over_rate(self) -> bool:
+        """Count one more request of this second and tell whether it is too much."""
         now = self.scheduler.now()
         while self.taken and self.taken[0] <= now - 1.0:
             self.taken.popleft()
@@ -566,6 +602,7 @@
         return len(self.taken) > self.rate
 
     def serve(self, exchange: Exchange) -> Step[None]:
+        """Serve one request for a page of the list."""
         self.calls += 1
         if self.silent:
             yield from self.scheduler.pause(FOREVER)
@@ -588,6 +625,7 @@
         yield from exchange.answer(200, [(b"Content-Type", b"application/json")], body)
 
     def page(self, start: int, zone: str) -> bytes:
+        """Return the page that begins at a position, of one zone or of all."""
         now = self.scheduler.now()
         states = {
             identifier: state
--- a/packages/proving/ryelock/proving/load.py
+++ b/packages/proving/ryelock/proving/load.py
@@ -15,6 +15,7 @@
 from ryelock.loop.reactor import Reactor
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.fleet import FAST
+from ryelock.proving.reactors import run_to_end
 from ryelock.proving.run import Run
 from ryelock.proving.shapes import SHAPES
 
@@ -33,6 +34,7 @@
 
 
 def closed_loop(run: Run, edge: str, kind: str, number: int, until: float) -> Step[None]:
+    """Send requests of a kind, each after the answer to the one before."""
     method, path, objects = KINDS[kind]
     notes: list[Told] = []
     caller = Caller(run.scheduler, run.reactor, run.random, notes)
@@ -55,6 +57,7 @@
 
 
 def drive(run: Run, seconds: float) -> Step[dict[str, object]]:
+    """Bring the fleet up, drive one edge by each kind, and return what that cost."""
     good = yield from run.bring_up()
     services = run.shape.configuration["services"]
     assert good and isinstance(services, dict)
@@ -80,24 +83,22 @@
 
 
 def main() -> None:
-    def fault(task: str, error: BaseException) -> None:
-        sys.stderr.write(f"{task}: {error!r}\n")
-        reactor.stop()
-
-    reactor = Reactor(fault)
+    """Run it all and print the outcome as JSON."""
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
-        run = Run(SHAPES["small"](), Path(folder), reactor, 1, dict(FAST))
+        runs: list[Run] = []
 
-        def whole() -> Step[None]:
-            found = yield from drive(run, 5.0)
-            sys.stdout.write(json.dumps(found) + "\n")
-            reactor.stop()
+        def begin(reactor: Reactor) -> Step[dict[str, object]]:
+            runs.append(Run(SHAPES["small"](), Path(folder), reactor, 1, dict(FAST)))
+            return drive(runs[0], 5.0)
 
-        reactor.scheduler.spawn("load", whole())
         try:
-            reactor.run()
+            ended = run_to_end(begin)
         finally:
-            run.fleet.stop()
+            for run in runs:
+                run.fleet.stop()
+    sys.stderr.writelines(f"{fault}\n" for fault in ended.faults)
+    if ended.result is not None:
+        sys.stdout.write(json.dumps(ended.result) + "\n")
 
 
 if __name__ == "__main__":
--- a/packages/proving/ryelock/proving/shapes.py
+++ b/packages/proving/ryelock/proving/shapes.py
@@ -4,52 +4,70 @@
 their counts of machines, zones, disks and servers and at their mix of orders.
 """
 
+from dataclasses import dataclass
 
+
+@dataclass(frozen=True, slots=True)
 class Machine:
-    __slots__ = ("disk", "name", "probe", "prober", "zone")
+    """One machine of a shape.
+
+    Attributes:
+        name: name of the machine.
+        zone: zone it stands in.
+        disk: whether it has a disk and so runs a control node.
+        prober: whether it runs a prober.
+        probe: whether its edge also probes.
+    """
 
-    def __init__(self, name: str, zone: str, disk: bool, prober: bool, probe: bool) -> None:
-        self.name = name
-        self.zone = zone
-        self.disk = disk
-        self.prober = prober
-        self.probe = probe
+    name: str
+    zone: str
+    disk: bool
+    prober: bool
+    probe: bool
 
 
+@dataclass(frozen=True, slots=True)
 class Kind:
-    """One kind of order in the mix."""
+    """One kind of request in the mix.
 
-    __slots__ = ("body", "method", "objects", "part", "path")
+    Attributes:
+        part: its fraction of all requests.
+        method: HTTP method.
+        path: path that the object's number is appended to.
+        objects: how many different objects are asked for.
+        body: bytes of the request's body.
+    """
 
-    def __init__(self, part: float, method: str, path: str, objects: int, body: int = 0) -> None:
-        self.part = part
-        self.method = method
-        self.path = path
-        self.objects = objects
-        self.body = body
+    part: float
+    method: str
+    path: str
+    objects: int
+    body: int = 0
 
 
+@dataclass(frozen=True, slots=True)
 class Shape:
-    __slots__ = ("configuration", "kinds", "machines", "name", "rate", "servers")
-
-    def __init__(
-        self,
-        name: str,
-        machines: list[Machine],
-        servers: dict[str, int],
-        configuration: dict[str, object],
-        kinds: list[Kind],
-        rate: float,
-    ) -> None:
-        self.name = name
-        self.machines = machines
-        self.servers = servers
-        self.configuration = configuration
-        self.kinds = kinds
-        self.rate = rate
+    """Machines, servers, configuration and traffic of one fleet.
+
+    Attributes:
+        name: name of the shape.
+        machines: all machines.
+        servers: number of upstream servers by service.
+        configuration: what is applied first.
+        kinds: the mix of requests.
+        rate: requests a second from all callers.
+    """
+
+    name: str
+    machines: list[Machine]
+    servers: dict[str, int]
+    configuration: dict[str, object]
+    kinds: list[Kind]
+    rate: float
 
     @property
     def zones(self) -> list[str]:
+        """Names of all zones, sorted."""
         return sorted({machine.zone for machine in self.machines})
 
 
@@ -69,6 +87,7 @@
 
 
 def small() -> Shape:
+    """Return the shape of the quick start."""
     machines = [
         Machine("core-1", "north", True, False, False),
         Machine("core-2", "south", True, False, False),
@@ -108,6 +127,7 @@
 
 
 def buchfalter() -> Shape:
+    """Return the shape of the first deployment."""
     configuration: dict[str, object] = {
         "services": {"catalogue": {"rate": 200}, "orders": {"rate": 60, "flight": 32}},
         "routes": {
@@ -158,6 +178,7 @@
 
 
 def wanjiru() -> Shape:
+    """Return the shape of the second deployment."""
     configuration: dict[str, object] = {
         "services": {"pages": {"rate": 800}, "desks": {"rate": 80, "flight": 32}},
         "routes": {
--- a/packages/proving/ryelock/proving/standins.py
+++ b/packages/proving/ryelock/proving/standins.py
@@ -63,6 +63,7 @@
         probe: bool,
         revision: int,
     ) -> None:
+        """Note a request that a server ran, with the revision it answered."""
         self.at = at
         self.service = service
         self.address = address
@@ -81,14 +82,17 @@
     __slots__ = ("changed_at", "revisions", "size")
 
     def __init__(self, size: int = 2000) -> None:
+        """Create objects of so many bytes, all at revision 0."""
         self.size = size
         self.revisions: dict[str, int] = {}
         self.changed_at: dict[str, float] = {}
 
     def revision(self, target: str) -> int:
+        """Return the present revision of an object."""
         return self.revisions.get(target, 0)
 
     def change(self, target: str, wall: float) -> None:
+        """Give an object its next revision; `wall` is seconds since 1970."""
         self.revisions[target] = self.revision(target) + 1
         self.changed_at[target] = wall
 
@@ -122,6 +126,7 @@
         objects: Objects,
         history: list[Ran],
     ) -> None:
+        """Start a server at an address; what it runs is added to the history."""
         self.scheduler = scheduler
         self.service = service
         self.objects = objects
@@ -151,6 +156,7 @@
             link.abort()
 
     def serve(self, exchange: Exchange) -> Step[None]:
+        """Serve one request as the manner says."""
         head = exchange.head
         try:
             yield from exchange.whole_body()
@@ -216,6 +222,7 @@
             exchange.finish()
 
     def fields(self, target: str, revision: int) -> Fields:
+        """Return the header fields of an object's answer."""
         wall = self.scheduler.clock.wall() + self.clock_error
         fields: Fields = [(b"Content-Type", b"application/octet-stream")]
         if self.dated:
@@ -236,6 +243,7 @@
     __slots__ = ("address", "door", "scheduler", "servers", "shown_since", "silent")
 
     def __init__(self, scheduler: Scheduler, network: Network, log: Log, address: str) -> None:
+        """Start the list's listener at an address."""
         self.scheduler = scheduler
         self.servers: dict[str, dict[str, object]] = {}
         self.shown_since: list[tuple[float, str, str, bool]] = []
@@ -246,6 +254,7 @@
     def show(
         self, service: str, address: str, zone: str, incarnation: int, leaving: bool = False
     ) -> None:
+        """List a server, or change how it is listed."""
         self.servers[address] = {
             "service": service,
             "address": address,
@@ -256,10 +265,12 @@
         self.shown_since.append((self.scheduler.now(), service, address, leaving))
 
     def hide(self, address: str) -> None:
+        """Take a server off the list."""
         if self.servers.pop(address, None) is not None:
             self.shown_since.append((self.scheduler.now(), "", address, True))
 
     def serve(self, exchange: Exchange) -> Step[None]:
+        """Serve one request for the list."""
         if self.silent:
             exchange.cut()
             return
