--- /dev/null
+++ b/packages/proving/ryelock/proving/fleet_faults.py
@@ -0,0 +1,221 @@
+"""Faults of a fleet of real processes, one after another, each mended before the next.
+
+The leader is killed, a zone dies, processes freeze, many are killed at once, a crowd comes, copies
+grow stale, and at last every process is restarted in turn.
+"""
+
+import signal
+import statistics
+
+from ryelock.loop import Step
+from ryelock.proving.callers import Caller
+from ryelock.proving.fleet import wait_ready
+from ryelock.proving.fleet_run import Run
+
+CROWD_MOST = 400
+
+
+def with_faults(run: Run) -> Step[None]:
+    """A killed leader, a dead zone, a rolling restart."""
+    leader = yield from run.leader()
+    if leader is not None:
+        leader.signal(signal.SIGKILL)
+        killed = run.scheduler.now()
+        while run.scheduler.now() < killed + 30:
+            status, _ = yield from run.change(
+                f"after-{run.scheduler.now()}",
+                2,
+                put={
+                    "routes": {
+                        "later": {"path": "/later", "service": next(iter(run.shape.servers))}
+                    }
+                },
+            )
+            if status == 200:
+                break
+            yield from run.scheduler.pause(0.1)
+        run.report["change_after_leader_lost"] = round(run.scheduler.now() - killed, 2)
+        leader.start()
+        yield from wait_ready(run.scheduler, run.reactor, leader, 30)
+    zone = run.shape.zones[-1]
+    dead = [process for process in run.fleet.of_role("edge") if process.zone == zone]
+    for process in dead:
+        process.signal(signal.SIGKILL)
+    down = yield from run.wait_verdict(zone, "down", 60)
+    run.report["dead_zone_found_after"] = None if down is None else round(down, 2)
+    for process in dead:
+        process.start()
+        yield from wait_ready(run.scheduler, run.reactor, process, 30)
+    healthy = yield from run.wait_verdict(zone, "healthy", 60)
+    run.report["zone_back_after"] = None if healthy is None else round(healthy, 2)
+    yield from with_frozen(run)
+    yield from with_many_killed(run)
+    yield from with_crowd(run)
+    yield from with_stale_copies(run, zone)
+    before = run.scheduler.now()
+    run.report["restarted"] = yield from run.rolling_restart()
+    run.report["during_restart"] = run.summary(before)
+
+
+def first_service(run: Run) -> str:
+    """Return the name of the shape's first service."""
+    return next(iter(run.shape.servers))
+
+
+def change_soon(run: Run, name: str, seconds: float) -> Step[float | None]:
+    """Return the seconds until a change is acknowledged, None where it is not.
+
+    It is retried under its id; under a new one where another change came first, since the
+    outcome of an id stays.
+    """
+    started = run.scheduler.now()
+    identity = name
+    while run.scheduler.now() < started + seconds:
+        _, answer = yield from run.operator("GET", "/configuration")
+        base = answer.get("version")
+        status, _ = yield from run.change(
+            identity,
+            base if isinstance(base, int) else 0,
+            put={"routes": {name: {"path": f"/{name}", "service": first_service(run)}}},
+        )
+        if status == 200:
+            return round(run.scheduler.now() - started, 2)
+        if status == 409:
+            identity += "+"
+        yield from run.scheduler.pause(0.1)
+    return None
+
+
+def with_frozen(run: Run) -> Step[None]:
+    """The leader and then an edge stop running while their links stand, and wake late."""
+    found: dict[str, object] = {}
+    leader = yield from run.leader()
+    for what, process in (("leader", leader), ("edge", run.fleet.of_role("edge")[0])):
+        if process is None:
+            continue
+        run.frozen.add(process.name)
+        process.signal(signal.SIGSTOP)
+        found[f"change_with_{what}_frozen"] = yield from change_soon(run, f"frozen-{what}", 20)
+        yield from run.scheduler.pause(2.0)
+        process.signal(signal.SIGCONT)
+        run.frozen.discard(process.name)
+        yield from wait_ready(run.scheduler, run.reactor, process, 20)
+    run.report["frozen"] = found
+
+
+def with_many_killed(run: Run) -> Step[None]:
+    """A minority of the cores, half of the edges and a prober at once, midway through a change."""
+    cores, edges = run.fleet.of_role("core"), run.fleet.of_role("edge")
+    leader = yield from run.leader()
+    lost = [core for core in cores if core is not leader][: (min(len(cores), 5) - 1) // 2 - 1]
+    lost += edges[::2] + run.fleet.of_role("prober")[:1] + ([leader] if leader else [])
+    run.scheduler.spawn("midway", midway(run))
+    yield from run.scheduler.pause(0.004)
+    for process in lost:
+        process.signal(signal.SIGKILL)
+    acknowledged = yield from change_soon(run, "many-killed", 20)
+    for process in lost:
+        process.start()
+    for process in lost:
+        yield from wait_ready(run.scheduler, run.reactor, process, 30)
+    run.report["many_killed"] = {"processes": len(lost), "change_after": acknowledged}
+
+
+def midway(run: Run) -> Step[None]:
+    """Send one change, whatever becomes of it."""
+    yield from change_soon(run, "midway", 0.0)
+
+
+def with_crowd(run: Run) -> Step[None]:
+    """Send ten times the rate for some seconds, whatever becomes of earlier requests.
+
+    A caller whose request fails retries it once, at once.
+    """
+    before = run.scheduler.now()
+    until = before + 6.0
+    number = 0
+    while run.scheduler.now() < until:
+        for _ in range(max(1, int(run.shape.rate * 10 * 0.05))):
+            if number - run.crowd_over < CROWD_MOST:
+                number += 1
+                run.scheduler.spawn("crowd", in_crowd(run, number))
+        yield from run.scheduler.pause(0.05)
+    while number > run.crowd_over and run.scheduler.now() < until + 20:
+        yield from run.scheduler.pause(0.1)
+    told = [one for one in run.notes if one.at >= before and one.identity.startswith("x")]
+    declined = [one for one in told if one.whole and one.status in (429, 503)]
+    run.report["crowd"] = {
+        "came": number,
+        "whole_200": sum(one.whole and one.status == 200 for one in told),
+        "declined": len(declined),
+        "declined_without_retry_after": sum(not one.retry_after for one in declined),
+        "decline_median_ms": round(statistics.median([one.seconds for one in declined]) * 1000, 1)
+        if declined
+        else None,
+    }
+    yield from run.scheduler.pause(2.0)
+
+
+def in_crowd(run: Run, number: int) -> Step[None]:
+    """Send a request of one impatient caller, and once more where it failed."""
+    try:
+        ready = sorted(run.ready)
+        if not ready:
+            return
+        edge = run.fleet.processes[run.random.choice(ready)].order
+        kind = run.pick_kind()
+        caller = Caller(run.scheduler, run.reactor, run.random, run.notes, 10.0)
+        target = f"{kind.path}{run.random.randrange(kind.objects)}"
+        for turn in range(2):
+            fields = [(b"X-Retry-Count", b"%d" % turn)] if turn and kind.method == "GET" else []
+            identity = f"x{number}" if kind.method == "GET" else f"x{number}-{turn}"
+            told = yield from caller.order(
+                edge, kind.method, target, identity, fields, b"x" * kind.body
+            )
+            if told.status == 200:
+                break
+        caller.close()
+    finally:
+        run.crowd_over += 1
+
+
+def with_stale_copies(run: Run, zone: str) -> Step[None]:
+    """An object changes under copies that live long: stale by its watch, until it is purged."""
+    service = next(iter(run.shape.servers))
+    _, answer = yield from run.operator("GET", "/configuration")
+    version = int(str(answer.get("version", 0)))
+    status, _ = yield from run.change(
+        "aged",
+        version,
+        put={
+            "routes": {
+                "aged": {
+                    "path": "/aged",
+                    "service": service,
+                    "cached": True,
+                    "lifetime_seconds": 600,
+                }
+            },
+            "watches": {
+                "aged": {
+                    "route": "aged",
+                    "object": "/aged/watched",
+                    "dating": "etag",
+                    "stale_seconds": 2,
+                }
+            },
+        },
+    )
+    yield from run.scheduler.pause(8.0)
+    run.objects[service].change("/aged/watched", run.scheduler.clock.wall())
+    stale = yield from run.wait_verdict(zone, "stale", 60)
+    purged, _ = yield from run.operator(
+        "POST", "/purges", {"id": "purge-aged", "scopes": [{"path": "/aged/watched"}]}
+    )
+    healthy = yield from run.wait_verdict(zone, "healthy", 60)
+    run.report["stale_zone"] = {
+        "change": status,
+        "purge": purged,
+        "found_after": stale,
+        "healthy_after_purge": healthy,
+    }
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -1,39 +1,25 @@
-"""Hollow nodes: many to a process, each with a real session over links of its own.
+"""Hollow nodes: many to a process, each with a real session over connections of its own.
 
-A hollow node is an edge's `Member`, `Register` and `Lines` without the edge: it renews, follows
-words and images, says a demand, holds its shares, acknowledges by its vector, and tells rows of
-probes that it only made up. It takes no orders. The process answers the runner's asks over the
-wire: what its nodes have reached and when (the machine's monotonic clock, which all processes
-share), and how many asks they sent.
+The process answers the runner's messages: what its nodes (hollow_node.py) have reached and when
+(the machine's monotonic clock, which all processes share), and how many messages they sent.
 """
 
 import json
 import sys
-import time
-from collections import Counter, deque
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import cbor2
 from dacite import Config, from_dict
-from expression import Result
 
-from ryelock.edge.member import Member
-from ryelock.events import TERM_LAPSED, Event, QuietLog
 from ryelock.loop import Network, Scheduler, Step
 from ryelock.loop.reactor import Reactor
+from ryelock.proving.hollow_node import DEMAND, CountedLog, Counts, HollowHost, HollowNode
 from ryelock.proving.reactors import run_to_end
-from ryelock.register import Register
-from ryelock.roster import Listing, Session
-from ryelock.watch import Row
-from ryelock.watch.probe import watch_mark
-from ryelock.wire import Door, Lines, Message, Reply, WireError
-
-REACHED_KEPT = 4000
-ROWS_MOST = 200
+from ryelock.wire import Door, Message, Reply
+
 ROWS_SECONDS = 0.5
-DEMAND = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,265 +48,29 @@
     return from_dict(HollowSettings, json.loads(file.read_text()), Config(cast=[tuple]))
 
 
-class Counts:
-    """What the nodes of one process sent and took in, for the life of the process."""
-
-    __slots__ = ("answers", "asks", "image_bytes", "image_seconds", "images", "lapsed", "rows")
-
-    def __init__(self) -> None:
-        """Create counts of nothing."""
-        self.asks: Counter[str] = Counter()
-        self.answers: Counter[str] = Counter()
-        self.images = 0
-        self.image_bytes = 0
-        self.image_seconds = 0.0
-        self.lapsed = 0
-        self.rows = 0
-
-
-class CountedLog(QuietLog):
-    """Counts lapsed terms and keeps nothing."""
-
-    __slots__ = ("counts",)
-
-    def __init__(self, node: str, counts: Counts) -> None:
-        """Create a log that counts into `counts`."""
-        super().__init__(node)
-        self.counts = counts
-
-    def write(self, event: Event, **fields: object) -> None:
-        """Count the event where it is a lapsed lease."""
-        self.counts.lapsed += event is TERM_LAPSED
-
-
-class CountedLines(Lines):
-    """Wire clients that count what they ask and what is answered, by kind."""
-
-    __slots__ = ("counts",)
-
-    def __init__(
-        self, scheduler: Scheduler, network: Network, log: QuietLog, counts: Counts
-    ) -> None:
-        """Create clients that count into `counts`."""
-        super().__init__(scheduler, network, log)
-        self.counts = counts
-
-    def ask(
-        self, address: str, message: Message, seconds: float
-    ) -> Step[Result[Message, WireError]]:
-        """Ask and count; see Lines.ask."""
-        kind = str(message.get("kind"))
-        self.counts.asks[kind] += 1
-        found = yield from super().ask(address, message, seconds)
-        self.counts.answers[kind] += found.is_ok()
-        return found
-
-
-class CountedRegister(Register):
-    """A register that counts the images it was restored from."""
-
-    __slots__ = ("counts",)
-
-    def __init__(self, counts: Counts) -> None:
-        """Create an empty register that counts into `counts`."""
-        super().__init__()
-        self.counts = counts
-
-    def restore(self, data: bytes) -> None:
-        """Restore a snapshot, counting its bytes and processor seconds."""
-        started = time.process_time()
-        super().restore(data)
-        self.counts.images += 1
-        self.counts.image_bytes += len(data)
-        self.counts.image_seconds += time.process_time() - started
-
-
-class HollowNode:
-    """One node: its session, and when it reached what."""
-
-    __slots__ = (
-        "back",
-        "held",
-        "known",
-        "lines",
-        "listed",
-        "member",
-        "owed",
-        "reached",
-        "register",
-        "rows",
-        "scheduler",
-        "sequence",
-        "session",
-        "targets",
-        "without",
-    )
-
-    def __init__(self, process: "HollowProcess", name: str, zone: str) -> None:
-        """Create a node of a process; its member task is not started yet."""
-        self.scheduler = process.scheduler
-        self.register = CountedRegister(process.counts)
-        self.lines = CountedLines(process.scheduler, process.network, process.log, process.counts)
-        self.session = Session()
-        self.session.name = self.session.machine = name
-        self.session.role = "edge"
-        self.session.zone = zone
-        self.session.probes = True
-        self.session.wire = self.session.control = self.session.order = process.door.address
-        self.session.incarnation = f"{process.random.getrandbits(48):012x}"
-        self.session.mark = f"{process.random.getrandbits(64):016x}"
-        self.member = Member(
-            process.scheduler,
-            self.lines,
-            process.log,
-            self.register,
-            self.session,
-            process.seeds,
-            process.term_seconds,
-            process.listing_term,
-        )
-        self.member.changed = self.on_change
-        self.member.shares = self.on_shares
-        self.member.listing_news = self.on_listing
-        self.member.demand = self.demand
-        self.member.holding = self.holding
-        self.held: dict[str, float] = {}
-        self.reached: deque[tuple[int, float]] = deque(maxlen=REACHED_KEPT)
-        self.listed = 0.0
-        self.without = ""
-        self.back = 0.0
-        self.known: tuple[object, ...] = ()
-        self.targets: list[tuple[str, str, str]] = []
-        self.owed = process.random.random()
-        self.rows: list[Row] = []
-        self.sequence = process.random.randrange(1000)
-
-    def on_change(self) -> None:
-        """Note when the register reached its present index."""
-        self.reached.append((self.register.index, self.scheduler.now()))
-
-    def on_listing(self, _: Listing) -> None:
-        """Note when a listing of servers came."""
-        self.listed = self.scheduler.now()
-
-    def on_shares(self, shares: dict[str, float], until: float, edges: int) -> None:
-        """A term was given: the session stands with whoever leads."""
-        self.held = shares
-        leader = self.member.leader
-        if not self.back and leader and leader != self.without:
-            self.back = self.scheduler.now()
-
-    def demand(self) -> dict[str, float]:
-        """Return the made-up demand, in requests per second by service."""
-        return dict.fromkeys(self.register.configuration.services, DEMAND)
-
-    def holding(self) -> dict[str, float]:
-        """Return the shares that the node spends now, by service."""
-        return self.held if self.member.serving else {}
-
-    @property
-    def known_edges(self) -> int:
-        """How many edges the node knows as members."""
-        return sum(session.role == "edge" for session in self.member.members.values())
-
-    def reached_at(self, index: int) -> float | None:
-        """Return when the register reached an index, None where it has not."""
-        return next((at for place, at in self.reached if place >= index), None)
-
-    def find_targets(self) -> None:
-        """The other edges of the zone times the watches, anew when either changed."""
-        known = (*self.member.members_version, self.register.version)
-        if known != self.known:
-            self.known = known
-            self.targets = [
-                (name, watch_name, watch_mark(watch))
-                for name, other in sorted(self.member.members.items())
-                for watch_name, watch in self.register.configuration.watches.items()
-                if other.role == "edge"
-                and other.zone == self.session.zone
-                and name != self.session.name
-            ]
-
-    def make_rows(self, cadence: float, seconds: float) -> None:
-        """Rows of sound probes, as many as come due in so many seconds, one target in turn."""
-        self.find_targets()
-        self.owed += len(self.targets) * seconds / cadence
-        while self.owed >= 1.0 and self.targets:
-            self.owed -= 1.0
-            self.sequence += 1
-            edge, watch_name, mark = self.targets[self.sequence % len(self.targets)]
-            row = Row(
-                self.session.name,
-                self.session.machine,
-                self.sequence,
-                self.session.zone,
-                edge,
-                watch_name,
-                False,
-                time.time(),
-                mark,
-            )
-            row.taken, row.age, row.ttfb = self.scheduler.now(), 1.0, 12.0
-            row.reachable = row.manifest_valid = row.object_fetchable = True
-            self.rows.append(row)
-
-    def tell_rows(self) -> Step[None]:
-        """Send some rows to the holder of the aggregator's duty."""
-        duty = self.register.duties.get("aggregator")
-        holder = self.member.members.get(duty.holder) if duty is not None else None
-        if duty is None or holder is None or not self.rows:
-            return
-        now = self.scheduler.now()
-        rows, self.rows = self.rows[:ROWS_MOST], self.rows[ROWS_MOST:]
-        yield from self.lines.ask(
-            holder.wire,
-            {
-                "kind": "rows",
-                "epoch": duty.epoch,
-                "holder": duty.holder,
-                "rows": [row.plain(now) for row in rows],
-            },
-            2.0,
-        )
-
-    def end(self) -> None:
-        """End the node at once and drop its connections."""
-        self.member.stop()
-        for line in self.lines.lines.values():
-            line.drop()
-
-
 class HollowProcess:
     """Some hollow nodes on one scheduler, and the door where the runner asks about them."""
 
-    __slots__ = (
-        "cadence",
-        "counts",
-        "door",
-        "dropped",
-        "listing_term",
-        "log",
-        "network",
-        "nodes",
-        "places",
-        "random",
-        "scheduler",
-        "seeds",
-        "term_seconds",
-    )
+    __slots__ = ("cadence", "counts", "door", "dropped", "host", "nodes", "places", "scheduler")
 
     def __init__(self, settings: HollowSettings, scheduler: Scheduler, network: Network) -> None:
         """Create the process and listen for the runner; no node is started."""
         self.scheduler = scheduler
-        self.network = network
-        self.random = Random()
         self.counts = Counts()
-        self.log = CountedLog("hollow", self.counts)
-        self.seeds = tuple(settings.seeds)
-        self.term_seconds = settings.term_seconds
-        self.listing_term = settings.listing_term
+        log = CountedLog("hollow", self.counts)
+        self.door = Door(scheduler, network, log, settings.wire_address, self.on_ask)
+        self.host = HollowHost(
+            scheduler,
+            network,
+            log,
+            self.counts,
+            self.door.address,
+            Random(),
+            tuple(settings.seeds),
+            settings.term_seconds,
+            settings.listing_term,
+        )
         self.cadence = settings.probe_seconds
-        self.door = Door(scheduler, network, self.log, settings.wire_address, self.on_ask)
         self.places = settings.nodes
         self.nodes: list[HollowNode] = []
         self.dropped: list[tuple[str, str]] = []
@@ -368,14 +118,14 @@
     def take_back(self) -> None:
         """Start the nodes anew that were dropped last."""
         for name, zone in self.dropped:
-            self.nodes.append(HollowNode(self, name, zone))
+            self.nodes.append(HollowNode(self.host, name, zone))
             self.nodes[-1].member.start()
         self.dropped = []
 
     def start(self, pause: float) -> None:
         """All nodes, one after another with a pause of seconds between them."""
         if not self.nodes:
-            self.nodes = [HollowNode(self, name, zone) for name, zone in self.places]
+            self.nodes = [HollowNode(self.host, name, zone) for name, zone in self.places]
             self.scheduler.spawn("starts", self.start_each(list(self.nodes), pause))
             self.scheduler.spawn("tends", self.tend())
             if self.cadence:
@@ -404,7 +154,7 @@
             before = self.nodes[place]
             yield from before.member.say_goodbye()
             before.end()
-            fresh = HollowNode(self, before.session.name, before.session.zone)
+            fresh = HollowNode(self.host, before.session.name, before.session.zone)
             self.nodes[place] = fresh
             fresh.member.start()
         reply({})
--- a/packages/proving/ryelock/proving/load.py
+++ b/packages/proving/ryelock/proving/load.py
@@ -15,8 +15,8 @@
 from ryelock.loop.reactor import Reactor
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.fleet import FAST
+from ryelock.proving.fleet_run import Run
 from ryelock.proving.reactors import run_to_end
-from ryelock.proving.run import Run
 from ryelock.proving.shapes import SHAPES
 
 KINDS = {
--- a/packages/proving/ryelock/proving/pieces.py
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -35,13 +35,20 @@
 
 def session_of_node(number: int, zones: int) -> Session:
     """Return a made-up edge's session."""
-    session = Session()
-    session.name = session.machine = f"edge-{number:04d}"
-    session.role, session.zone = "edge", zone_name(number, zones)
-    session.wire = session.control = session.order = "127.0.8.1:40000"
-    session.incarnation, session.mark = f"{number:012x}", f"{number:016x}"
-    session.probes = session.ready = True
-    return session
+    name, address = f"edge-{number:04d}", "127.0.8.1:40000"
+    return Session(
+        name=name,
+        role="edge",
+        zone=zone_name(number, zones),
+        machine=name,
+        wire=address,
+        control=address,
+        order=address,
+        incarnation=f"{number:012x}",
+        mark=f"{number:016x}",
+        probes=True,
+        ready=True,
+    )
 
 
 def seconds_of(act: Callable[[], object], repeats: int = REPEATS) -> float:
