--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -11,6 +11,9 @@
 from ryelock.proving.cases import CASES  # noqa: E402
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
+from ryelock.proving.model.replay import replay_schedule  # noqa: E402
+from ryelock.proving.model.schedule import STEP_KINDS_AND_VARIANTS  # noqa: E402
+from ryelock.proving.model.search import report, search  # noqa: E402
 from ryelock.proving.pieces import measure_pieces  # noqa: E402
 from ryelock.proving.run import run_fleet  # noqa: E402
 from ryelock.proving.scale import Point, Size, run_scale, table  # noqa: E402
@@ -272,8 +275,36 @@
     return 0
 
 
+def model(
+    *,
+    schedules: int = 1000,
+    seed: int = 1,
+    jobs: int = 4,
+    without: str = "",
+    replay: str = "",
+) -> int:
+    """Run random schedules of the consensus model, one a seed; exit status 1 after a finding.
+
+    :param schedules: how many
+    :param seed: the first seed
+    :param jobs: processes that run them
+    :param without: kinds of steps and variants to leave out, divided by commas
+    :param replay: a file with one schedule as a finding prints it, to run alone
+    """
+    if replay:
+        return replay_schedule(replay)
+    left_out = frozenset(filter(None, without.split(",")))
+    unknown = left_out - STEP_KINDS_AND_VARIANTS
+    if unknown:
+        sys.stderr.write(f"unknown: {', '.join(sorted(unknown))}\n")
+        return 2
+    searched = search(schedules, seed, jobs, left_out)
+    sys.stdout.write(report(searched))
+    return 1 if searched.findings else 0
+
+
 def main() -> None:
-    sys.exit(defopt.run([fleet, simulate, case, finals, measures, scale, pieces], short={}))
+    sys.exit(defopt.run([fleet, simulate, case, finals, measures, model, scale, pieces], short={}))
 
 
 main()
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -0,0 +1,345 @@
+"""All that the model test uses of the product's council, journal, register and keeper.
+
+Renames in those packages cost edits in this module only.
+"""
+
+from random import Random
+from typing import Protocol, cast
+
+import cbor2
+
+from ryelock.core.identity import IDENTITY, open_disk, read_identity
+from ryelock.core.keeper import Keeper
+from ryelock.council import Council, Pace
+from ryelock.council.entries import VOTERS, WORD, Entry, Stored, voters_of
+from ryelock.events import Event, Log
+from ryelock.journal import Folder, JournalError, open_journal
+from ryelock.loop import Scheduler, Step
+from ryelock.register import Register, encode_word
+from ryelock.roster import Roster
+from ryelock.wire import Lines, Message, Reply
+
+__all__ = ["IDENTITY", "VOTERS", "WORD", "Message", "ProductNode", "Reply", "read_disk"]
+
+BEAT_SECONDS = 0.15
+ELECTION_SECONDS = 0.7
+PROMISE_SECONDS = 1.5
+REPLACE_SECONDS = 1.5
+KEEPER_SECONDS = 0.4
+
+
+class SilentLog(Log):
+    """Drops all events."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        self.node = ""
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Nothing is kept."""
+
+
+class EmptyRoster:
+    """A roster without sessions: the keeper then knows no zones."""
+
+    def members(self) -> dict[str, object]:
+        return {}
+
+
+class Observer(Protocol):
+    """Who is told what a node's state machine does."""
+
+    def applied(self, disk: str, index: int, data: bytes, state: object) -> None: ...
+    def imaged(self, disk: str, index: int, data: bytes) -> None: ...
+    def restored(self, disk: str, index: int, data: bytes) -> None: ...
+
+
+class RecordedRegister(Register):
+    """The register, telling an observer all that happens to it."""
+
+    __slots__ = ("disk", "observer")
+
+    def __init__(self, disk: str, observer: Observer) -> None:
+        super().__init__()
+        self.disk = disk
+        self.observer = observer
+
+    def apply(self, index: int, data: bytes) -> object:
+        result = super().apply(index, data)
+        state = (self.version, self.newest_change(), self.purge_number, len(self.outcomes))
+        self.observer.applied(self.disk, index, data, state)
+        return result
+
+    def image(self) -> bytes:
+        data = super().image()
+        self.observer.imaged(self.disk, self.index, data)
+        return data
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self.observer.restored(self.disk, self.index, data)
+
+    def newest_change(self) -> str:
+        """The id of the newest change, which each change writes into the configuration."""
+        limits = self.configuration.limits
+        found = limits.get("callers")
+        return found.annotation if found is not None else ""
+
+
+class DiskUnusable(Exception):
+    """The disk could not be opened for now."""
+
+
+class Change:
+    """An attempt of an operator to change the configuration; `token` tells attempts apart."""
+
+    __slots__ = ("base", "identity", "token", "version")
+
+    def __init__(self, identity: str, base: int, version: int, token: int) -> None:
+        self.identity = identity
+        self.base = base
+        self.version = version
+        self.token = token
+
+    def encode(self) -> bytes:
+        change = {
+            "id": self.identity,
+            "base": self.base,
+            "version": self.version,
+            "put": {"limits": {"callers": {"annotation": self.identity}}},
+        }
+        return encode_word("change", id=self.identity, wall=float(self.token), change=change)
+
+
+def purge_word(number: int) -> bytes:
+    scopes = [{"path": f"/{number}"}]
+    return encode_word("purge", id=f"purge-{number}", wall=0.0, scopes=scopes)
+
+
+def change_of(data: bytes) -> tuple[str, int, int] | None:
+    """Id, base and version of a change word; None for any other word."""
+    word = cbor2.loads(data)
+    if not isinstance(word, dict) or word.get("word") != "change":
+        return None
+    change = word["change"]
+    return str(change["id"]), int(change["base"]), int(change["version"])
+
+
+class ChangeOutcome:
+    """What an attempt came to: `status` as in linearizability, the log index where taken."""
+
+    __slots__ = ("certain", "disk_failed", "index", "status", "version")
+
+    def __init__(
+        self,
+        status: str,
+        version: int = 0,
+        index: int = 0,
+        certain: bool = False,
+        disk_failed: bool = False,
+    ) -> None:
+        self.disk_failed = disk_failed
+        self.status = status
+        self.version = version
+        self.index = index
+        self.certain = certain
+
+
+class ProductNode:
+    """One control node without its daemon: council, register and keeper on a disk."""
+
+    __slots__ = ("changing", "council", "keeper", "one_change", "register", "scheduler")
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        lines: object,
+        folder: Folder,
+        name: str,
+        address: str,
+        seeds: tuple[str, ...],
+        random: Random,
+        observer: Observer,
+        image_records: int,
+        segment_bytes: int,
+        one_change: bool,
+    ) -> None:
+        self.one_change = one_change
+        self.changing = False
+        log = SilentLog()
+        found = open_disk(folder, log, segment_bytes, random)
+        if found.is_error():
+            raise DiskUnusable(found.error.reason)
+        disk, journal = found.ok
+        self.scheduler = scheduler
+        self.register = RecordedRegister(disk, observer)
+        pace = Pace(
+            beat=BEAT_SECONDS,
+            election=ELECTION_SECONDS,
+            promise=PROMISE_SECONDS,
+            replace=REPLACE_SECONDS,
+            image_records=image_records,
+        )
+        self.council = Council(
+            scheduler,
+            cast(Lines, lines),
+            log,
+            journal,
+            self.register,
+            name,
+            disk,
+            address,
+            seeds,
+            pace,
+            random,
+        )
+        self.keeper = Keeper(
+            scheduler, log, self.council, self.register, cast(Roster, EmptyRoster()), ()
+        )
+
+    def start(self) -> None:
+        self.council.start()
+        self.scheduler.spawn("keeper", self.keep())
+
+    def keep(self) -> Step[None]:
+        """What the keeper's own task does, as far as voters go."""
+        while True:
+            yield from self.scheduler.pause(KEEPER_SECONDS)
+            if self.council.settled:
+                yield from self.alone(self.keeper.tend_voters())
+
+    def alone(self, work: Step[object]) -> Step[None]:
+        """Run a change of voters, or leave it out where `one_change` and another is under way."""
+        if self.one_change and self.changing:
+            work.close()
+            return
+        self.changing = True
+        try:
+            yield from work
+        finally:
+            self.changing = False
+
+    @property
+    def disk(self) -> str:
+        return self.council.disk
+
+    @property
+    def leads(self) -> bool:
+        return self.council.role == "leader"
+
+    @property
+    def settled(self) -> bool:
+        return self.council.settled
+
+    @property
+    def applied(self) -> int:
+        return self.council.applied
+
+    @property
+    def voters(self) -> dict[str, str]:
+        return dict(self.council.voters)
+
+    @property
+    def epoch(self) -> int:
+        return self.council.epoch
+
+    @property
+    def learners(self) -> dict[str, str]:
+        return {disk: address for disk, (address, _) in self.council.learners.items()}
+
+    def answer(self, message: Message, reply: Reply) -> bool:
+        return self.council.answer(message, reply)
+
+    def change(self, change: Change) -> Step[ChangeOutcome]:
+        """Agree on a change, as the operators' desk does at the leader."""
+        outcome = yield from self.council.propose(change.encode())
+        if outcome.is_error():
+            certain = outcome.error.certain
+            disk_failed = "disk" in outcome.error.reason
+            status = "not-taken" if certain else "unknown"
+            return ChangeOutcome(status, certain=certain, disk_failed=disk_failed)
+        result = outcome.ok
+        assert isinstance(result, dict)
+        return ChangeOutcome(
+            str(result["status"]), int(result.get("version", 0)), int(result.get("index", 0))
+        )
+
+    def purge(self, number: int) -> Step[None]:
+        yield from self.council.propose(purge_word(number))
+
+    def read(self) -> Step[tuple[int, str] | None]:
+        """A confirmed read: version and newest change; None where it was not confirmed."""
+        if not (yield from self.council.confirm(2.0)):
+            return None
+        return self.register.version, self.register.newest_change()
+
+    def change_voters(self, voters: dict[str, str]) -> Step[None]:
+        yield from self.alone(self.council.change_voters(voters))
+
+    def leave(self) -> Step[None]:
+        """A planned stop: leadership is handed on, then the council stops."""
+        if self.leads:
+            successor = self.council.best_successor()
+            if successor:
+                yield from self.council.hand_over(successor)
+        self.council.stop()
+
+    def hand_over(self) -> Step[None]:
+        successor = self.council.best_successor()
+        if self.leads and successor:
+            yield from self.council.hand_over(successor)
+
+
+class DiskLog:
+    """What a fresh open reads back: identity, vote, image and entries of one disk."""
+
+    __slots__ = ("base_epoch", "base_index", "base_voters", "disk", "entries", "epoch", "voted")
+
+    def __init__(self, disk: str, stored: Stored) -> None:
+        self.disk = disk
+        self.epoch = stored.epoch
+        self.voted = stored.voted
+        self.base_index = stored.image.index
+        self.base_epoch = stored.image.epoch
+        self.base_voters = stored.image.voters
+        self.entries: list[Entry] = stored.entries
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self.entries)
+
+    def entry(self, index: int) -> Entry | None:
+        position = index - self.base_index - 1
+        return self.entries[position] if 0 <= position < len(self.entries) else None
+
+    def holds(self, index: int, data: bytes) -> bool:
+        """Whether an entry is in the log, or in the image that stands for it."""
+        if index <= self.base_index:
+            return True
+        found = self.entry(index)
+        return found is not None and found.data == data
+
+    def configurations(self) -> list[tuple[int, dict[str, str]]]:
+        """The image's voters and those of each later entry, with their indexes."""
+        found = [(self.base_index, dict(self.base_voters))] if self.base_voters else []
+        found += [
+            (entry.index, voters_of(entry.data)) for entry in self.entries if entry.kind == VOTERS
+        ]
+        return found
+
+
+def read_disk(folder: Folder, segment_bytes: int) -> DiskLog | None:
+    """Open a disk afresh; None where it has no identity yet. Raises JournalError or ValueError."""
+    if not folder.names():
+        return None
+    disk = read_identity(folder)
+    if not disk:
+        return None
+    found = open_journal(folder, SilentLog(), segment_bytes)
+    if found.is_error():
+        raise found.error
+    return DiskLog(disk, Stored(found.ok.image, found.ok.records))
+
+
+UNREADABLE = (JournalError, ValueError)
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/cluster.py
@@ -0,0 +1,585 @@
+"""Control nodes on simulated machines, their operators, and one edge that asks for promises."""
+
+from collections.abc import Callable
+from random import Random
+
+from expression import Error, Ok, Result
+
+from ryelock.loop import Mailbox, Scheduler, Step
+from ryelock.proving.model.adapter import (
+    PROMISE_SECONDS,
+    UNREADABLE,
+    Change,
+    DiskLog,
+    DiskUnusable,
+    Message,
+    ProductNode,
+    read_disk,
+)
+from ryelock.proving.model.disk import Crash, ModelFolder
+from ryelock.proving.model.invariants import (
+    ACKNOWLEDGED_AGAIN,
+    LIVENESS,
+    READABLE,
+    TASK_FAULT,
+    History,
+    PromiseWindow,
+)
+from ryelock.proving.model.linearizability import (
+    ACCEPTED,
+    CHANGE,
+    CONFLICT,
+    NOT_TAKEN,
+    READ,
+    UNKNOWN,
+    Operation,
+)
+from ryelock.proving.model.network import CALM, World
+from ryelock.wire import WireError
+
+SEEDS = 3
+SEGMENT_BYTES = 1500
+HEAL_SECONDS = 20.0
+PROMISE_ROUND_SECONDS = 0.4
+READ_SECONDS = 2.1
+CHANGE_SECONDS = 12.0
+CHANGE_TRIES = 4
+
+# Variants that a schedule can leave out, so that a search goes on behind a known fault.
+REFUSED_BY_DISK = "refused-by-disk"
+"""A change refused because the leader's disk failed counts as unknown, not as refused."""
+FAILED_WHOLE = "failed-whole"
+"""`write_whole` never fails."""
+UNSYNCED_AT_OPEN = "unsynced-at-open"
+"""A killed process without loss of power leaves nothing unsynced."""
+CONCURRENT_VOTERS = "concurrent-voters"
+"""At most one call of `change_voters` at a time, the keeper's among them."""
+VARIANTS = (REFUSED_BY_DISK, FAILED_WHOLE, UNSYNCED_AT_OPEN, CONCURRENT_VOTERS)
+
+
+class MachineClock:
+    """A monotonic clock that may run fast or slow; a blocked process reads later times."""
+
+    __slots__ = ("machine", "rate", "zero")
+
+    def __init__(self, machine: "Machine") -> None:
+        self.machine = machine
+        self.rate = 1.0
+        self.zero = 0.0
+
+    def now(self) -> float:
+        return max(self.machine.world.time, self.machine.busy_until) * self.rate + self.zero
+
+    def wall(self) -> float:
+        return 0.0
+
+    def set_rate(self, rate: float) -> None:
+        """Run at another rate from now on; the reading does not jump."""
+        now = self.now()
+        self.rate = rate
+        self.zero += now - self.now()
+
+    def world_time(self, reading: float) -> float:
+        return (reading - self.zero) / self.rate
+
+
+class CarrierLines:
+    """The asks of one process, as `ryelock.wire.Lines` offers them, over the model's world."""
+
+    __slots__ = ("asks", "cluster", "machine", "sequence")
+
+    def __init__(self, cluster: "Cluster", machine: "Machine") -> None:
+        self.cluster = cluster
+        self.machine = machine
+        self.sequence = 0
+        self.asks: dict[int, Mailbox[Message]] = {}
+
+    def ask(
+        self, address: str, message: Message, seconds: float
+    ) -> Step[Result[Message, WireError]]:
+        self.sequence += 1
+        number = self.sequence
+        box: Mailbox[Message] = Mailbox(self.machine.scheduler)
+        self.asks[number] = box
+        try:
+            self.cluster.carry(self, address, message, number)
+            answer = yield from box.take(seconds)
+        finally:
+            self.asks.pop(number, None)
+        if answer is None:
+            return Error(WireError(f"no answer from {address}", True))
+        return Ok(answer)
+
+
+class Machine:
+    """One machine: disk, clock and perhaps a running process."""
+
+    __slots__ = (
+        "busy_until",
+        "clock",
+        "cluster",
+        "folder",
+        "frozen",
+        "lines",
+        "log",
+        "log_changes",
+        "name",
+        "node",
+        "power_mode",
+        "random",
+        "scheduler",
+        "world",
+    )
+
+    def __init__(self, cluster: "Cluster", name: str) -> None:
+        self.cluster = cluster
+        self.world = cluster.world
+        self.name = name
+        self.random = Random(f"{cluster.seed} {name}")
+        self.busy_until = 0.0
+        self.clock = MachineClock(self)
+        self.scheduler = Scheduler(self.clock, self.fault)
+        self.lines = CarrierLines(cluster, self)
+        self.node: ProductNode | None = None
+        self.frozen = False
+        self.power_mode = ""
+        self.folder = self.new_folder()
+        self.log: DiskLog | None = None
+        self.log_changes = -1
+
+    def new_folder(self) -> ModelFolder:
+        folder = ModelFolder(self.random)
+        folder.on_stall = self.stall
+        folder.whole_fails = FAILED_WHOLE not in self.cluster.without
+        return folder
+
+    def fault(self, task: str, error: BaseException) -> None:
+        self.cluster.history.fail(TASK_FAULT, f"{self.name} {task}: {error!r}")
+
+    def stall(self, seconds: float) -> None:
+        """The process is blocked in a disk operation for so long."""
+        self.busy_until = max(self.world.time, self.busy_until) + seconds
+        self.world.at(self.busy_until, lambda: None)
+
+    # As the world sees a process.
+
+    def run(self) -> bool:
+        if self.node is None or self.frozen or self.busy_until > self.world.time:
+            return False
+        scheduler = self.scheduler
+        if not scheduler.ready:
+            beat = scheduler.next_beat()
+            if beat is None or beat > self.clock.now():
+                return False
+        try:
+            scheduler.run_ready(200)
+        except Crash:
+            self.kill(self.power_mode)
+        return True
+
+    def next_time(self) -> float | None:
+        if self.node is None or self.frozen or self.busy_until > self.world.time:
+            return None
+        beat = self.scheduler.next_beat()
+        return None if beat is None else self.clock.world_time(beat)
+
+    # Life.
+
+    def start(self) -> None:
+        """Start a process on what the disk holds; it stays down where that cannot be opened."""
+        if self.node is not None:
+            return
+        self.scheduler = Scheduler(self.clock, self.fault)
+        self.lines = CarrierLines(self.cluster, self)
+        self.frozen = False
+        self.folder.point()
+        try:
+            self.node = ProductNode(
+                self.scheduler,
+                self.lines,
+                self.folder,
+                self.name,
+                self.name,
+                self.cluster.seeds,
+                self.random,
+                self.cluster.history,
+                self.cluster.image_records,
+                SEGMENT_BYTES,
+                CONCURRENT_VOTERS in self.cluster.without,
+            )
+            self.node.start()
+        except DiskUnusable:
+            self.node = None
+        except UNREADABLE as error:
+            self.node = None
+            self.cluster.history.fail(READABLE, f"{self.name}: {error!r}")
+
+    def try_start(self) -> None:
+        try:
+            self.start()
+        except Crash:
+            self.node = None
+            self.kill(self.power_mode)
+
+    def kill(self, power_mode: str) -> None:
+        """End the process at once; with a mode the power goes too."""
+        self.node = None
+        self.frozen = False
+        self.busy_until = 0.0
+        self.folder.crash_in = 0
+        self.folder.stall_seconds = 0.0
+        if power_mode:
+            self.folder.lose_power(power_mode)
+        elif UNSYNCED_AT_OPEN in self.cluster.without:
+            self.folder.changes += 1
+            self.folder.settle()
+
+    def read_back(self) -> DiskLog | None:
+        """The durable part of the disk, opened afresh; kept until the disk changes."""
+        if self.log_changes != self.folder.changes:
+            try:
+                self.log = read_disk(self.folder.view(), SEGMENT_BYTES)
+            except UNREADABLE as error:
+                self.cluster.history.fail(READABLE, f"{self.name}: {error!r}")
+                self.log = None
+            self.log_changes = self.folder.changes
+        return self.log
+
+
+class Cluster:
+    """Machines, world, history, and the steps that a schedule is made of."""
+
+    def __init__(
+        self, seed: int, machines: int, image_records: int, without: frozenset[str] = frozenset()
+    ) -> None:
+        self.seed = seed
+        self.image_records = image_records
+        self.without = without
+        self.random = Random(f"cluster {seed}")
+        self.world = World(Random(f"world {seed}"))
+        self.history = History()
+        self.machines = [Machine(self, f"n{number}") for number in range(machines)]
+        self.by_name = {machine.name: machine for machine in self.machines}
+        self.seeds = tuple(machine.name for machine in self.machines[:SEEDS])
+        self.world.processes = list(self.machines)
+        self.changes: list[Change] = []
+        self.tokens = 0
+        self.purges = 0
+
+    # Messages.
+
+    def carry(self, lines: CarrierLines, address: str, message: Message, number: int) -> None:
+        """Bring an ask to the process at an address, and its answer back."""
+        source, target = lines.machine, self.by_name[address]
+        self.history.sent(message)
+        target_lines = target.lines
+
+        def deliver() -> None:
+            node = target.node
+            if node is None or target.lines is not target_lines:
+                return
+
+            def reply(answer: Message) -> None:
+                self.history.answered(message, answer)
+                self.world.send(
+                    target.name,
+                    source.name,
+                    target.busy_until,
+                    lambda: self.give(lines, number, answer),
+                )
+
+            node.answer(message, reply)
+
+        self.world.send(source.name, target.name, source.busy_until, deliver)
+
+    def give(self, lines: CarrierLines, number: int, answer: Message) -> None:
+        box = lines.asks.get(number)
+        if box is not None and lines.machine.lines is lines and lines.machine.node is not None:
+            box.put(answer)
+
+    # Checking.
+
+    def check(self) -> None:
+        """Read all disks back and raise the first violation."""
+        found = [log for machine in self.machines if (log := machine.read_back()) is not None]
+        self.history.read_back(found)
+        self.raise_found()
+
+    def raise_found(self) -> None:
+        if self.history.found is not None:
+            raise self.history.found
+
+    # Who leads, for driving only.
+
+    def leader(self, pick: int = 0) -> Machine | None:
+        """A machine whose process says that it leads."""
+        found = [
+            machine for machine in self.machines if machine.node is not None and machine.node.leads
+        ]
+        return found[pick % len(found)] if found else None
+
+    def live(self) -> list[Machine]:
+        return [machine for machine in self.machines if machine.node is not None]
+
+    # Operators.
+
+    def new_change(self, base: int, version: int) -> Change:
+        change = Change(f"c{len(self.changes)}", base, version, 0)
+        self.changes.append(change)
+        return change
+
+    def send_change(self, change: Change, machine: Machine) -> Operation | None:
+        """One attempt of a change at a node; ends in the history."""
+        node = machine.node
+        if node is None or not node.leads:
+            return None
+        self.tokens += 1
+        attempt = Change(change.identity, change.base, change.version, self.tokens)
+        operation = Operation(
+            CHANGE, change.identity, change.base, change.version, self.history.tick()
+        )
+        operation.node = machine.name
+        self.history.operations.append(operation)
+        machine.scheduler.spawn("operator", self.attempt(machine, node, attempt, operation))
+        return operation
+
+    def attempt(
+        self, machine: Machine, node: ProductNode, change: Change, operation: Operation
+    ) -> Step[None]:
+        outcome = yield from node.change(change)
+        operation.ended = self.history.tick()
+        if outcome.certain and outcome.disk_failed and REFUSED_BY_DISK in self.without:
+            operation.ended = 0
+        elif outcome.certain:
+            operation.status = NOT_TAKEN
+            self.history.refuse(change)
+        elif outcome.status == ACCEPTED:
+            operation.status = ACCEPTED
+            log = machine.read_back()
+            if log is not None:
+                self.history.read_back(
+                    [log for each in self.machines if (log := each.read_back()) is not None]
+                )
+            self.history.acknowledge(
+                operation, outcome.version, outcome.index, node.disk, self.world.time
+            )
+        elif outcome.status == CONFLICT:
+            operation.status = CONFLICT
+        elif outcome.status == UNKNOWN:
+            operation.ended = 0
+        else:
+            raise AssertionError(f"{change.identity} was answered {outcome.status}")
+
+    def send_read(self, machine: Machine) -> Operation | None:
+        node = machine.node
+        if node is None or not node.leads:
+            return None
+        operation = Operation(READ, "", 0, 0, self.history.tick())
+        operation.node = machine.name
+        self.history.operations.append(operation)
+        machine.scheduler.spawn("operator", self.reading(node, operation))
+        return operation
+
+    def reading(self, node: ProductNode, operation: Operation) -> Step[None]:
+        seen = yield from node.read()
+        if seen is not None:
+            operation.ended = self.history.tick()
+            operation.seen = seen
+            operation.status = ACCEPTED
+
+    def send_purge(self, machine: Machine) -> None:
+        node = machine.node
+        if node is not None and node.leads:
+            self.purges += 1
+            machine.scheduler.spawn("operator", node.purge(self.purges))
+
+    def change_voters(self, machine: Machine, wanted: dict[str, str]) -> None:
+        """Ask a leader for another set of voters, beside what its keeper does."""
+        node = machine.node
+        if node is not None:
+            machine.scheduler.spawn("voters", node.change_voters(wanted))
+
+    # The edge.
+
+    def ask_promises(self) -> None:
+        """Ask all nodes to follow no leader for a while, as an edge without a leader does."""
+        asked = self.world.time
+        granted: dict[str, int] = {}
+        voters: list[str] = []
+        message: Message = {"kind": "council.promise", "seconds": PROMISE_SECONDS}
+        over = [False]
+
+        def hear(answer: Message) -> None:
+            said, last = answer.get("voters"), answer.get("last")
+            late = self.world.time > asked + PROMISE_ROUND_SECONDS
+            if over[0] or late or answer.get("granted") is not True:
+                return
+            assert isinstance(said, list) and isinstance(last, int)
+            granted[str(answer["disk"])] = last
+            if len(said) > len(voters):
+                voters[:] = said
+            needed = (len(voters) + 1) // 2
+            if len([disk for disk in granted if disk in voters]) >= needed:
+                over[0] = True
+                self.history.windows.append(
+                    PromiseWindow(self.world.time, asked + PROMISE_SECONDS, max(granted.values()))
+                )
+
+        for machine in self.machines:
+            self.edge_ask(machine, message, hear)
+
+    def edge_ask(self, machine: Machine, message: Message, hear: Callable[[Message], None]) -> None:
+        def deliver() -> None:
+            if machine.node is not None:
+                machine.node.answer(message, reply)
+
+        def reply(answer: Message) -> None:
+            self.world.send(machine.name, "edge", machine.busy_until, lambda: hear(answer))
+
+        self.world.send("edge", machine.name, self.world.time, deliver)
+
+    # Losing disks.
+
+    def may_wipe(self, machine: Machine) -> bool:
+        """Whether all configurations on disks keep a majority without this machine's disk."""
+        logs = {
+            other.name: log for other in self.machines if (log := other.read_back()) is not None
+        }
+        own = logs.pop(machine.name, None)
+        if own is None:
+            return True
+        there = {log.disk for log in logs.values()}
+        configurations = [
+            voters for log in (*logs.values(), own) for _, voters in log.configurations()[-2:]
+        ]
+        if not configurations:
+            return False
+        return all(
+            own.disk not in voters or len(there & set(voters)) > len(voters) // 2
+            for voters in configurations
+        )
+
+    def wipe(self, machine: Machine) -> None:
+        if self.may_wipe(machine):
+            self.check()
+            machine.kill("")
+            machine.folder = machine.new_folder()
+            machine.log_changes = -1
+
+    # Healing.
+
+    def heal(self) -> None:
+        self.world.cuts.clear()
+        self.world.weather = CALM
+        for machine in self.machines:
+            machine.folder.repair()
+            machine.frozen = False
+            machine.try_start()
+
+    def majority_exists(self) -> bool:
+        """Whether the newest configuration on each voter's disk still has a majority of disks."""
+        logs = [log for machine in self.machines if (log := machine.read_back()) is not None]
+        there = {log.disk for log in logs}
+        return all(
+            len(there & set(voters)) > len(voters) // 2
+            for log in logs
+            for _, voters in log.configurations()[-1:]
+        )
+
+    def caught_up(self) -> bool:
+        leader = self.leader()
+        if leader is None or leader.node is None or not leader.node.settled:
+            return False
+        node = leader.node
+        return all(
+            machine.node is not None and machine.node.applied >= node.applied
+            for machine in self.machines
+        )
+
+    def finish(self) -> None:
+        """Heal, wait for a leader and for all to catch up, then read, change and send again."""
+        self.heal()
+        self.check()
+        if not self.majority_exists():
+            return
+        if not self.world.run_until(self.caught_up, HEAL_SECONDS):
+            self.check()
+            if not self.majority_exists():
+                return
+            self.history.fail(LIVENESS, f"not healed in {HEAL_SECONDS} s: {self.standing()}")
+            self.raise_found()
+        self.check()
+        self.last_words()
+        found = self.history.found
+        if found is not None and found.invariant == LIVENESS and not self.majority_exists():
+            return
+        self.check()
+        self.history.check_operations()
+        self.raise_found()
+
+    def last_words(self) -> None:
+        newest = self.history.newest_acknowledged()
+        for _ in range(CHANGE_TRIES):
+            read = self.confirmed_read()
+            if read is None:
+                break
+            version, identity = read.seen
+            if newest is not None and identity == newest.identity:
+                self.send_again(newest.identity, read)
+            newest = None
+            if self.accepted(self.new_change(version, version + 1)):
+                return
+        self.history.fail(LIVENESS, f"no read and change after healing: {self.standing()}")
+
+    def send_again(self, identity: str, read: Operation) -> None:
+        """The newest change must be acknowledged again, unless another was taken meanwhile."""
+        if not self.accepted(self.change_named(identity)) and self.unchanged(read):
+            self.history.fail(ACKNOWLEDGED_AGAIN, f"{identity}: {self.standing()}")
+
+    def unchanged(self, read: Operation) -> bool:
+        """Whether a read finds what an earlier one found."""
+        again = self.confirmed_read()
+        return again is not None and again.seen == read.seen
+
+    def change_named(self, identity: str) -> Change:
+        return next(change for change in self.changes if change.identity == identity)
+
+    def confirmed_read(self) -> Operation | None:
+        """A read at whoever leads; tried again, as leadership may change in between."""
+        until = self.world.time + HEAL_SECONDS
+        while self.world.time < until:
+            leader = self.leader()
+            read = self.send_read(leader) if leader is not None else None
+            if self.ended(read, READ_SECONDS):
+                return read
+        return None
+
+    def accepted(self, change: Change) -> bool:
+        """Whether a change is acknowledged; sent again while the outcome is unknown."""
+        until = self.world.time + HEAL_SECONDS
+        while self.world.time < until:
+            leader = self.leader()
+            operation = self.send_change(change, leader) if leader is not None else None
+            ended = self.ended(operation)
+            if ended and operation is not None and operation.status != NOT_TAKEN:
+                return operation.status == ACCEPTED
+        return False
+
+    def ended(self, operation: Operation | None, seconds: float = CHANGE_SECONDS) -> bool:
+        if operation is None:
+            self.world.run(0.1)
+            return False
+        return self.world.run_until(lambda: operation.ended > 0, seconds)
+
+    def standing(self) -> str:
+        """What each process says of itself, for a finding."""
+        found = []
+        for machine in self.machines:
+            node = machine.node
+            if node is None:
+                found.append(f"{machine.name} down")
+                continue
+            role = "leads" if node.leads else "follows"
+            voter = "voter" if node.disk in node.voters else "spare"
+            found.append(f"{machine.name} {role} {node.epoch} applied {node.applied} {voter}")
+        return "; ".join(found)
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/disk.py
@@ -0,0 +1,258 @@
+"""A simulated disk that implements the journal's `Folder` protocol and can fail.
+
+`files` is what running processes read back. `durable` is what certainly survives a loss of
+power. Every operation is a numbered point at which the process can crash, fail or stall.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from ryelock.journal import FolderError
+
+
+class Crash(BaseException):
+    """The process ends here, in the middle of a disk operation."""
+
+
+class LossMode:
+    """What a loss of power leaves of writes that were not synced."""
+
+    KEPT = "kept"
+    TORN = "torn"
+    LOST = "lost"
+    ANY = "any"
+    ALL = (KEPT, TORN, LOST, ANY)
+
+
+class Fault:
+    """A run of failing disk operations.
+
+    `kind` is "full" (writes of data fail, part of an append may have been written), "sync"
+    (syncs fail), "folder" (a file is replaced, but the sync of the folder fails) or "io" (all
+    that changes the disk fails). `after` operations pass first, `count` operations then fail.
+    """
+
+    __slots__ = ("after", "count", "kind")
+
+    FULL = "full"
+    SYNC = "sync"
+    FOLDER = "folder"
+    IO = "io"
+    ALL = (FULL, SYNC, FOLDER, IO)
+
+    def __init__(self, kind: str, after: int, count: int) -> None:
+        self.kind = kind
+        self.after = after
+        self.count = count
+
+
+class DurableView:
+    """A read-back copy of a disk, for opening it without touching the original."""
+
+    __slots__ = ("files",)
+
+    def __init__(self, files: dict[str, bytes]) -> None:
+        self.files = files
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        if name not in self.files:
+            raise FolderError(f"{name}: no such file")
+        return self.files[name]
+
+    def append(self, name: str, data: bytes) -> None:
+        self.files[name] = self.files.get(name, b"") + data
+
+    def sync(self, name: str) -> None:
+        """Nothing to do: the view is discarded after it was read."""
+
+    def truncate(self, name: str, size: int) -> None:
+        self.files[name] = self.files[name][:size]
+
+    def write_whole(self, name: str, data: bytes) -> None:
+        self.files[name] = data
+
+    def rename(self, name: str, other: str) -> None:
+        self.files[other] = self.files.pop(name)
+
+    def delete(self, name: str) -> None:
+        self.files.pop(name, None)
+
+
+class ModelFolder:
+    """The disk of one machine; outlives the processes that use it."""
+
+    __slots__ = (
+        "changes",
+        "crash_in",
+        "deleted",
+        "durable",
+        "fault",
+        "files",
+        "on_stall",
+        "points",
+        "random",
+        "stall_seconds",
+        "whole_fails",
+    )
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.files: dict[str, bytearray] = {}
+        self.durable: dict[str, bytes] = {}
+        self.deleted: dict[str, bytes] = {}
+        self.crash_in = 0
+        self.fault: Fault | None = None
+        self.stall_seconds = 0.0
+        self.on_stall: Callable[[float], None] = lambda _seconds: None
+        self.points = 0
+        self.changes = 0
+        self.whole_fails = True
+
+    def point(self) -> None:
+        """A numbered point; an armed crash is fired when its count runs out."""
+        self.points += 1
+        if self.crash_in:
+            self.crash_in -= 1
+            if self.crash_in == 0:
+                raise Crash
+
+    def fails(self, *kinds: str) -> bool:
+        """Count one operation against the current fault; says whether the operation fails."""
+        fault = self.fault
+        if fault is None or fault.kind not in kinds:
+            return False
+        if fault.after > 0:
+            fault.after -= 1
+            return False
+        fault.count -= 1
+        if fault.count <= 0:
+            self.fault = None
+        return True
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        if name not in self.files:
+            raise FolderError(f"{name}: no such file")
+        return bytes(self.files[name])
+
+    def append(self, name: str, data: bytes) -> None:
+        self.point()
+        self.changes += 1
+        if self.fails(Fault.FULL, Fault.IO):
+            part = self.random.randrange(len(data) + 1)
+            self.files.setdefault(name, bytearray()).extend(data[:part])
+            raise FolderError("no space left on device")
+        self.files.setdefault(name, bytearray()).extend(data)
+        self.durable.setdefault(name, b"")
+        self.point()
+
+    def sync(self, name: str) -> None:
+        self.point()
+        if self.stall_seconds:
+            seconds, self.stall_seconds = self.stall_seconds, 0.0
+            self.on_stall(seconds)
+        if self.fails(Fault.SYNC, Fault.IO):
+            raise FolderError("input/output error")
+        self.changes += 1
+        self.durable[name] = bytes(self.files.get(name, b""))
+        self.point()
+
+    def truncate(self, name: str, size: int) -> None:
+        self.point()
+        if self.fails(Fault.IO):
+            raise FolderError("input/output error")
+        if name not in self.files:
+            raise FolderError(f"{name}: no such file")
+        self.changes += 1
+        del self.files[name][size:]
+        self.point()
+
+    def write_whole(self, name: str, data: bytes) -> None:
+        self.point()
+        if self.stall_seconds:
+            seconds, self.stall_seconds = self.stall_seconds, 0.0
+            self.on_stall(seconds)
+        if self.whole_fails and self.fails(Fault.FULL, Fault.IO):
+            raise FolderError("no space left on device")
+        self.changes += 1
+        replaced = self.durable.get(name)
+        self.files[name] = bytearray(data)
+        if self.whole_fails and self.fails(Fault.FOLDER):
+            if replaced is None and self.random.random() < 0.5:
+                self.durable[name] = data
+            raise FolderError("input/output error")
+        self.durable[name] = data
+        self.sync_folder()
+        self.point()
+
+    def rename(self, name: str, other: str) -> None:
+        self.point()
+        if self.fails(Fault.IO):
+            raise FolderError("input/output error")
+        if name not in self.files:
+            raise FolderError(f"{name}: no such file")
+        self.changes += 1
+        self.files[other] = self.files.pop(name)
+        self.durable[other] = self.durable.pop(name, b"")
+        self.sync_folder()
+        self.point()
+
+    def delete(self, name: str) -> None:
+        self.point()
+        if self.fails(Fault.IO):
+            raise FolderError("input/output error")
+        if name not in self.files:
+            raise FolderError(f"{name}: no such file")
+        self.changes += 1
+        del self.files[name]
+        if name in self.durable:
+            self.deleted[name] = self.durable.pop(name)
+        self.point()
+
+    def sync_folder(self) -> None:
+        """Removals that were still pending are on disk now."""
+        self.deleted.clear()
+
+    def lose_power(self, mode: str) -> None:
+        """Keep what is durable, and of the rest what `mode` (see LossMode) says."""
+        self.changes += 1
+        for name, data in list(self.files.items()):
+            durable = self.durable.get(name, b"")
+            self.files[name] = bytearray(self.survivor(bytes(data), durable, mode))
+        for name, data_before in self.deleted.items():
+            chance = {LossMode.LOST: 1.0, LossMode.ANY: 0.5}.get(mode, 0.0)
+            if name not in self.files and self.random.random() < chance:
+                self.files[name] = bytearray(data_before)
+        self.settle()
+
+    def survivor(self, data: bytes, durable: bytes, mode: str) -> bytes:
+        """What is left of one file."""
+        if data == durable:
+            return data
+        if mode == LossMode.ANY:
+            mode = self.random.choice((LossMode.KEPT, LossMode.TORN, LossMode.LOST))
+        if mode == LossMode.KEPT:
+            return data
+        if mode == LossMode.LOST or not data.startswith(durable):
+            return durable
+        return data[: len(durable) + self.random.randrange(len(data) - len(durable) + 1)]
+
+    def settle(self) -> None:
+        """All that is there counts as durable from now on."""
+        self.durable = {name: bytes(data) for name, data in self.files.items()}
+        self.deleted.clear()
+
+    def repair(self) -> None:
+        """Faults, stalls and armed crashes end."""
+        self.fault = None
+        self.crash_in = 0
+        self.stall_seconds = 0.0
+
+    def view(self) -> DurableView:
+        """A copy of what a loss of power at this moment certainly leaves."""
+        return DurableView(dict(self.durable))
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/invariants.py
@@ -0,0 +1,285 @@
+"""What the harness saw, and the invariants it is held against.
+
+Everything rests on messages on the wire, on disks read back by a fresh open, on what the
+state machines were given, and on the answers to operators.
+"""
+
+import zlib
+from itertools import pairwise
+
+from ryelock.proving.model.adapter import Change, DiskLog, Message, change_of
+from ryelock.proving.model.linearizability import (
+    ACCEPTED,
+    CHANGE,
+    READ,
+    Operation,
+    linearizable,
+)
+from ryelock.proving.model.violation import Violation
+
+ELECTION_SAFETY = "election safety"
+ONE_VOTE = "one vote an epoch"
+VOTE_DURABLE = "a vote stands on its disk"
+LOG_MATCHING = "log matching"
+LEADER_COMPLETENESS = "leader completeness"
+STATE_MACHINE_SAFETY = "state machine safety"
+DURABILITY = "acknowledged entries stand on a majority of disks"
+KEPT = "a disk keeps acknowledged entries"
+SINGLE_SERVER = "single-server membership changes"
+ONE_PER_BASE = "at most one acknowledged change to a base version"
+CERTAIN = "what was certainly not taken is never applied"
+ACKNOWLEDGED_AGAIN = "an acknowledged change sent again is acknowledged again"
+LINEARIZABILITY = "linearizability"
+PROMISES = "nothing new is acknowledged against promises"
+READABLE = "a disk can be read back"
+LIVENESS = "liveness after healing"
+TASK_FAULT = "no task ends by a fault"
+
+
+class PromiseWindow:
+    """A time in which an edge serves on promises; words up to `last` were known to it."""
+
+    __slots__ = ("began", "last", "until")
+
+    def __init__(self, began: float, until: float, last: int) -> None:
+        self.began = began
+        self.until = until
+        self.last = last
+
+
+class History:
+    """All observations of one schedule; raises Violation as soon as one breaks an invariant."""
+
+    def __init__(self) -> None:
+        self.events = 0
+        self.leaders: dict[int, str] = {}
+        self.votes: dict[tuple[str, int], str] = {}
+        self.links: dict[tuple[int, int], tuple[int | None, str, bytes]] = {}
+        self.words: dict[int, bytes] = {}
+        self.states: dict[int, object] = {}
+        self.images: dict[int, int] = {}
+        self.acknowledged: dict[int, bytes] = {}
+        self.acknowledged_epochs: dict[int, int] = {}
+        self.bases: dict[int, str] = {}
+        self.held: dict[str, set[int]] = {}
+        self.operations: list[Operation] = []
+        self.refused: set[bytes] = set()
+        self.windows: list[PromiseWindow] = []
+        self.disks: dict[str, DiskLog] = {}
+        self.new_leaders: list[tuple[int, str]] = []
+        self.found: Violation | None = None
+
+    def fail(self, invariant: str, detail: str) -> None:
+        """Keep the first violation: it is seen inside of product code and raised outside."""
+        if self.found is None:
+            self.found = Violation(invariant, detail)
+
+    def tick(self) -> int:
+        self.events += 1
+        return self.events
+
+    # Messages.
+
+    def sent(self, message: Message) -> None:
+        """A node sent an ask."""
+        kind = message.get("kind")
+        if kind in ("council.beat", "council.image"):
+            self.led(int(str(message["epoch"])), str(message["disk"]))
+        if kind == "council.beat":
+            self.linked(message)
+        elif kind == "council.vote" and message["trial"] is False:
+            disk = str(message["disk"])
+            self.voted(disk, int(str(message["epoch"])), disk)
+
+    def answered(self, ask: Message, answer: Message) -> None:
+        """A node answered an ask."""
+        if ask.get("kind") != "council.vote" or ask["trial"] is True:
+            return
+        if answer.get("granted") is True:
+            self.voted(str(answer["disk"]), int(str(ask["epoch"])), str(ask["disk"]))
+
+    def led(self, epoch: int, disk: str) -> None:
+        known = self.leaders.get(epoch)
+        if known is None:
+            self.leaders[epoch] = disk
+            self.new_leaders.append((epoch, disk))
+        elif known != disk:
+            self.fail(ELECTION_SAFETY, f"{known} and {disk} lead epoch {epoch}")
+
+    def voted(self, disk: str, epoch: int, candidate: str) -> None:
+        known = self.votes.setdefault((disk, epoch), candidate)
+        if known != candidate:
+            self.fail(ONE_VOTE, f"{disk} voted in epoch {epoch} for {known} and {candidate}")
+
+    def linked(self, message: Message) -> None:
+        previous_epoch = int(str(message["previous_epoch"]))
+        entries = message["entries"]
+        assert isinstance(entries, list)
+        for index, epoch, kind, data in entries:
+            self.link(index, epoch, previous_epoch, kind, data)
+            previous_epoch = epoch
+
+    def link(self, index: int, epoch: int, before: int | None, kind: str, data: bytes) -> None:
+        """Same index and epoch: the same entry with the same one before it."""
+        found = (before, kind, data)
+        known = self.links.setdefault((index, epoch), found)
+        if known == found:
+            return
+        if known[1:] == found[1:] and None in (known[0], before):
+            self.links[(index, epoch)] = found if known[0] is None else known
+            return
+        self.fail(LOG_MATCHING, f"entry {index} of epoch {epoch}: {known} and {found}")
+
+    # State machines.
+
+    def applied(self, disk: str, index: int, data: bytes, state: object) -> None:
+        known = self.words.setdefault(index, data)
+        if known != data:
+            self.fail(STATE_MACHINE_SAFETY, f"{disk} applied another word at {index}")
+        if self.states.setdefault(index, state) != state:
+            self.fail(STATE_MACHINE_SAFETY, f"{disk} at {index}: {state}, not {self.states[index]}")
+        if data in self.refused:
+            self.fail(CERTAIN, f"{disk} applied {change_of(data)} at {index}")
+
+    def imaged(self, disk: str, index: int, data: bytes) -> None:
+        checksum = zlib.crc32(data)
+        if self.images.setdefault(index, checksum) != checksum:
+            self.fail(STATE_MACHINE_SAFETY, f"{disk} has another image at {index}")
+
+    def restored(self, disk: str, index: int, data: bytes) -> None:
+        self.imaged(disk, index, data)
+
+    # Operators.
+
+    def refuse(self, change: Change) -> None:
+        """An operator was told that this attempt is certainly not taken."""
+        data = change.encode()
+        self.refused.add(data)
+        if data in self.words.values():
+            self.fail(CERTAIN, f"{change.identity} was applied and refused")
+
+    def acknowledge(
+        self, operation: Operation, version: int, index: int, disk: str, now: float
+    ) -> None:
+        """A change was acknowledged by the node on a disk; `now` is the world's time."""
+        if version != operation.version:
+            self.fail(LINEARIZABILITY, f"{operation} was acknowledged with version {version}")
+        known = self.bases.setdefault(operation.base, operation.identity)
+        if known != operation.identity:
+            self.fail(ONE_PER_BASE, f"{known} and {operation.identity} on {operation.base}")
+        data = self.words.get(index)
+        if data is None:
+            self.fail(DURABILITY, f"{operation}: no word was applied at {index}")
+            return
+        fresh = index not in self.acknowledged
+        self.acknowledged[index] = data
+        for window in self.windows:
+            if fresh and window.began <= now <= window.until and index > window.last:
+                self.fail(PROMISES, f"{operation} at {index}, {now:.3f} of {window.until:.3f}")
+        if fresh:
+            self.check_majority(index, data, disk)
+
+    def check_majority(self, index: int, data: bytes, disk: str) -> None:
+        """The entry is on a majority of the voters of the newest or the one before it."""
+        leader = self.disks.get(disk)
+        if leader is None:
+            return
+        entry = leader.entry(index)
+        if entry is not None:
+            self.acknowledged_epochs[index] = entry.epoch
+        found = []
+        for _, voters in leader.configurations()[-2:]:
+            holding = [
+                voter
+                for voter in voters
+                if voter in self.disks and self.disks[voter].holds(index, data)
+            ]
+            if len(holding) > len(voters) // 2:
+                break
+            found.append(f"{sorted(holding)} of {sorted(voters)}")
+        else:
+            self.fail(DURABILITY, f"entry {index} acknowledged by {disk} on {found}")
+        for epoch, later in self.leaders.items():
+            if entry is not None and epoch > entry.epoch:
+                self.check_complete(epoch, later)
+
+    # Disks.
+
+    def read_back(self, found: list[DiskLog]) -> None:
+        """Disks were opened afresh after a step."""
+        for log in found:
+            if self.disks.get(log.disk) is not log:
+                self.disks[log.disk] = log
+                self.check_links(log)
+                self.check_configurations(log)
+        for log in found:
+            self.check_kept(log)
+            for (disk, epoch), candidate in self.votes.items():
+                if disk == log.disk:
+                    self.check_vote(log, epoch, candidate)
+        for epoch, disk in self.new_leaders:
+            self.check_complete(epoch, disk)
+        self.new_leaders.clear()
+
+    def check_links(self, log: DiskLog) -> None:
+        before: int | None = log.base_epoch if log.base_index else None
+        for entry in log.entries:
+            if entry.index == 1:
+                before = 0
+            self.link(entry.index, entry.epoch, before, entry.kind, entry.data)
+            before = entry.epoch
+
+    def check_configurations(self, log: DiskLog) -> None:
+        found = log.configurations()
+        for (_, one), (index, other) in pairwise(found):
+            if one != other and len(set(one) ^ set(other)) != 1:
+                self.fail(SINGLE_SERVER, f"{log.disk} at {index}: {sorted(one)} to {sorted(other)}")
+
+    def check_vote(self, log: DiskLog, epoch: int, candidate: str) -> None:
+        if log.epoch < epoch or (log.epoch == epoch and log.voted != candidate):
+            self.fail(
+                VOTE_DURABLE,
+                f"{log.disk} voted for {candidate} in {epoch}, its disk has "
+                f"{log.voted!r} in {log.epoch}",
+            )
+
+    def check_kept(self, log: DiskLog) -> None:
+        now = {index for index, data in self.acknowledged.items() if log.holds(index, data)}
+        lost = self.held.get(log.disk, set()) - now
+        if lost:
+            self.fail(KEPT, f"{log.disk} lost {sorted(lost)}")
+        self.held[log.disk] = now
+
+    def check_complete(self, epoch: int, disk: str) -> None:
+        log = self.disks.get(disk)
+        if log is None:
+            return
+        for index, data in self.acknowledged.items():
+            if self.acknowledged_epochs.get(index, epoch) < epoch and not log.holds(index, data):
+                self.fail(LEADER_COMPLETENESS, f"{disk} leads {epoch} without entry {index}")
+
+    # The whole.
+
+    def newest_version(self) -> int:
+        """The newest version that an operator was told of."""
+        versions = [0]
+        for operation in self.operations:
+            if operation.kind == READ:
+                versions.append(operation.seen[0])
+            elif operation.status == ACCEPTED:
+                versions.append(operation.version)
+        return max(versions)
+
+    def newest_acknowledged(self) -> Operation | None:
+        """The acknowledged change with the newest version."""
+        found = [
+            operation
+            for operation in self.operations
+            if operation.kind == CHANGE and operation.status == ACCEPTED
+        ]
+        return max(found, key=lambda operation: operation.version, default=None)
+
+    def check_operations(self) -> None:
+        if not linearizable(self.operations):
+            lines = "\n  ".join(repr(operation) for operation in self.operations)
+            self.fail(LINEARIZABILITY, f"no order explains\n  {lines}")
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/network.py
@@ -0,0 +1,126 @@
+"""Simulated time and the message carrier between nodes.
+
+Time moves only when no node has anything to do. A message is lost, delayed, duplicated or
+overtaken as the current `Weather` says; a cut drops what crosses it, in one direction.
+"""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+Act = Callable[[], None]
+
+
+class Weather:
+    """Chances and delays (seconds) of messages; `late` is the chance of a long delay."""
+
+    __slots__ = ("delay", "duplicate", "late", "late_seconds", "loss")
+
+    def __init__(
+        self,
+        loss: float = 0.0,
+        duplicate: float = 0.0,
+        delay: float = 0.002,
+        late: float = 0.0,
+        late_seconds: float = 0.0,
+    ) -> None:
+        self.loss = loss
+        self.duplicate = duplicate
+        self.delay = delay
+        self.late = late
+        self.late_seconds = late_seconds
+
+
+CALM = Weather()
+WEATHERS = (
+    CALM,
+    Weather(loss=0.3),
+    Weather(loss=0.1, duplicate=0.3, delay=0.05),
+    Weather(delay=0.1, late=0.2, late_seconds=1.0),
+    Weather(loss=0.2, duplicate=0.2, delay=0.02, late=0.3, late_seconds=3.0),
+)
+
+
+class Process(Protocol):
+    """What the world needs of a node."""
+
+    def run(self) -> bool:
+        """Run what is ready; says whether anything was run."""
+        ...
+
+    def next_time(self) -> float | None:
+        """World time at which the node wants to run next."""
+        ...
+
+
+class World:
+    """The event queue, the cuts and the weather."""
+
+    __slots__ = ("cuts", "events", "processes", "random", "sequence", "time", "weather")
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.time = 0.0
+        self.sequence = 0
+        self.events: list[tuple[float, int, Act]] = []
+        self.processes: list[Process] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.weather = CALM
+
+    def at(self, when: float, act: Act) -> None:
+        self.sequence += 1
+        heapq.heappush(self.events, (when, self.sequence, act))
+
+    def send(self, source: str, target: str, leaves: float, act: Act) -> None:
+        """Carry one message that leaves at a time: `act` is run once a copy arrives."""
+        weather, random = self.weather, self.random
+        if (source, target) in self.cuts or random.random() < weather.loss:
+            return
+        copies = 2 if random.random() < weather.duplicate else 1
+        for _ in range(copies):
+            delay = 0.0005 + weather.delay * random.random()
+            if random.random() < weather.late:
+                delay += weather.late_seconds * random.random()
+            self.at(max(self.time, leaves) + delay, self.arrival(source, target, act))
+
+    def arrival(self, source: str, target: str, act: Act) -> Act:
+        def arrive() -> None:
+            if (source, target) not in self.cuts:
+                act()
+
+        return arrive
+
+    def step(self, until: float) -> bool:
+        """Run all that is due now, then move to the next moment; False at the end."""
+        busy = True
+        while busy:
+            busy = False
+            for process in self.processes:
+                busy = process.run() or busy
+        following = self.events[0][0] if self.events else until + 1.0
+        for process in self.processes:
+            wanted = process.next_time()
+            if wanted is not None and wanted < following:
+                following = wanted
+        if following > until:
+            self.time = max(self.time, until)
+            return False
+        self.time = max(self.time, following + 1e-7)
+        while self.events and self.events[0][0] <= self.time:
+            heapq.heappop(self.events)[2]()
+        return True
+
+    def run(self, seconds: float) -> None:
+        until = self.time + seconds
+        while self.step(until):
+            pass
+
+    def run_until(self, done: Callable[[], bool], seconds: float, every: float = 0.05) -> bool:
+        """Run until `done`, looked at every so many seconds; False when the time is over."""
+        until = self.time + seconds
+        while not done():
+            if self.time >= until:
+                return False
+            self.run(every)
+        return True
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/replay.py
@@ -0,0 +1,13 @@
+"""Running one written schedule alone."""
+
+import sys
+from pathlib import Path
+
+from ryelock.proving.model.schedule import decode_schedule, run_schedule
+
+
+def replay_schedule(path: str) -> int:
+    """Run the schedule in a file and print what it broke; exit status 1 where it broke any."""
+    violation = run_schedule(decode_schedule(Path(path).read_text()))
+    sys.stdout.write(f"{violation or 'no invariant was broken'}\n")
+    return 0 if violation is None else 1
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/schedule.py
@@ -0,0 +1,315 @@
+"""Schedules: steps as plain data, how they are drawn, run, shrunk and written down."""
+
+import json
+from dataclasses import dataclass, field
+from random import Random
+
+from ryelock.proving.model.adapter import ProductNode
+from ryelock.proving.model.cluster import VARIANTS, Cluster, Machine
+from ryelock.proving.model.disk import Crash, Fault, LossMode
+from ryelock.proving.model.network import WEATHERS
+from ryelock.proving.model.violation import Violation
+
+Step = tuple[str, int, int, int]
+RUN_SECONDS = (0.02, 0.1, 0.3, 0.8, 1.6, 3.0)
+RATES = (1.0, 0.99, 1.01)
+ARGUMENT_MOST = 59
+STEPS_MOST = 30
+
+WEIGHTS: dict[str, int] = {
+    "run": 12,
+    "change": 8,
+    "race": 4,
+    "resend": 4,
+    "read": 5,
+    "purge": 2,
+    "kill": 3,
+    "power": 4,
+    "crash_at": 5,
+    "start": 7,
+    "wipe": 2,
+    "cut": 4,
+    "isolate": 3,
+    "heal": 4,
+    "freeze": 2,
+    "thaw": 2,
+    "stall": 2,
+    "fault": 3,
+    "weather": 3,
+    "rate": 1,
+    "hand_over": 2,
+    "leave": 1,
+    "promise": 2,
+    "voters": 1,
+}
+KINDS = tuple(WEIGHTS)
+STEP_KINDS_AND_VARIANTS = frozenset((*KINDS, *VARIANTS, *(f"fault {kind}" for kind in Fault.ALL)))
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """A seed of delays and losses, the size of the cluster, and the steps.
+
+    `without` names kinds of steps, and variants of them (see Runner), that are left out.
+    """
+
+    seed: int
+    machines: int
+    image_records: int
+    steps: tuple[Step, ...]
+    without: frozenset[str] = field(default_factory=frozenset)
+
+    def encode(self) -> str:
+        return json.dumps(
+            {
+                "seed": self.seed,
+                "machines": self.machines,
+                "image_records": self.image_records,
+                "without": sorted(self.without),
+                "steps": self.steps,
+            }
+        )
+
+    def with_steps(self, steps: tuple[Step, ...]) -> "Schedule":
+        return Schedule(self.seed, self.machines, self.image_records, steps, self.without)
+
+
+def decode_schedule(text: str) -> Schedule:
+    plain = json.loads(text)
+    steps = tuple((str(kind), int(a), int(b), int(c)) for kind, a, b, c in plain["steps"])
+    return Schedule(
+        plain["seed"],
+        plain["machines"],
+        plain["image_records"],
+        steps,
+        frozenset(plain.get("without", ())),
+    )
+
+
+def draw(seed: int, without: frozenset[str] = frozenset()) -> Schedule:
+    """The schedule of a seed."""
+    random = Random(f"schedule {seed}")
+    kinds = [kind for kind in KINDS if kind not in without]
+    weights = [WEIGHTS[kind] * random.choice((0, 1, 1, 2)) for kind in kinds]
+    weights[kinds.index("run")] = WEIGHTS["run"]
+    weights[kinds.index("change")] = WEIGHTS["change"]
+    steps = tuple(
+        (
+            kind,
+            random.randint(0, ARGUMENT_MOST),
+            random.randint(0, ARGUMENT_MOST),
+            random.randint(0, ARGUMENT_MOST),
+        )
+        for kind in random.choices(kinds, weights, k=random.randint(8, STEPS_MOST))
+    )
+    machines = random.choice((3, 3, 3, 4, 5))
+    return Schedule(seed, machines, random.choice((8, 15, 30, 1000)), steps, without)
+
+
+class Runner:
+    """Runs one schedule; each step is a method."""
+
+    __slots__ = ("cluster", "schedule")
+
+    def __init__(self, schedule: Schedule) -> None:
+        self.schedule = schedule
+        self.cluster = Cluster(
+            schedule.seed, schedule.machines, schedule.image_records, schedule.without
+        )
+
+    def play(self) -> None:
+        """Raises Violation at the first step after which an invariant does not hold."""
+        cluster = self.cluster
+        for machine in cluster.machines:
+            machine.try_start()
+        cluster.world.run(1.5)
+        cluster.check()
+        for kind, *arguments in self.schedule.steps:
+            if kind not in self.schedule.without:
+                getattr(self, kind)(*arguments)
+                cluster.world.run(0.004)
+                cluster.check()
+        cluster.finish()
+
+    def machine(self, pick: int) -> Machine:
+        """The leader for a third of the numbers, else the machine with that number."""
+        leader = self.cluster.leader(pick)
+        if pick % 3 == 2 and leader is not None:
+            return leader
+        return self.cluster.machines[pick // 3 % len(self.cluster.machines)]
+
+    # Time and network.
+
+    def run(self, pick: int, *_: int) -> None:
+        self.cluster.world.run(RUN_SECONDS[pick % len(RUN_SECONDS)])
+
+    def cut(self, one: int, other: int, way: int) -> None:
+        first, second = self.machine(one), self.machine(other)
+        self.cluster.world.cuts.add((first.name, second.name))
+        if way % 2:
+            self.cluster.world.cuts.add((second.name, first.name))
+
+    def isolate(self, one: int, way: int, _: int) -> None:
+        machine = self.machine(one)
+        for other in self.cluster.machines:
+            if other is not machine:
+                if way % 4 != 1:
+                    self.cluster.world.cuts.add((machine.name, other.name))
+                if way % 4 != 2:
+                    self.cluster.world.cuts.add((other.name, machine.name))
+
+    def heal(self, *_: int) -> None:
+        self.cluster.world.cuts.clear()
+
+    def weather(self, pick: int, *_: int) -> None:
+        self.cluster.world.weather = WEATHERS[pick % len(WEATHERS)]
+
+    def freeze(self, one: int, *_: int) -> None:
+        self.machine(one).frozen = True
+
+    def thaw(self, *_: int) -> None:
+        for machine in self.cluster.machines:
+            machine.frozen = False
+
+    def rate(self, one: int, pick: int, _: int) -> None:
+        self.machine(one).clock.set_rate(RATES[pick % len(RATES)])
+
+    # Processes and disks.
+
+    def kill(self, one: int, *_: int) -> None:
+        if "kill" not in self.schedule.without:
+            self.machine(one).kill("")
+
+    def power(self, one: int, pick: int, _: int) -> None:
+        self.machine(one).kill(LossMode.ALL[pick % len(LossMode.ALL)])
+
+    def crash_at(self, one: int, points: int, pick: int) -> None:
+        """Crash at a later point of the disk; every other time the power goes too."""
+        machine = self.machine(one)
+        machine.folder.crash_in = 1 + points % 16
+        modes = ("", *LossMode.ALL) if "kill" not in self.schedule.without else LossMode.ALL
+        machine.power_mode = modes[pick % len(modes)]
+
+    def start(self, one: int, *_: int) -> None:
+        """Start a machine that is down; with an even number, all of them."""
+        if one % 2:
+            self.machine(one).try_start()
+            return
+        for machine in self.cluster.machines:
+            machine.try_start()
+
+    def wipe(self, one: int, *_: int) -> None:
+        self.cluster.wipe(self.machine(one))
+
+    def stall(self, one: int, pick: int, _: int) -> None:
+        self.machine(one).folder.stall_seconds = (0.1, 0.5, 1.0, 3.0)[pick % 4]
+
+    def fault(self, one: int, pick: int, count: int) -> None:
+        kinds = [kind for kind in Fault.ALL if f"fault {kind}" not in self.schedule.without]
+        if kinds:
+            kind = kinds[pick % len(kinds)]
+            self.machine(one).folder.fault = Fault(kind, count % 3, 1 + count // 20)
+
+    # Operators.
+
+    def change(self, one: int, stale: int, _: int) -> None:
+        leader = self.cluster.leader(one)
+        if leader is not None:
+            base = self.cluster.history.newest_version()
+            if stale % 6 == 0:
+                base = max(0, base - 1)
+            self.cluster.send_change(self.cluster.new_change(base, base + 1), leader)
+
+    def race(self, one: int, other: int, apart: int) -> None:
+        """Two changes with one base and one number, at once or shortly after another."""
+        base = self.cluster.history.newest_version()
+        for pick in (one, other):
+            leader = self.cluster.leader(pick)
+            if leader is not None:
+                self.cluster.send_change(self.cluster.new_change(base, base + 1), leader)
+            if apart % 3 == 0:
+                self.cluster.world.run(0.05)
+
+    def resend(self, one: int, pick: int, _: int) -> None:
+        changes = self.cluster.changes
+        leader = self.cluster.leader(one)
+        if changes and leader is not None:
+            self.cluster.send_change(changes[-1 - pick % min(3, len(changes))], leader)
+
+    def read(self, one: int, *_: int) -> None:
+        leader = self.cluster.leader(one)
+        if leader is not None:
+            self.cluster.send_read(leader)
+
+    def purge(self, one: int, count: int, _: int) -> None:
+        leader = self.cluster.leader(one)
+        for _number in range(1 + count % 6):
+            if leader is not None:
+                self.cluster.send_purge(leader)
+
+    # Leadership and membership.
+
+    def hand_over(self, one: int, *_: int) -> None:
+        leader = self.cluster.leader(one)
+        if leader is not None and leader.node is not None:
+            leader.scheduler.spawn("hand over", leader.node.hand_over())
+
+    def leave(self, one: int, *_: int) -> None:
+        """A planned stop: the council ends in order, then the process."""
+        machine = self.machine(one)
+        node = machine.node
+        if node is not None:
+            machine.scheduler.spawn("leave", node.leave())
+            self.cluster.world.run(0.5)
+            if machine.node is node:
+                machine.kill("")
+
+    def promise(self, *_: int) -> None:
+        self.cluster.ask_promises()
+
+    def voters(self, one: int, pick: int, _: int) -> None:
+        """Ask the leader for another set of voters: one out, or a learner in."""
+        leader = self.cluster.leader(one)
+        if leader is not None and leader.node is not None:
+            self.cluster.change_voters(leader, other_voters(leader.node, pick))
+
+
+def other_voters(node: ProductNode, pick: int) -> dict[str, str]:
+    voters = node.voters
+    fresh = sorted(disk for disk in node.learners if disk not in voters)
+    if fresh and pick % 2:
+        voters[fresh[0]] = node.learners[fresh[0]]
+        return voters
+    others = sorted(disk for disk in voters if disk != node.disk)
+    if others:
+        del voters[others[pick % len(others)]]
+    return voters
+
+
+def run_schedule(schedule: Schedule) -> Violation | None:
+    """The invariant that a schedule broke, or None."""
+    try:
+        Runner(schedule).play()
+    except Violation as violation:
+        return violation
+    except Crash as error:
+        raise AssertionError("a crash outside of a process") from error
+    return None
+
+
+def shrink(schedule: Schedule, invariant: str, tries: int = 600) -> Schedule:
+    """Leave out steps as long as the same invariant stays broken."""
+    steps = list(schedule.steps)
+    size = max(1, len(steps) // 2)
+    while size and tries:
+        position = 0
+        while position < len(steps) and tries:
+            tries -= 1
+            fewer = tuple(steps[:position] + steps[position + size :])
+            found = run_schedule(schedule.with_steps(fewer))
+            if found is not None and found.invariant == invariant:
+                steps = list(fewer)
+            else:
+                position += size
+        size //= 2
+    return schedule.with_steps(tuple(steps))
--- /dev/null
+++ b/packages/proving/ryelock/proving/model/violation.py
@@ -0,0 +1,10 @@
+"""The error that ends a schedule in which an invariant did not hold."""
+
+
+class Violation(Exception):
+    """An invariant was broken; `invariant` is its usual name, `detail` says by what."""
+
+    def __init__(self, invariant: str, detail: str) -> None:
+        super().__init__(f"{invariant}: {detail}")
+        self.invariant = invariant
+        self.detail = detail
