--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -24,16 +24,12 @@
     WORD,
     Entry,
     Image,
-    Stored,
     Voters,
     entry_of,
-    entry_record,
     image_of,
     majority_of,
-    promise_record,
-    vote_record,
-    voters_of,
 )
+from ryelock.council.log import ReplicatedLog
 from ryelock.events import (
     FOLLOWING,
     FOUNDED,
@@ -49,7 +45,12 @@
 from ryelock.wire import Lines, Message, Reply, WireError
 
 BATCH_BYTES = 1_048_576
+"""The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
+BATCH_BYTES_LEAST = 16_384
+ENTRY_OVERHEAD_BYTES = 32
 VOTERS_MOST = 5
+DISK_RETRY_SECONDS = 2.0
+"""A node whose disk refused a write stands for no election for so long."""
 
 
 class CouncilError(Exception):
@@ -94,13 +95,24 @@
 class Peer:
     """Another disk as the leader sees it."""
 
-    __slots__ = ("address", "disk", "gone", "heard", "match", "news", "next", "running")
+    __slots__ = (
+        "address",
+        "batch_bytes",
+        "disk",
+        "gone",
+        "heard",
+        "match",
+        "news",
+        "next",
+        "running",
+    )
 
     def __init__(self, disk: str, address: str, following: int, scheduler: Scheduler) -> None:
         self.disk = disk
         self.address = address
         self.next = following
         self.match = 0
+        self.batch_bytes = BATCH_BYTES
         self.heard = -1e9
         self.gone = False
         self.news: Mailbox[bool] = Mailbox(scheduler)
@@ -136,16 +148,13 @@
         "applied",
         "applied_news",
         "applied_word",
-        "base",
         "commands",
         "commit",
         "disk",
+        "disk_failed_at",
         "elected_at",
         "election_at",
-        "entries",
-        "epoch",
         "hear",
-        "journal",
         "last_round_failed",
         "leader",
         "leader_address",
@@ -157,11 +166,10 @@
         "name",
         "pace",
         "peers",
-        "promise_noted",
         "promised",
         "random",
         "reach_at",
-        "restarted",
+        "replicated_log",
         "role",
         "say",
         "scheduler",
@@ -169,7 +177,6 @@
         "settled_at",
         "tasks",
         "tries",
-        "voted",
         "voters",
         "waiting",
     )
@@ -191,7 +198,7 @@
         self.scheduler = scheduler
         self.lines = lines
         self.log = log
-        self.journal = journal
+        self.replicated_log = ReplicatedLog(journal)
         self.machine = machine
         self.name = name
         self.disk = disk
@@ -210,6 +217,7 @@
         self.election_at = 0.0
         self.last_round_failed = -1e9
         self.reach_at = -1e9
+        self.disk_failed_at = -1e9
         self.tries = 0
         self.peers: dict[str, Peer] = {}
         self.learners: dict[str, tuple[str, float]] = {}
@@ -217,15 +225,6 @@
         self.tasks: list[Running] = []
         self.say: Said = dict
         self.hear: Hears = lambda _disk, _message, _since: None
-        stored = Stored(journal.image, journal.records)
-        self.promise_noted = stored.promised
-        self.restarted = journal.image is not None or bool(journal.records)
-        journal.image = None
-        journal.records = []
-        self.base = stored.image
-        self.entries = stored.entries
-        self.epoch = stored.epoch
-        self.voted = stored.voted
         self.commit = self.base.index
         self.applied = self.base.index
         self.applied_word = self.base.word
@@ -233,29 +232,48 @@
         self.find_voters()
         if self.base.index:
             machine.restore(self.base.machine)
-        self.promised = scheduler.now() + pace.promise * 1.1 if stored.promised else -1e9
+        self.promised = scheduler.now() + pace.promise * 1.1 if self.promise_noted else -1e9
         self.put_off_election()
 
     # The log.
 
+    @property
+    def journal(self) -> Journal:
+        return self.replicated_log.journal
+
+    @property
+    def base(self) -> Image:
+        """The image that the entries follow."""
+        return self.replicated_log.image
+
+    @property
+    def entries(self) -> list[Entry]:
+        return self.replicated_log.entries
+
+    @property
+    def epoch(self) -> int:
+        return self.replicated_log.epoch
+
+    @property
+    def voted(self) -> str:
+        return self.replicated_log.voted
+
+    @property
+    def promise_noted(self) -> bool:
+        return self.replicated_log.promise_noted
+
     @property
     def last_index(self) -> int:
-        return self.base.index + len(self.entries)
+        return self.replicated_log.last_index
 
     def epoch_at(self, index: int) -> int:
-        if index == self.base.index:
-            return self.base.epoch
-        return self.entries[index - self.base.index - 1].epoch
+        return self.replicated_log.epoch_at(index)
 
     def entry_at(self, index: int) -> Entry:
-        return self.entries[index - self.base.index - 1]
+        return self.replicated_log.entry_at(index)
 
     def find_voters(self) -> None:
-        self.voters = self.base.voters
-        for entry in reversed(self.entries):
-            if entry.kind == VOTERS:
-                self.voters = voters_of(entry.data)
-                break
+        self.voters = self.replicated_log.voters_at(self.last_index)
 
     @property
     def majority(self) -> int:
@@ -263,24 +281,17 @@
 
     @property
     def empty(self) -> bool:
-        return not self.restarted and not self.entries and self.epoch == 0
+        return self.replicated_log.empty
 
     def words_since(self, index: int) -> list[tuple[int, bytes]] | None:
         """Applied words behind an index, or None where only an image can tell."""
         if index < self.base.index or index > self.applied:
             return None
-        return [
-            (entry.index, entry.data)
-            for entry in self.entries[index - self.base.index : self.applied - self.base.index]
-            if entry.kind == WORD
-        ]
+        return self.replicated_log.words_between(index, self.applied)
 
     def last_word(self) -> int:
         """The index of the log's last word, applied or not; notes are passed by."""
-        for entry in reversed(self.entries):
-            if entry.kind == WORD:
-                return entry.index
-        return self.base.word
+        return self.replicated_log.last_word()
 
     # Running.
 
@@ -324,7 +335,7 @@
         if now - self.leader_heard > 0.5 * pace and now - self.reach_at > 0.6 * pace:
             self.reach_at = now
             self.scheduler.spawn("council reach", self.reach())
-        if now < self.election_at:
+        if now < self.election_at or now < self.disk_failed_at + DISK_RETRY_SECONDS:
             return
         self.put_off_election()
         self.tries += 1
@@ -386,11 +397,10 @@
         }
 
     def save_vote(self, epoch: int, voted: str) -> bool:
-        if self.journal.write([vote_record(epoch, voted)]).is_error():
-            return False
-        self.epoch = epoch
-        self.voted = voted
-        return True
+        saved = self.replicated_log.save_vote(epoch, voted)
+        if not saved:
+            self.disk_failed_at = self.scheduler.now()
+        return saved
 
     def on_vote(self, message: Message) -> Message:
         epoch = whole(message["epoch"])
@@ -452,9 +462,9 @@
         if previous > self.last_index:
             return {**answer, "last": self.last_index}
         if previous < self.base.index:
-            return {**answer, "last": self.base.index}
-        if self.epoch_at(previous) != whole(message["previous_epoch"]):
-            return {**answer, "last": previous - 1}
+            return {**answer, "last": self.base.index, "agreed": True}
+        if not self.replicated_log.holds(previous, whole(message["previous_epoch"])):
+            return {**answer, **self.conflict_at(previous)}
         entries = [entry_of(plain) for plain in listed(message["entries"])]
         if not self.store(entries):
             return answer
@@ -465,14 +475,19 @@
             self.hear(str(message["disk"]), said, None)
         return {**answer, "ok": True, "last": reached, "said": self.say()}
 
+    def conflict_at(self, index: int) -> Message:
+        """What a leader needs to pass by all entries of the epoch that differs at an index."""
+        first = self.replicated_log.first_of_epoch_at(index)
+        return {"last": first - 1, "conflict": self.epoch_at(index)}
+
     def follow(self, epoch: int, leader: str, address: str) -> bool:
         if epoch > self.epoch and not self.save_vote(epoch, ""):
             return False
         if self.role == "leader":
             self.drop_leading("another leads")
         self.role = "follower"
-        if self.promise_noted and self.journal.write([promise_record(False)]).is_ok():
-            self.promise_noted = False
+        if self.promise_noted:
+            self.replicated_log.save_promise(False)
         if leader != self.leader:
             self.log.write(FOLLOWING, leader=leader, epoch=epoch)
         self.leader = leader
@@ -483,17 +498,8 @@
 
     def store(self, entries: list[Entry]) -> bool:
         """Write the entries this log lacks; one that differs replaces the tail."""
-        fresh = list(entries)
-        while fresh and fresh[0].index <= self.last_index:
-            if fresh[0].index > self.base.index and self.epoch_at(fresh[0].index) != fresh[0].epoch:
-                break
-            fresh.pop(0)
-        if not fresh:
-            return True
-        if self.journal.write([entry_record(entry) for entry in fresh]).is_error():
+        if not self.replicated_log.append(entries):
             return False
-        del self.entries[fresh[0].index - self.base.index - 1 :]
-        self.entries += fresh
         before = self.voters
         self.find_voters()
         if before != self.voters:
@@ -513,12 +519,8 @@
             return answer
         if image.index <= self.applied:
             return {**answer, "ok": True, "epoch": self.epoch, "last": self.applied}
-        if self.journal.write_image(
-            data, [vote_record(self.epoch, self.voted), promise_record(self.promise_noted)]
-        ).is_error():
+        if not self.replicated_log.install(image):
             return answer
-        self.base = image
-        self.entries = []
         self.commit = self.applied = image.index
         self.applied_word = image.word
         self.find_voters()
@@ -547,8 +549,7 @@
             and now - self.last_round_failed < 3 * self.pace.election
         )
         if granted and not self.promise_noted:
-            granted = self.journal.write([promise_record(True)]).is_ok()
-            self.promise_noted = granted
+            granted = self.replicated_log.save_promise(True)
         if granted:
             self.promised = max(self.promised, now + float(str(seconds)))
         return {
@@ -669,6 +670,7 @@
         self.log.write(LEADING, epoch=epoch)
         entry = Entry(self.last_index + 1, epoch, NOTHING, b"")
         if not self.store([entry]):
+            self.disk_failed_at = self.scheduler.now()
             self.drop_leading("its disk failed")
             return
         for disk, address in self.voters.items():
@@ -701,24 +703,7 @@
         while self.role == "leader" and self.epoch == epoch:
             sent = self.scheduler.now()
             image = peer.next <= self.base.index
-            common: Message = {
-                "to": peer.disk,
-                "disk": self.disk,
-                "address": self.address,
-                "epoch": epoch,
-            }
-            if image:
-                message: Message = {**common, "kind": "council.image", "image": self.base.encode()}
-            else:
-                message = {
-                    **common,
-                    "kind": "council.beat",
-                    "previous": peer.next - 1,
-                    "previous_epoch": self.epoch_at(peer.next - 1),
-                    "entries": self.batch(peer.next),
-                    "commit": self.commit,
-                    "said": self.say(),
-                }
+            message = self.image_message(peer) if image else self.beat_message(peer)
             found = yield from self.lines.ask(
                 peer.address, message, 15.0 if image else self.pace.election
             )
@@ -732,20 +717,48 @@
             peer.news.items.clear()
             yield from peer.news.take(self.pace.beat)
 
-    def batch(self, start: int) -> list[object]:
+    def message_to(self, peer: Peer, kind: str) -> Message:
+        return {
+            "kind": kind,
+            "to": peer.disk,
+            "disk": self.disk,
+            "address": self.address,
+            "epoch": self.epoch,
+        }
+
+    def image_message(self, peer: Peer) -> Message:
+        return {**self.message_to(peer, "council.image"), "image": self.base.encode()}
+
+    def beat_message(self, peer: Peer) -> Message:
+        """A heartbeat with as many entries as the peer takes in time."""
+        return {
+            **self.message_to(peer, "council.beat"),
+            "previous": peer.next - 1,
+            "previous_epoch": self.epoch_at(peer.next - 1),
+            "entries": self.batch(peer.next, peer.batch_bytes),
+            "commit": self.commit,
+            "said": self.say(),
+        }
+
+    def batch(self, start: int, most: int) -> list[object]:
+        """Entries from an index on, at least one if there is any, of about so many bytes."""
         found: list[object] = []
         size = 0
-        for entry in self.entries[start - self.base.index - 1 :]:
-            size += len(entry.data) + 32
-            found.append(entry.plain())
-            if size > BATCH_BYTES:
+        for index in range(start, self.last_index + 1):
+            entry = self.entry_at(index)
+            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if found and size > most:
                 break
+            found.append(entry.plain())
         return found
 
     def heard_peer(
         self, peer: Peer, epoch: int, sent: float, found: Result[Message, WireError]
     ) -> None:
-        if self.role != "leader" or self.epoch != epoch or found.is_error():
+        if self.role != "leader" or self.epoch != epoch:
+            return
+        if found.is_error():
+            peer.batch_bytes = max(BATCH_BYTES_LEAST, peer.batch_bytes // 2)
             return
         answer = found.ok
         if answer.get("stranger") is True:
@@ -764,12 +777,13 @@
         if answer.get("ok") is not True:
             if theirs == epoch:
                 peer.heard = max(peer.heard, sent)
-            following = max(1, min(peer.next - 1, last + 1))
+            following = self.next_for(peer, answer, last)
             if following != peer.next:
                 peer.next = following
                 peer.news.put(True)
             return
         peer.heard = max(peer.heard, sent)
+        peer.batch_bytes = min(BATCH_BYTES, peer.batch_bytes + peer.batch_bytes // 8)
         peer.match = max(peer.match, last)
         peer.next = peer.match + 1
         said = answer.get("said")
@@ -779,6 +793,21 @@
         if peer.next <= self.last_index:
             peer.news.put(True)
 
+    def next_for(self, peer: Peer, answer: Message, last: int) -> int:
+        """The index to go on from after a peer declined; `last` is how far its log may agree.
+
+        `agreed` tells that the peer's image ends there, so all before is the same. A `conflict`
+        names the epoch of its entries behind `last`: where this log has a later epoch at the place
+        in question, the two agree at most up to its last entry that is not of a later one.
+        """
+        if answer.get("agreed") is True:
+            return max(peer.next, min(last, self.last_index) + 1)
+        conflict = answer.get("conflict")
+        if isinstance(conflict, int):
+            reaches = self.replicated_log.last_of_epochs_until(conflict)
+            last = reaches if reaches < peer.next - 1 else last
+        return max(1, min(peer.next - 1, last + 1))
+
     def count_commit(self) -> None:
         matches = sorted(
             (
@@ -827,26 +856,14 @@
             tell()
 
     def write_image(self) -> None:
-        voters = self.base.voters
-        for entry in self.entries[: self.applied - self.base.index]:
-            if entry.kind == VOTERS:
-                voters = voters_of(entry.data)
         image = Image(
             self.applied,
             self.epoch_at(self.applied),
-            voters,
+            self.replicated_log.voters_at(self.applied),
             self.machine.image(),
             self.applied_word,
         )
-        kept = self.entries[self.applied - self.base.index :]
-        records = [
-            vote_record(self.epoch, self.voted),
-            promise_record(self.promise_noted),
-            *(entry_record(entry) for entry in kept),
-        ]
-        if self.journal.write_image(image.encode(), records).is_ok():
-            self.base = image
-            self.entries = kept
+        if self.replicated_log.compact(image):
             self.log.write(IMAGE_WRITTEN, index=image.index)
 
     def held_since(self) -> float:
@@ -893,7 +910,9 @@
             )
         if not self.store(entries):
             for proposal in proposals:
-                proposal.box.put(Error(CouncilError("the leader's disk takes no more", True)))
+                # The records may be found on the disk after a restart, so this is not certain.
+                proposal.box.put(Error(CouncilError("the leader's disk takes no more", False)))
+            self.disk_failed_at = self.scheduler.now()
             self.drop_leading("its disk failed")
             return
         for entry, proposal in zip(entries, proposals, strict=True):
@@ -1019,9 +1038,7 @@
         if not self.empty:
             return
         entry = Entry(1, 1, VOTERS, cbor2.dumps(dict(sorted(voters.items()))))
-        if self.journal.write([vote_record(1, ""), entry_record(entry)]).is_ok():
-            self.epoch = 1
-            self.entries = [entry]
+        if self.replicated_log.begin(1, entry):
             self.find_voters()
             self.put_off_election()
             self.log.write(FOUNDED, voters=sorted(voters.values()))
