--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -74,7 +74,7 @@
 
     def apply(self, index: int, data: bytes) -> object:
         result = super().apply(index, data)
-        state = (self.version, self.newest_change(), self.purge_number, len(self.outcomes))
+        state = (self.version, self.newest_change(), self.purge_number)
         self.observer.applied(self.disk, index, data, state)
         return result
 
