--- a/packages/core/ryelock/core/voters.py
+++ b/packages/core/ryelock/core/voters.py
@@ -125,7 +125,10 @@
         if not self.council.settled:
             return {"ok": False, "may_end": False}
         self.leaving[disk] = self.scheduler.now()
-        return {"ok": True, "may_end": self.may_end(disk)}
+        may_end = self.may_end(disk)
+        if may_end:
+            self.council.release(disk)
+        return {"ok": True, "may_end": may_end}
 
     def may_end(self, disk: str) -> bool:
         """Whether nothing rests on a disk, or no spare could take its place anyway."""
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/council/ryelock/council/seat.py
@@ -65,6 +65,8 @@
 APPLY_PAUSE_SECONDS = 0.0005
 """What the other tasks of the process get between two such batches."""
 WHO_SECONDS = 0.5
+RELEASED_SECONDS = 3.0
+"""What a disk stored counts again so long after it was told that it may end."""
 DISK_RETRY_SECONDS = 2.0
 """A node whose disk refused a write stands for no election for so long."""
 
@@ -205,6 +207,7 @@
         "promised",
         "random",
         "reach_at",
+        "released",
         "replicated_log",
         "role",
         "say",
@@ -257,6 +260,7 @@
         self.reach_at = -1e9
         self.disk_failed_at = -1e9
         self.leaving = False
+        self.released: dict[str, float] = {}
         self.tries = 0
         self.peers: dict[str, Peer] = {}
         self.learners: dict[str, tuple[str, float]] = {}
@@ -371,8 +375,10 @@
             if now - max(self.held_since(), self.elected_at) > self.pace.election * 1.5:
                 self.log.write(LEADERLESS, epoch=self.epoch)
                 self.drop_leading("lost its majority")
+            elif self.settled and not self.changing_voters and self.disk not in self.voters:
+                self.pass_leading_on("no voter any more")
             return
-        if self.disk not in self.voters:
+        if not self.may_stand:
             return
         pace = self.pace.election
         if now - self.leader_heard > 0.5 * pace and now - self.reach_at > 0.6 * pace:
@@ -386,6 +392,17 @@
         self.tries += 1
         self.scheduler.spawn("council election", self.campaign(self.tries, True))
 
+    @property
+    def may_stand(self) -> bool:
+        """Whether this disk may be elected: a voter, or one whose removal is not agreed yet.
+
+        The latter may be the only one with a log that is long enough. It does not count itself,
+        and steps down once its removal is agreed.
+        """
+        if self.disk in self.voters:
+            return True
+        return self.disk in self.replicated_log.voters_at(self.commit)
+
     def put_off_election(self) -> None:
         """Wait for a while of chance; less in a life in which no leader was heard of yet.
 
@@ -627,7 +644,7 @@
 
     def on_takeover(self, message: Message) -> Message:
         """The leader names this node its successor."""
-        if whole(message["epoch"]) != self.epoch or self.disk not in self.voters:
+        if whole(message["epoch"]) != self.epoch or not self.may_stand:
             return {"ok": False}
         self.tries += 1
         self.scheduler.spawn("council election", self.campaign(self.tries, False))
@@ -667,6 +684,8 @@
                 return
             if self.scheduler.now() < self.promised or self.knows_leader():
                 return
+        if self.role == "leader":
+            return
         epoch = self.epoch + 1
         if not self.save_vote(epoch, self.disk):
             return
@@ -683,7 +702,7 @@
     def gather_votes(self, epoch: int, trial: bool, handed: bool) -> Step[tuple[bool, bool]]:
         """Whether a majority granted, and whether a majority answered at all."""
         voters = dict(self.voters)
-        if self.disk not in voters:
+        if not self.may_stand:
             return False, False
         box: Mailbox[tuple[bool, bool]] = Mailbox(self.scheduler)
         seconds = self.pace.election * 0.8
@@ -700,7 +719,8 @@
                     "last_epoch": self.epoch_at(self.last_index),
                 }
                 self.scheduler.spawn("council vote", self.ask_vote(address, message, seconds, box))
-        votes, answers, asked, needed = 1, 1, 1, majority_of(len(voters))
+        own = int(self.disk in voters)
+        votes, answers, asked, needed = own, own, own, majority_of(len(voters))
         until = self.scheduler.now() + seconds
         while votes < needed and asked < len(voters):
             found = yield from box.take(max(0.0, until - self.scheduler.now()))
@@ -733,6 +753,7 @@
         self.leader_address = self.address
         self.elected_at = self.scheduler.now()
         self.learners = {}
+        self.released = {}
         self.log.write(LEADING, epoch=epoch)
         entry = Entry(self.last_index + 1, epoch, NOTHING, b"")
         if not self.store([entry]):
@@ -749,6 +770,18 @@
         self.peers[disk] = peer
         peer.running = self.scheduler.spawn(f"council to {address}", self.carry(peer, self.epoch))
 
+    def pass_leading_on(self, reason: str) -> None:
+        """Lead no longer, and ask the voter with the longest log to stand at once."""
+        successor = self.peers.get(self.best_successor())
+        epoch = self.epoch
+        self.drop_leading(reason)
+        if successor is not None:
+            self.scheduler.spawn("council takeover", self.name_successor(successor.address, epoch))
+
+    def name_successor(self, address: str, epoch: int) -> Step[None]:
+        message: Message = {"kind": "council.takeover", "epoch": epoch}
+        yield from self.lines.ask(address, message, WHO_SECONDS)
+
     def drop_leading(self, reason: str) -> None:
         if self.role != "leader":
             return
@@ -902,16 +935,8 @@
         return max(1, min(peer.next - 1, last + 1))
 
     def count_commit(self) -> None:
-        matches = sorted(
-            (
-                self.last_index
-                if disk == self.disk
-                else self.peers[disk].match
-                if disk in self.peers
-                else 0
-            )
-            for disk in self.voters
-        )
+        released = self.released_disks()
+        matches = sorted(0 if disk in released else self.match_of(disk) for disk in self.voters)
         if not matches:
             return
         reached = matches[len(matches) - self.majority]
@@ -1037,7 +1062,7 @@
                 # The records may be found on the disk after a restart, so this is not certain.
                 proposal.box.put(Error(CouncilError("the leader's disk takes no more", False)))
             self.disk_failed_at = self.scheduler.now()
-            self.drop_leading("its disk failed")
+            self.pass_leading_on("its disk failed")
             return
         for entry, proposal in zip(entries, taken, strict=True):
             self.waiting[entry.index] = (entry.epoch, proposal.box)
@@ -1064,6 +1089,15 @@
         behind = self.entries[self.commit - self.base.index :]
         return any(entry.kind == VOTERS for entry in behind)
 
+    def release(self, disk: str) -> None:
+        """A disk may end at any moment: nothing is agreed by its word for a while."""
+        self.released[disk] = self.scheduler.now()
+
+    def released_disks(self) -> set[str]:
+        """Disks that were told lately that they may end."""
+        now = self.scheduler.now()
+        return {disk for disk, at in self.released.items() if now - at < RELEASED_SECONDS}
+
     def match_of(self, disk: str) -> int:
         """The last index that a disk is known to hold, as its leader knows it."""
         if disk == self.disk:
