--- a/packages/core/ryelock/core/identity.py
+++ b/packages/core/ryelock/core/identity.py
@@ -20,6 +20,8 @@
 ) -> Result[tuple[str, Journal], JournalError]:
     """The disk's name and its journal; a damaged journal is set aside for a fresh one."""
     try:
+        # A process that was killed may have given names that are not on the disk yet.
+        folder.sync_names()
         disk = read_identity(folder)
         if disk and not has_journal(folder):
             log.write(JOURNAL_DAMAGED, fault="the journal is gone", disk=disk)
--- a/packages/journal/ryelock/journal/folder.py
+++ b/packages/journal/ryelock/journal/folder.py
@@ -23,6 +23,10 @@
         """A file that is there whole, synced, or not at all."""
         ...
 
+    def sync_names(self) -> None:
+        """Make lasting which names there are, also those that an earlier process gave."""
+        ...
+
     def rename(self, name: str, other: str) -> None: ...
     def delete(self, name: str) -> None: ...
 
@@ -99,23 +103,26 @@
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(beside, self.path / name)
-            self.sync_folder()
+            self.sync_names()
         except OSError as error:
             with suppress(OSError):
                 beside.unlink(missing_ok=True)
             raise FolderError(f"{name}: {error.strerror}") from error
 
-    def sync_folder(self) -> None:
-        folder = os.open(self.path, os.O_RDONLY)
+    def sync_names(self) -> None:
         try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+            folder = os.open(self.path, os.O_RDONLY)
+            try:
+                os.fsync(folder)
+            finally:
+                os.close(folder)
+        except OSError as error:
+            raise FolderError(f"{self.path}: {error.strerror}") from error
 
     def rename(self, name: str, other: str) -> None:
         try:
             os.replace(self.path / name, self.path / other)
-            self.sync_folder()
+            self.sync_names()
         except OSError as error:
             raise FolderError(f"{name}: {error.strerror}") from error
 
--- a/packages/proving/ryelock/proving/model/disk.py
+++ b/packages/proving/ryelock/proving/model/disk.py
@@ -75,6 +75,9 @@
     def write_whole(self, name: str, data: bytes) -> None:
         self.files[name] = data
 
+    def sync_names(self) -> None:
+        """Nothing to do either."""
+
     def rename(self, name: str, other: str) -> None:
         self.files[other] = self.files.pop(name)
 
@@ -193,7 +196,7 @@
         self.point()
         if self.fails(Fault.FOLDER):
             raise FolderError("input/output error")
-        self.sync_folder()
+        self.sync_names()
         self.point()
 
     def rename(self, name: str, other: str) -> None:
@@ -205,7 +208,7 @@
         self.changes += 1
         self.files[other] = self.files.pop(name)
         self.durable[other] = self.durable.pop(name, b"")
-        self.sync_folder()
+        self.sync_names()
         self.point()
 
     def delete(self, name: str) -> None:
@@ -220,7 +223,7 @@
             self.deleted[name] = self.durable.pop(name)
         self.point()
 
-    def sync_folder(self) -> None:
+    def sync_names(self) -> None:
         """Names that were given and removed before are on disk now, with their synced data."""
         self.deleted.clear()
         for name in self.renamed:
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -170,6 +170,9 @@
         self.synced[name] = len(data)
         self.point("wholed")
 
+    def sync_names(self) -> None:
+        """Nothing to do: names last at once here; the models of the journal's tests tear them."""
+
     def rename(self, name: str, other: str) -> None:
         self.files[other] = self.files.pop(name)
         self.synced[other] = self.synced.pop(name, 0)
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -374,3 +374,14 @@
         folder = folder_of({"identity": b'{"disk": "before"}'})
         found = open_disk(folder, QuietLog("model"), SEGMENT_BYTES, Random(1))
         self.assertNotEqual("before", found.ok[0])
+
+
+class NamesTests(testtools.TestCase):
+    def test_a_reopened_disk_makes_the_names_last_that_it_believes(self) -> None:
+        """A process was killed between giving a name and syncing its folder."""
+        folder = ModelFolder({})
+        disk, _ = open_disk(folder, QuietLog("names"), SEGMENT_BYTES, Random(1)).ok
+        folder.durable = {}
+        again, _ = open_disk(folder, QuietLog("names"), SEGMENT_BYTES, Random(2)).ok
+        self.assertEqual(disk, again)
+        self.assertEqual(sorted(folder.files), sorted(folder.durable))
