--- a/packages/council/ryelock/council/__init__.py
+++ b/packages/council/ryelock/council/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ryelock.council.entries import Entry, Image, Voters, majority_of
-from ryelock.council.seat import Council, CouncilError, Machine, Pace
+from ryelock.council.seat import Council
+from ryelock.council.types import CouncilError, Machine, Pace
 
 __all__ = ["Council", "CouncilError", "Entry", "Image", "Machine", "Pace", "Voters", "majority_of"]
--- /dev/null
+++ b/packages/council/ryelock/council/applying.py
@@ -0,0 +1,107 @@
+"""Entries into the log, agreed entries into the state machine, images of it."""
+
+from expression import Error, Ok
+
+from ryelock.council.entries import (
+    NOTE,
+    WORD,
+    Entry,
+    Image,
+)
+from ryelock.council.state import MemberState
+from ryelock.council.types import CouncilError
+from ryelock.events import (
+    IMAGE_WRITTEN,
+    VOTERS_CHANGED,
+)
+
+APPLY_ENTRIES = 64
+"""The most entries applied before the owner looks at its queue again."""
+APPLY_SECONDS = 0.02
+"""The longest that entries are applied before it, but for the last of them."""
+
+
+class Applying(MemberState):
+    """Stores entries, applies what is agreed, and writes images."""
+
+    __slots__ = ()
+
+    def store(self, entries: list[Entry]) -> bool:
+        """Write the entries this log lacks; one that differs replaces the tail."""
+        if not self.replicated_log.append(entries) and not self.append_after_compaction(entries):
+            return False
+        before = self.voters
+        self.find_voters()
+        if before != self.voters:
+            self.log.write(VOTERS_CHANGED, voters=sorted(self.voters.values()))
+        return True
+
+    def append_after_compaction(self, entries: list[Entry]) -> bool:
+        """Where the disk took no more, an image may make room."""
+        if not self.compaction.due(self.journal):
+            return False
+        self.write_image()
+        return self.replicated_log.append(entries)
+
+    def advance(self, commit: int) -> None:
+        """Entries up to an index are agreed; apply a batch of them, the owner the others."""
+        if commit <= self.commit:
+            return
+        self.commit = commit
+        self.apply_committed()
+
+    def apply_committed(self) -> None:
+        """Apply agreed entries for a bounded while; `applied` may stay behind `commit`.
+
+        The owner goes on after it has served its queue, so that a long catch-up holds up no
+        heartbeat. At least one entry is applied.
+        """
+        if self.applied == self.commit:
+            return
+        until = self.scheduler.now() + APPLY_SECONDS
+        last = min(self.commit, self.applied + APPLY_ENTRIES)
+        while self.applied < last:
+            self.apply_entry(self.entry_at(self.applied + 1))
+            if self.scheduler.now() >= until:
+                break
+        if self.role == "leader" and self.settled_at < self.elected_at and self.settled:
+            self.settled_at = self.scheduler.now()
+        self.tell_applied()
+        if self.compaction.due(self.journal):
+            self.write_image()
+
+    def apply_entry(self, entry: Entry) -> None:
+        """Apply the next entry and answer who proposed it."""
+        result: object = None
+        if entry.kind in (WORD, NOTE):
+            result = self.machine.apply(entry.index, entry.data)
+            entry.repeated = isinstance(result, dict) and result.get("again") is True
+        self.applied = entry.index
+        if entry.kind == WORD:
+            self.applied_word = entry.index
+        waiting = self.waiting.pop(entry.index, None)
+        if waiting is None:
+            return
+        epoch, box = waiting
+        if epoch == entry.epoch:
+            box.put(Ok(result))
+        else:
+            box.put(Error(CouncilError("another word took its place", True)))
+
+    def tell_applied(self) -> None:
+        for tell in self.applied_news:
+            tell()
+
+    def write_image(self) -> None:
+        image = Image(
+            self.applied,
+            self.epoch_at(self.applied),
+            self.replicated_log.voters_at(self.applied),
+            self.machine.image(),
+            self.applied_word,
+        )
+        if not self.replicated_log.compact(image):
+            self.compaction.failed(self.journal)
+        else:
+            self.compaction.done()
+            self.log.write(IMAGE_WRITTEN, index=image.index)
--- /dev/null
+++ b/packages/council/ryelock/council/following.py
@@ -0,0 +1,119 @@
+"""A follower's part: heartbeats, entries and images from the leader."""
+
+from ryelock.council.entries import (
+    Image,
+    entry_of,
+)
+from ryelock.council.messages import listed, whole
+from ryelock.council.replication import Replication
+from ryelock.council.transfer import (
+    IncomingImage,
+    piece_of,
+)
+from ryelock.events import (
+    FOLLOWING,
+    IMAGE_TAKEN,
+)
+from ryelock.wire import Message
+
+
+class Following(Replication):
+    """Follows a leader of this epoch or a later one."""
+
+    __slots__ = ()
+
+    def answer_to_leader(self, message: Message, epoch: int) -> tuple[Message, bool]:
+        """How far this log reaches, and whether a leader of that epoch may be followed now."""
+        answer: Message = {
+            "disk": self.disk,
+            "epoch": self.epoch,
+            "ok": False,
+            "last": self.last_index,
+        }
+        if message["to"] != self.disk:
+            return {**answer, "stranger": True}, False
+        if self.scheduler.now() < self.promised:
+            return {**answer, "promised": True}, False
+        return answer, epoch >= self.epoch
+
+    def follow(self, epoch: int, leader: str, address: str) -> bool:
+        if epoch > self.epoch and not self.save_vote(epoch, ""):
+            return False
+        if self.role == "leader":
+            self.drop_leading("another leads")
+        self.role = "follower"
+        if self.promise_noted:
+            self.replicated_log.save_promise(False)
+        if leader != self.leader:
+            self.log.write(FOLLOWING, leader=leader, epoch=epoch)
+        self.leader = leader
+        self.leader_address = address
+        self.leader_heard = self.scheduler.now()
+        self.put_off_election()
+        return True
+
+    def on_beat(self, message: Message) -> Message:
+        epoch = whole(message["epoch"])
+        answer, follows = self.answer_to_leader(message, epoch)
+        if not follows:
+            return answer
+        if not self.follow(epoch, str(message["disk"]), str(message["address"])):
+            return answer
+        answer["epoch"] = self.epoch
+        previous = whole(message["previous"])
+        if previous > self.last_index:
+            return {**answer, "last": self.last_index}
+        if previous < self.base.index:
+            return {**answer, "last": self.base.index, "agreed": True}
+        if not self.replicated_log.holds(previous, whole(message["previous_epoch"])):
+            return {**answer, **self.conflict_at(previous)}
+        entries = [entry_of(plain) for plain in listed(message["entries"])]
+        if not self.store(entries):
+            return {**answer, "failed": True}
+        self.incoming = None
+        reached = previous + len(entries)
+        self.advance(min(whole(message["commit"]), reached))
+        said = message.get("said")
+        if isinstance(said, dict):
+            self.hear(str(message["disk"]), said, None)
+        return {**answer, "ok": True, "last": reached, "said": self.say()}
+
+    def conflict_at(self, index: int) -> Message:
+        """What a leader needs to pass by all entries of the epoch that differs at an index."""
+        first = self.replicated_log.first_of_epoch_at(index)
+        return {"last": first - 1, "conflict": self.epoch_at(index)}
+
+    def on_image(self, message: Message) -> Message:
+        epoch = whole(message["epoch"])
+        answer, follows = self.answer_to_leader(message, epoch)
+        if not follows:
+            return answer
+        piece = piece_of(message["piece"])
+        leader = str(message["disk"])
+        if not self.follow(epoch, leader, str(message["address"])):
+            return answer
+        answer["epoch"] = self.epoch
+        if piece.index <= self.commit:
+            self.incoming = None
+            return {**answer, "ok": True, "last": self.commit}
+        if self.incoming is None or not self.incoming.belongs(leader, piece):
+            self.incoming = IncomingImage(leader, piece)
+        self.incoming.take(piece)
+        if not self.incoming.whole:
+            return {**answer, "received": len(self.incoming.buffer)}
+        image, self.incoming = self.incoming.image(), None
+        if not self.install(image, leader):
+            return {**answer, "received": 0}
+        return {**answer, "ok": True, "last": image.index}
+
+    def install(self, image: Image, source: str) -> bool:
+        """Take a whole image that reaches beyond what is known to be agreed."""
+        if not self.replicated_log.install(image):
+            return False
+        self.commit = self.applied = image.index
+        self.applied_word = image.word
+        self.find_voters()
+        self.machine.restore(image.machine)
+        self.log.write(IMAGE_TAKEN, index=image.index, source=source)
+        self.tell_applied()
+        return True
--- /dev/null
+++ b/packages/council/ryelock/council/types.py
@@ -0,0 +1,123 @@
+"""What the layers of a member share: errors, pace, peers, and the entries of its queue."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from expression import Result
+
+from ryelock.council.transfer import (
+    OutgoingImage,
+)
+from ryelock.loop import Mailbox, Running, Scheduler
+from ryelock.wire import Message
+
+BATCH_BYTES = 1_048_576
+"""The most bytes of entries in one heartbeat; halved for a peer that is late, then grown again."""
+BATCH_BYTES_LEAST = 16_384
+
+
+class CouncilError(Exception):
+    """A word was not taken; certain says whether that is beyond doubt."""
+
+    def __init__(self, reason: str, certain: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.certain = certain
+
+
+class Machine(Protocol):
+    """The state that words change; must come to the same on every node."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        """The outcome; a map in which `again` is True says that nothing was changed by it."""
+        ...
+
+    def image(self) -> bytes: ...
+    def restore(self, data: bytes) -> None: ...
+
+
+class Pace:
+    """How fast a council beats, elects, replaces and writes images; whether it may be founded."""
+
+    __slots__ = (
+        "beat",
+        "disk_bytes",
+        "election",
+        "image_records",
+        "may_found",
+        "promise",
+        "replace",
+    )
+
+    def __init__(
+        self,
+        beat: float = 0.15,
+        election: float = 0.7,
+        promise: float = 1.5,
+        replace: float = 8.0,
+        image_records: int = 4000,
+        may_found: bool = True,
+        disk_bytes: int = 0,
+    ) -> None:
+        self.beat = beat
+        self.election = election
+        self.promise = promise
+        self.replace = replace
+        self.image_records = image_records
+        self.may_found = may_found
+        self.disk_bytes = disk_bytes
+
+
+class Command:
+    """One entry of the owner's queue."""
+
+    __slots__ = ("act",)
+
+    def __init__(self, act: Callable[[], None]) -> None:
+        self.act = act
+
+
+class Peer:
+    """Another disk as the leader sees it."""
+
+    __slots__ = (
+        "address",
+        "batch_bytes",
+        "disk",
+        "gone",
+        "heard",
+        "match",
+        "news",
+        "next",
+        "outgoing",
+        "running",
+        "stored",
+    )
+
+    def __init__(self, disk: str, address: str, following: int, scheduler: Scheduler) -> None:
+        self.disk = disk
+        self.address = address
+        self.next = following
+        self.match = 0
+        self.batch_bytes = BATCH_BYTES
+        self.outgoing: OutgoingImage | None = None
+        self.heard = -1e9
+        self.stored = -1e9
+        self.gone = False
+        self.news: Mailbox[bool] = Mailbox(scheduler)
+        self.running: Running | None = None
+
+
+Outcome = Result[object, CouncilError]
+"""What came of a proposal."""
+Said = Callable[[], Message]
+Hears = Callable[[str, Message, float | None], None]
+
+
+class Proposal:
+    __slots__ = ("box", "data", "kind")
+
+    def __init__(self, kind: str, data: bytes, box: Mailbox[Outcome]) -> None:
+        self.kind = kind
+        self.data = data
+        self.box = box
--- a/packages/proving/ryelock/proving/catchup_measure.py
+++ b/packages/proving/ryelock/proving/catchup_measure.py
@@ -18,7 +18,7 @@
 from ryelock.core.renewals import Renewals
 from ryelock.council import Council, Entry, Pace
 from ryelock.council.entries import WORD
-from ryelock.council.seat import Peer
+from ryelock.council.types import Peer
 from ryelock.events import QuietLog
 from ryelock.journal import MachineFolder, open_journal
 from ryelock.loop import Network, Scheduler
--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -3,7 +3,8 @@
 Renames in those packages cost edits in this module only.
 """
 
-from contextlib import AbstractContextManager
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 from typing import Protocol, cast
 from unittest import mock
@@ -40,9 +41,14 @@
 REPLACE_SECONDS = 1.5
 
 
-def batch_limit(size: int) -> AbstractContextManager[object]:
+@contextmanager
+def batch_limit(size: int) -> Iterator[None]:
     """Entries of one heartbeat stay below so many bytes (at least one entry is sent)."""
-    return mock.patch("ryelock.council.seat.BATCH_BYTES", size)
+    with (
+        mock.patch("ryelock.council.replication.BATCH_BYTES", size),
+        mock.patch("ryelock.council.types.BATCH_BYTES", size),
+    ):
+        yield
 
 
 class SilentLog(Log):
--- a/tests/consensus_takeouts.py
+++ b/tests/consensus_takeouts.py
@@ -9,7 +9,7 @@
 from ryelock.council import Council
 from ryelock.council.entries import Image
 from ryelock.council.log import ReplicatedLog
-from ryelock.council.seat import CouncilError, Peer
+from ryelock.council.types import CouncilError, Peer
 from ryelock.journal import Journal, open_journal
 from ryelock.loop import Step
 from ryelock.proving.model.disk import ModelFolder
@@ -194,9 +194,18 @@
     return mock.patch.object(Journal, "repair", repair)
 
 
-def half_is_enough() -> AbstractContextManager[object]:
+@contextmanager
+def half_is_enough() -> Iterator[None]:
     """Half of the voters count as a majority."""
-    return mock.patch("ryelock.council.seat.majority_of", lambda voters: max(1, voters // 2))
+
+    def half(voters: int) -> int:
+        return max(1, voters // 2)
+
+    with (
+        mock.patch("ryelock.council.state.majority_of", half),
+        mock.patch("ryelock.council.elections.majority_of", half),
+    ):
+        yield
 
 
 @contextmanager
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,8 +9,9 @@
 
 from ryelock.council.entries import WORD, Entry, Image
 from ryelock.council.log import RETAINED_BYTES, ReplicatedLog
-from ryelock.council.seat import BATCH_BYTES, BATCH_BYTES_LEAST, Council, Pace, Peer
+from ryelock.council.seat import Council
 from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
+from ryelock.council.types import BATCH_BYTES, BATCH_BYTES_LEAST, Pace, Peer
 from ryelock.events import QuietLog
 from ryelock.journal import open_journal
 from ryelock.loop import Scheduler
