--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -11,16 +11,19 @@
 import sys
 import time
 from collections import Counter, deque
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import cbor2
+from dacite import Config, from_dict
 from expression import Result
 
 from ryelock.edge.member import Member
 from ryelock.events import TERM_LAPSED, Event, QuietLog
 from ryelock.loop import Network, Scheduler, Step
 from ryelock.loop.reactor import Reactor
+from ryelock.proving.reactors import run_to_end
 from ryelock.register import Register
 from ryelock.roster import Listing, Session
 from ryelock.watch import Row
@@ -33,12 +36,39 @@
 DEMAND = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class HollowSettings:
+    """What the runner tells a process of hollow nodes, as JSON.
+
+    Attributes:
+        wire_address: where the process answers the runner.
+        seeds: wire addresses of the control nodes.
+        nodes: name and zone of each node.
+        term_seconds: length of a lease.
+        listing_term: how long a listing of servers is believed.
+        probe_seconds: cadence of the made-up probes, 0 for none.
+    """
+
+    wire_address: str
+    seeds: list[str]
+    nodes: list[tuple[str, str]]
+    term_seconds: float
+    listing_term: float
+    probe_seconds: float
+
+
+def read_settings(file: Path) -> HollowSettings:
+    """Read a settings file; raises DaciteError where it is none."""
+    return from_dict(HollowSettings, json.loads(file.read_text()), Config(cast=[tuple]))
+
+
 class Counts:
     """What the nodes of one process sent and took in, for the life of the process."""
 
     __slots__ = ("answers", "asks", "image_bytes", "image_seconds", "images", "lapsed", "rows")
 
     def __init__(self) -> None:
+        """Create counts of nothing."""
         self.asks: Counter[str] = Counter()
         self.answers: Counter[str] = Counter()
         self.images = 0
@@ -54,25 +84,31 @@
     __slots__ = ("counts",)
 
     def __init__(self, node: str, counts: Counts) -> None:
+        """Create a log that counts into `counts`."""
         super().__init__(node)
         self.counts = counts
 
     def write(self, event: Event, **fields: object) -> None:
+        """Count the event where it is a lapsed lease."""
         self.counts.lapsed += event is TERM_LAPSED
 
 
 class CountedLines(Lines):
+    """Wire clients that count what they ask and what is answered, by kind."""
+
     __slots__ = ("counts",)
 
     def __init__(
         self, scheduler: Scheduler, network: Network, log: QuietLog, counts: Counts
     ) -> None:
+        """Create clients that count into `counts`."""
         super().__init__(scheduler, network, log)
         self.counts = counts
 
     def ask(
         self, address: str, message: Message, seconds: float
     ) -> Step[Result[Message, WireError]]:
+        """Ask and count; see Lines.ask."""
         kind = str(message.get("kind"))
         self.counts.asks[kind] += 1
         found = yield from super().ask(address, message, seconds)
@@ -86,10 +122,12 @@
     __slots__ = ("counts",)
 
     def __init__(self, counts: Counts) -> None:
+        """Create an empty register that counts into `counts`."""
         super().__init__()
         self.counts = counts
 
     def restore(self, data: bytes) -> None:
+        """Restore a snapshot, counting its bytes and processor seconds."""
         started = time.process_time()
         super().restore(data)
         self.counts.images += 1
@@ -119,6 +157,7 @@
     )
 
     def __init__(self, process: "HollowProcess", name: str, zone: str) -> None:
+        """Create a node of a process; its member task is not started yet."""
         self.scheduler = process.scheduler
         self.register = CountedRegister(process.counts)
         self.lines = CountedLines(process.scheduler, process.network, process.log, process.counts)
@@ -157,9 +196,11 @@
         self.sequence = process.random.randrange(1000)
 
     def on_change(self) -> None:
+        """Note when the register reached its present index."""
         self.reached.append((self.register.index, self.scheduler.now()))
 
     def on_listing(self, _: Listing) -> None:
+        """Note when a listing of servers came."""
         self.listed = self.scheduler.now()
 
     def on_shares(self, shares: dict[str, float], until: float, edges: int) -> None:
@@ -170,16 +211,20 @@
             self.back = self.scheduler.now()
 
     def demand(self) -> dict[str, float]:
+        """Return the made-up demand, in requests per second by service."""
         return dict.fromkeys(self.register.configuration.services, DEMAND)
 
     def holding(self) -> dict[str, float]:
+        """Return the shares that the node spends now, by service."""
         return self.held if self.member.serving else {}
 
     @property
     def known_edges(self) -> int:
+        """How many edges the node knows as members."""
         return sum(session.role == "edge" for session in self.member.members.values())
 
     def reached_at(self, index: int) -> float | None:
+        """Return when the register reached an index, None where it has not."""
         return next((at for place, at in self.reached if place >= index), None)
 
     def find_targets(self) -> None:
@@ -220,6 +265,7 @@
             self.rows.append(row)
 
     def tell_rows(self) -> Step[None]:
+        """Send some rows to the holder of the aggregator's duty."""
         duty = self.register.duties.get("aggregator")
         holder = self.member.members.get(duty.holder) if duty is not None else None
         if duty is None or holder is None or not self.rows:
@@ -238,6 +284,7 @@
         )
 
     def end(self) -> None:
+        """End the node at once and drop its connections."""
         self.member.stop()
         for line in self.lines.lines.values():
             line.drop()
@@ -262,56 +309,68 @@
         "term_seconds",
     )
 
-    def __init__(self, settings: dict[str, object], scheduler: Scheduler, network: Network) -> None:
-        seeds, places = settings["seeds"], settings["nodes"]
-        assert isinstance(seeds, list) and isinstance(places, list)
+    def __init__(self, settings: HollowSettings, scheduler: Scheduler, network: Network) -> None:
+        """Create the process and listen for the runner; no node is started."""
         self.scheduler = scheduler
         self.network = network
         self.random = Random()
         self.counts = Counts()
         self.log = CountedLog("hollow", self.counts)
-        self.seeds = tuple(str(seed) for seed in seeds)
-        self.term_seconds = float(str(settings["term_seconds"]))
-        self.listing_term = float(str(settings["listing_term"]))
-        self.cadence = float(str(settings["probe_seconds"]))
-        self.door = Door(scheduler, network, self.log, str(settings["wire_address"]), self.on_ask)
-        self.places = [(str(name), str(zone)) for name, zone in places]
+        self.seeds = tuple(settings.seeds)
+        self.term_seconds = settings.term_seconds
+        self.listing_term = settings.listing_term
+        self.cadence = settings.probe_seconds
+        self.door = Door(scheduler, network, self.log, settings.wire_address, self.on_ask)
+        self.places = settings.nodes
         self.nodes: list[HollowNode] = []
         self.dropped: list[tuple[str, str]] = []
 
     def on_ask(self, message: Message, reply: Reply) -> None:
-        kind, index = message.get("kind"), message.get("index")
-        since = message.get("since")
-        if kind == "hollow.start":
-            self.start(float(str(message.get("pause"))))
-            reply({"nodes": len(self.nodes)})
-        elif kind == "hollow.state":
-            reply(self.state())
-        elif kind == "hollow.reached" and isinstance(index, int):
-            found = [node.reached_at(index) for node in self.nodes]
-            reply({"times": [at for at in found if at is not None]})
-        elif kind == "hollow.listed" and isinstance(since, float):
-            reply({"times": [node.listed for node in self.nodes if node.listed > since]})
-        elif kind == "hollow.lose":
-            for node in self.nodes:
-                node.back, node.without = 0.0, str(message.get("without"))
-            reply({})
-        elif kind == "hollow.back":
-            reply({"times": [node.back for node in self.nodes if node.back]})
-        elif kind == "hollow.drop":
-            reply({"nodes": self.drop(str(message.get("zone")))})
-        elif kind == "hollow.knowing":
-            reply({"nodes": sum(node.known_edges == message.get("edges") for node in self.nodes)})
-        elif kind == "hollow.return":
-            for name, zone in self.dropped:
-                self.nodes.append(HollowNode(self, name, zone))
-                self.nodes[-1].member.start()
-            self.dropped = []
-            reply({})
-        elif kind == "hollow.restart":
-            self.scheduler.spawn("restart", self.restart(int(str(message["count"])), reply))
-        else:
-            reply({"fault": "unknown ask"})
+        """Answer one message of the runner; its `kind` says what is asked."""
+        match message:
+            case {"kind": "hollow.restart", "count": int(count)}:
+                self.scheduler.spawn("restart", self.restart(count, reply))
+            case {"kind": "hollow.start", "pause": int() | float() as pause}:
+                self.start(pause)
+                reply({"nodes": len(self.nodes)})
+            case {"kind": "hollow.lose", "without": str(without)}:
+                self.lose(without)
+                reply({})
+            case {"kind": "hollow.drop", "zone": str(zone)}:
+                reply({"nodes": self.drop(zone)})
+            case {"kind": "hollow.return"}:
+                self.take_back()
+                reply({})
+            case _:
+                reply(self.answer_of(message))
+
+    def answer_of(self, message: Message) -> Message:
+        """Return the answer to a message that changes nothing."""
+        match message:
+            case {"kind": "hollow.state"}:
+                return self.state()
+            case {"kind": "hollow.reached", "index": int(index)}:
+                found = [node.reached_at(index) for node in self.nodes]
+                return {"times": [at for at in found if at is not None]}
+            case {"kind": "hollow.listed", "since": float(since)}:
+                return {"times": [node.listed for node in self.nodes if node.listed > since]}
+            case {"kind": "hollow.back"}:
+                return {"times": [node.back for node in self.nodes if node.back]}
+            case {"kind": "hollow.knowing", "edges": int(edges)}:
+                return {"nodes": sum(node.known_edges == edges for node in self.nodes)}
+        return {"fault": "unknown ask"}
+
+    def lose(self, without: str) -> None:
+        """Let each node note anew when its session stands; not with the leader at an address."""
+        for node in self.nodes:
+            node.back, node.without = 0.0, without
+
+    def take_back(self) -> None:
+        """Start the nodes anew that were dropped last."""
+        for name, zone in self.dropped:
+            self.nodes.append(HollowNode(self, name, zone))
+            self.nodes[-1].member.start()
+        self.dropped = []
 
     def start(self, pause: float) -> None:
         """All nodes, one after another with a pause of seconds between them."""
@@ -323,6 +382,7 @@
                 self.scheduler.spawn("rows", self.probe())
 
     def start_each(self, nodes: list[HollowNode], pause: float) -> Step[None]:
+        """Start the nodes one after another, a pause of seconds apart."""
         due = self.scheduler.now()
         for node in nodes:
             node.member.start()
@@ -350,6 +410,7 @@
         reply({})
 
     def tend(self) -> Step[None]:
+        """Keep the sessions' counts as those of a node under load."""
         while True:
             for node in self.nodes:
                 node.session.served += int(DEMAND / 10)
@@ -369,6 +430,7 @@
                     self.scheduler.spawn("tells rows", node.tell_rows())
 
     def state(self) -> Message:
+        """Return all counts as a message."""
         counts, first = self.counts, self.nodes[0] if self.nodes else None
         return {
             "nodes": len(self.nodes),
@@ -392,24 +454,17 @@
 
 
 def main() -> None:
-    codes: list[int] = []
-
-    def fault(task: str, error: BaseException) -> None:
-        sys.stderr.write(f"{task}: {error!r}\n")
-        codes.append(1)
-        reactor.stop()
-
-    reactor = Reactor(fault)
-    process = HollowProcess(json.loads(Path(sys.argv[1]).read_text()), reactor.scheduler, reactor)
-    sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
+    """Run the hollow nodes that a settings file describes, until a signal comes."""
+    settings = read_settings(Path(sys.argv[1]))
 
-    def until_told() -> Step[None]:
+    def work(reactor: Reactor) -> Step[None]:
+        process = HollowProcess(settings, reactor.scheduler, reactor)
+        sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
         yield from reactor.signals.take()
-        reactor.stop()
 
-    reactor.scheduler.spawn("signals", until_told())
-    reactor.run()
-    sys.exit(codes[0] if codes else 0)
+    faults = run_to_end(work).faults
+    sys.stderr.writelines(f"{fault}\n" for fault in faults)
+    sys.exit(1 if faults else 0)
 
 
 if __name__ == "__main__":
--- a/packages/proving/ryelock/proving/run.py
+++ b/packages/proving/ryelock/proving/run.py
@@ -16,10 +16,11 @@
 from ryelock.events import QuietLog
 from ryelock.loop import Scheduler, Step
 from ryelock.loop.reactor import Reactor
-from ryelock.operator import ask
+from ryelock.operator import Reply, ask
 from ryelock.proving.callers import Caller, Told
 from ryelock.proving.checks import Findings, check_bytes, check_once, check_rates, check_repeats
 from ryelock.proving.fleet import FAST, Fleet, Process, wait_ready
+from ryelock.proving.reactors import run_to_end
 from ryelock.proving.shapes import SHAPES, Kind, Shape
 from ryelock.proving.standins import Objects, PlatformStandIn, Ran, ServerStandIn
 
@@ -54,6 +55,7 @@
     def __init__(
         self, shape: Shape, folder: Path, reactor: Reactor, seed: int, settings: dict[str, object]
     ) -> None:
+        """Create the stand-ins and write the fleet's settings; nothing is started yet."""
         self.shape = shape
         self.reactor = reactor
         self.scheduler: Scheduler = reactor.scheduler
@@ -98,20 +100,19 @@
         ]
         return self.random.choice(able).control
 
-    def operator(
-        self, method: str, target: str, given: object = None
-    ) -> Step[tuple[int, dict[str, object]]]:
+    def operator(self, method: str, target: str, given: object = None) -> Step[Reply]:
+        """Send an operator's request to any control address; status 0 where none answered."""
         found = yield from ask(self.scheduler, self.reactor, self.control(), method, target, given)
-        return found.ok if found.is_ok() else (0, {"fault": str(found.error)})
+        return found.ok if found.is_ok() else Reply(0, {"fault": str(found.error)})
 
-    def change(
-        self, identity: str, base: int, **parts: object
-    ) -> Step[tuple[int, dict[str, object]]]:
+    def change(self, identity: str, base: int, **parts: object) -> Step[Reply]:
+        """Send a configuration change on top of version `base`."""
         return (
             yield from self.operator("POST", "/changes", {"id": identity, "base": base, **parts})
         )
 
     def bring_up(self, seconds: float = 60.0) -> Step[bool]:
+        """Start all daemons and wait until each is ready."""
         self.fleet.start()
         started = self.scheduler.now()
         for process in self.fleet.processes.values():
@@ -122,11 +123,13 @@
         return True
 
     def set_up(self) -> Step[bool]:
+        """Apply the shape's configuration."""
         status, answer = yield from self.change("first", 0, put=self.shape.configuration)
         self.report["first_change"] = {"status": status, "version": answer.get("version")}
         return status == 200
 
     def pick_kind(self) -> Kind:
+        """Pick a kind of request, each as often as its part says."""
         mark = self.random.random()
         for kind in self.shape.kinds:
             mark -= kind.part
@@ -170,17 +173,19 @@
                 found = yield from ask(
                     self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
                 )
-                fine = found.is_ok() and found.ok[0] == 200
+                fine = found.is_ok() and found.ok.status == 200
             (self.ready.add if fine else self.ready.discard)(process.name)
             yield from self.scheduler.pause(0.15)
 
     def start_traffic(self, rate: float) -> None:
+        """Start the callers, so many requests a second together."""
         for process in self.fleet.of_role("edge"):
             self.scheduler.spawn(f"readiness of {process.name}", self.hand_callers(process))
         for number in range(CALLERS):
             self.scheduler.spawn(f"caller {number}", self.call_on(number, rate))
 
     def end_traffic(self) -> Step[None]:
+        """Stop the callers and wait for their open requests."""
         self.stopped = True
         until = self.scheduler.now() + 20
         while self.callers_over < CALLERS and self.scheduler.now() < until:
@@ -200,13 +205,14 @@
         return None
 
     def leader(self) -> Step[Process | None]:
+        """Return the control node that says it leads, or None."""
         for process in self.fleet.of_role("core"):
             if process.over or process.name in self.frozen:
                 continue
             found = yield from ask(
                 self.scheduler, self.reactor, process.control, "GET", "/fitness/ready"
             )
-            if found.is_ok() and found.ok[1].get("leads") is True:
+            if found.is_ok() and found.ok.plain.get("leads") is True:
                 return process
         return None
 
@@ -226,6 +232,7 @@
         return count
 
     def summary(self, since: float) -> dict[str, object]:
+        """Return counts and times of all requests since a moment."""
         notes = [told for told in self.notes if told.at >= since and told.end]
         statuses: dict[str, int] = {}
         for told in notes:
@@ -249,6 +256,7 @@
         }
 
     def findings(self) -> Findings:
+        """Check the rules on the notes of callers and the histories of stand-ins."""
         rates = {name: float(str(service["rate"])) for name, service in self.services().items()}
         found = Findings()
         check_once(found, self.notes, self.history)
@@ -258,17 +266,20 @@
         return found
 
     def services(self) -> dict[str, dict[str, object]]:
+        """Return the configured services by name."""
         services = self.shape.configuration["services"]
         assert isinstance(services, dict)
         return services
 
     def routes(self) -> dict[str, str]:
+        """Return the configured services by path."""
         routes = self.shape.configuration["routes"]
         assert isinstance(routes, dict)
         return {str(route["path"]): str(route["service"]) for route in routes.values()}
 
 
 def reason_of(told: Told) -> str:
+    """Return the reason that a failed request was told."""
     try:
         return str(json.loads(told.body)["error"])
     except (ValueError, KeyError, TypeError):
@@ -358,12 +369,16 @@
 
 
 def first_service(run: Run) -> str:
+    """Return the name of the shape's first service."""
     return next(iter(run.shape.servers))
 
 
 def change_soon(run: Run, name: str, seconds: float) -> Step[float | None]:
-    """Seconds until a change is acknowledged, asked for again under its id; under a new one where
-    another change came first, since the outcome of an id stays."""
+    """Return the seconds until a change is acknowledged, None where it is not.
+
+    It is retried under its id; under a new one where another change came first, since the
+    outcome of an id stays.
+    """
     started = run.scheduler.now()
     identity = name
     while run.scheduler.now() < started + seconds:
@@ -418,12 +433,15 @@
 
 
 def midway(run: Run) -> Step[None]:
+    """Send one change, whatever becomes of it."""
     yield from change_soon(run, "midway", 0.0)
 
 
 def with_crowd(run: Run) -> Step[None]:
-    """Callers come for some seconds at ten times the rate, whatever became of others, and those
-    who fail ask again at once, once."""
+    """Send ten times the rate for some seconds, whatever becomes of earlier requests.
+
+    A caller whose request fails retries it once, at once.
+    """
     before = run.scheduler.now()
     until = before + 6.0
     number = 0
@@ -450,6 +468,7 @@
 
 
 def in_crowd(run: Run, number: int) -> Step[None]:
+    """Send a request of one impatient caller, and once more where it failed."""
     try:
         ready = sorted(run.ready)
         if not ready:
@@ -515,31 +534,23 @@
 
 def run_fleet(name: str, seconds: float, seed: int, faults: bool, keep: str) -> int:
     """Bring a shape up, run it, print the report; the exit code tells whether rules held."""
-    shape = SHAPES[name]()
-    codes: list[int] = []
-
-    def fault(task: str, error: BaseException) -> None:
-        sys.stderr.write(f"{task}: {error!r}\n")
-        codes.append(1)
-        reactor.stop()
-
-    reactor = Reactor(fault)
+    settings: dict[str, object] = dict(FAST)
+    if name != "small":
+        settings["probe_seconds"] = 3.0
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
-        settings: dict[str, object] = dict(FAST)
-        if name != "small":
-            settings["probe_seconds"] = 3.0
-        run = Run(shape, Path(keep or folder), reactor, seed, settings)
+        runs: list[Run] = []
 
-        def whole() -> Step[None]:
-            codes.append((yield from quick(run, seconds, faults)))
-            reactor.stop()
+        def begin(reactor: Reactor) -> Step[int]:
+            runs.append(Run(SHAPES[name](), Path(keep or folder), reactor, seed, settings))
+            return quick(runs[0], seconds, faults)
 
-        reactor.scheduler.spawn("run", whole())
         started = time.monotonic()
         try:
-            reactor.run()
+            ended = run_to_end(begin)
         finally:
-            run.fleet.stop()
+            for run in runs:
+                run.fleet.stop()
         run.report["seconds"] = round(time.monotonic() - started, 1)
+    sys.stderr.writelines(f"{fault}\n" for fault in ended.faults)
     sys.stdout.write(json.dumps(run.report, indent=2) + "\n")
-    return codes[0] if codes else 1
+    return 1 if ended.faults or ended.result is None else ended.result
