--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -125,7 +125,7 @@
     __slots__ = ("base", "identity", "token", "version")
 
     def __init__(self, identity: str, base: int, version: int, token: int) -> None:
-        """See the class."""
+        """Keep what is given."""
         self.identity = identity
         self.base = base
         self.version = version
@@ -169,7 +169,7 @@
         index: int = 0,
         certain: bool = False,
     ) -> None:
-        """See the class."""
+        """Keep what is given."""
         self.status = status
         self.version = version
         self.index = index
--- a/packages/proving/ryelock/proving/model/disk.py
+++ b/packages/proving/ryelock/proving/model/disk.py
@@ -42,7 +42,7 @@
     ALL = (FULL, SYNC, FOLDER, IO)
 
     def __init__(self, kind: str, after: int, count: int) -> None:
-        """See the class."""
+        """Let `count` operations fail once `after` have passed."""
         self.kind = kind
         self.after = after
         self.count = count
@@ -82,6 +82,9 @@
         """Replace a file by synced data, then sync the folder."""
         self.files[name] = data
 
+    def sync_names(self) -> None:
+        """Nothing to do either."""
+
     def rename(self, name: str, other: str) -> None:
         """Rename a file and sync the folder."""
         self.files[other] = self.files.pop(name)
@@ -209,7 +212,7 @@
         self.point()
         if self.fails(Fault.FOLDER):
             raise FolderError("input/output error")
-        self.sync_folder()
+        self.sync_names()
         self.point()
 
     def rename(self, name: str, other: str) -> None:
@@ -222,7 +225,7 @@
         self.changes += 1
         self.files[other] = self.files.pop(name)
         self.durable[other] = self.durable.pop(name, b"")
-        self.sync_folder()
+        self.sync_names()
         self.point()
 
     def delete(self, name: str) -> None:
@@ -238,7 +241,7 @@
             self.deleted[name] = self.durable.pop(name)
         self.point()
 
-    def sync_folder(self) -> None:
+    def sync_names(self) -> None:
         """Names that were given and removed before are on disk now, with their synced data."""
         self.deleted.clear()
         for name in self.renamed:
