--- a/packages/proving/ryelock/proving/catchup_measure.py
+++ b/packages/proving/ryelock/proving/catchup_measure.py
@@ -17,23 +17,31 @@
 
 from ryelock.core.renewals import Renewals
 from ryelock.council import Council, Entry, Pace
+from ryelock.council.compaction import Compaction
 from ryelock.council.entries import WORD
 from ryelock.council.seat import Peer
 from ryelock.events import QuietLog
-from ryelock.journal import MachineFolder, open_journal
+from ryelock.journal import Journal, MachineFolder, open_journal
 from ryelock.loop import Network, Scheduler
 from ryelock.loop.reactor import Reactor
 from ryelock.register import Register, encode_word
 from ryelock.wire import Lines, encode
 
 SEGMENT_BYTES = 4_194_304
-RECORDS_NEVER = 10_000_000
 ROUNDS_MOST = 100_000
 BATCH = 50
 """Entries that the leader writes at once while its log is made."""
 Figures = dict[str, float]
 
 
+class NoCompaction(Compaction):
+    """The leader keeps all entries until it is told to write an image."""
+
+    def due(self, _journal: Journal) -> bool:
+        """Never; the follower's own images are due as ever."""
+        return False
+
+
 def whole_change(number: int, routes: int) -> bytes:
     """A word that sets every route anew."""
     path = f"/{number}"
@@ -66,7 +74,7 @@
         disk,
         f"{disk}:1",
         (),
-        Pace(image_records=RECORDS_NEVER),
+        Pace(),
         Random(1),
     )
 
@@ -74,6 +82,7 @@
 def make_leader(folder: str, reactor: Reactor, changes: int, routes: int) -> Council:
     """A leader that has applied so many changes and no image of them."""
     leader = make_council("leader", folder, reactor)
+    leader.compaction = NoCompaction(0, 0)
     leader.replicated_log.save_vote(1, "leader")
     for first in range(0, changes, BATCH):
         numbers = range(first, min(first + BATCH, changes))
