--- a/packages/proving/ryelock/proving/model/disk.py
+++ b/packages/proving/ryelock/proving/model/disk.py
@@ -95,7 +95,11 @@
 
 
 class ModelFolder:
-    """The disk of one machine; outlives the processes that use it."""
+    """The disk of one machine; outlives the processes that use it.
+
+    `renamed` has the files whose name was given but not synced with the folder, and what the name
+    stood for before; `lasting` their synced data. `deleted` has files whose removal may be undone.
+    """
 
     __slots__ = (
         "changes",
@@ -104,6 +108,7 @@
         "durable",
         "fault",
         "files",
+        "lasting",
         "on_stall",
         "points",
         "random",
@@ -118,6 +123,7 @@
         self.durable: dict[str, bytes] = {}
         self.deleted: dict[str, bytes] = {}
         self.renamed: dict[str, bytes | None] = {}
+        self.lasting: dict[str, bytes] = {}
         self.crash_in = 0
         self.fault: Fault | None = None
         self.stall_seconds = 0.0
@@ -177,8 +183,8 @@
         if self.fails(Fault.SYNC, Fault.IO):
             raise FolderError("input/output error")
         self.changes += 1
-        if name not in self.renamed:
-            self.durable[name] = bytes(self.files.get(name, b""))
+        kept = self.lasting if name in self.renamed else self.durable
+        kept[name] = bytes(self.files.get(name, b""))
         self.point()
 
     def truncate(self, name: str, size: int) -> None:
@@ -209,10 +215,11 @@
         replaced = self.durable.get(name)
         self.files[name] = bytearray(data)
         self.renamed.setdefault(name, replaced)
+        self.lasting[name] = data
         self.point()
         if self.fails(Fault.FOLDER):
             raise FolderError("input/output error")
-        self.sync_names()
+        self.settle_names()
         self.point()
 
     def rename(self, name: str, other: str) -> None:
@@ -225,7 +232,7 @@
         self.changes += 1
         self.files[other] = self.files.pop(name)
         self.durable[other] = self.durable.pop(name, b"")
-        self.sync_names()
+        self.settle_names()
         self.point()
 
     def delete(self, name: str) -> None:
@@ -242,12 +249,22 @@
         self.point()
 
     def sync_names(self) -> None:
+        """Sync the folder."""
+        self.point()
+        if self.fails(Fault.FOLDER, Fault.IO):
+            raise FolderError("input/output error")
+        self.changes += 1
+        self.settle_names()
+        self.point()
+
+    def settle_names(self) -> None:
         """Names that were given and removed before are on disk now, with their synced data."""
         self.deleted.clear()
         for name in self.renamed:
             if name in self.files:
-                self.durable[name] = bytes(self.files[name])
+                self.durable[name] = self.lasting[name]
         self.renamed.clear()
+        self.lasting.clear()
 
     def lose_power(self, mode: str) -> None:
         """Keep what is durable, and of the rest what `mode` (see LossMode) says."""
@@ -269,12 +286,13 @@
             return
         stays = mode == LossMode.KEPT or (mode != LossMode.LOST and self.random.random() < 0.5)
         if stays:
-            self.durable[name] = bytes(self.files[name])
+            self.durable[name] = self.lasting[name]
         elif before is None:
             del self.files[name]
             self.durable.pop(name, None)
         else:
             self.files[name] = bytearray(before)
+            self.durable[name] = before
 
     def survivor(self, data: bytes, durable: bytes, mode: str) -> bytes:
         """What is left of one file."""
@@ -293,6 +311,7 @@
         self.durable = {name: bytes(data) for name, data in self.files.items()}
         self.deleted.clear()
         self.renamed.clear()
+        self.lasting.clear()
 
     def repair(self) -> None:
         """Faults, stalls and armed crashes end."""
