--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -329,6 +329,7 @@
         self.council = node.council
         self.scheduler = node.scheduler
         self.lines = node.lines
+        self.log: Log = SilentLog()
         self.keeper = LeavingKeeper(node.voter_keeper)
 
     def leader(self) -> str:
