--- a/packages/proving/ryelock/proving/catchup_measure.py
+++ b/packages/proving/ryelock/proving/catchup_measure.py
@@ -19,7 +19,7 @@
 from ryelock.council import Council, Entry, Pace
 from ryelock.council.compaction import Compaction
 from ryelock.council.entries import WORD
-from ryelock.council.seat import Peer
+from ryelock.council.types import Peer
 from ryelock.events import QuietLog
 from ryelock.journal import Journal, MachineFolder, open_journal
 from ryelock.loop import Network, Scheduler
--- a/packages/proving/ryelock/proving/model/search.py
+++ b/packages/proving/ryelock/proving/model/search.py
@@ -30,6 +30,7 @@
 
     @property
     def per_minute(self) -> float:
+        """Schedules a minute."""
         return 60 * self.schedules / self.seconds if self.seconds else 0.0
 
 
@@ -73,6 +74,7 @@
 
 
 def run_lists(schedules: list[Schedule]) -> list[Finding]:
+    """Run the schedules; findings are not shrunk."""
     found = []
     for schedule in schedules:
         violation = run_schedule(schedule)
@@ -81,17 +83,21 @@
     return found
 
 
-def exhaustive(
-    alphabet: tuple[Step, ...], length: int, machines: int, jobs: int, image_records: int = 1000
-) -> Searched:
-    """Run every list of so many steps from an alphabet."""
-    started = time.monotonic()
-    lists = [
+def exhaustive_schedules(
+    alphabet: tuple[Step, ...], length: int, machines: int, image_records: int = 1000
+) -> list[Schedule]:
+    """Every list of so many steps from an alphabet."""
+    return [
         Schedule(0, machines, image_records, steps)
         for steps in itertools.product(alphabet, repeat=length)
     ]
-    searched = Searched(len(lists))
-    chunks = [lists[start : start + CHUNK] for start in range(0, len(lists), CHUNK)]
+
+
+def exhaustive(schedules: list[Schedule], jobs: int) -> Searched:
+    """Run all of the schedules."""
+    started = time.monotonic()
+    searched = Searched(len(schedules))
+    chunks = [schedules[start : start + CHUNK] for start in range(0, len(schedules), CHUNK)]
     with ProcessPoolExecutor(jobs) as pool:
         for found in pool.map(run_lists, chunks):
             searched.findings += found
