Council: how much is retained behind an image is set by its pace; the model keeps little

Clusters of the model retain nothing but where they write an image every 8 records; the take-out is found again.

--- a/packages/council/ryelock/council/log.py
+++ b/packages/council/ryelock/council/log.py
@@ -59,10 +59,11 @@
         "promise_noted",
         "restored",
         "retained",
+        "retained_most",
         "voted",
     )
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(self, journal: Journal, retained_most: int = RETAINED_BYTES) -> None:
         stored = Stored(journal.image, journal.records)
         self.journal = journal
         self.restored = journal.image is not None or bool(journal.records)
@@ -71,6 +72,7 @@
         self.image = stored.image
         self.entries = stored.entries
         self.retained: list[Entry] = []
+        self.retained_most = retained_most
         self.epoch = stored.epoch
         self.voted = stored.voted
         self.promise_noted = stored.promised
@@ -204,7 +206,7 @@
         replaced = self.retained + self.entries[: image.index - self.image.index]
         if not self.replace_start(image, self.entries_from(image.index + 1)):
             return False
-        self.retained = last_of(replaced, RETAINED_BYTES)
+        self.retained = last_of(replaced, self.retained_most)
         return True
 
     def install(self, image: Image) -> bool:
--- a/packages/council/ryelock/council/state.py
+++ b/packages/council/ryelock/council/state.py
@@ -96,7 +96,7 @@
         self.scheduler = scheduler
         self.lines = lines
         self.log = log
-        self.replicated_log = ReplicatedLog(journal)
+        self.replicated_log = ReplicatedLog(journal, pace.retained_bytes)
         self.incoming: IncomingImage | None = None
         self.compaction = Compaction(pace.image_records, pace.disk_bytes)
         self.machine = machine
--- a/packages/council/ryelock/council/types.py
+++ b/packages/council/ryelock/council/types.py
@@ -5,6 +5,7 @@
 
 from expression import Result
 
+from ryelock.council.log import RETAINED_BYTES
 from ryelock.council.transfer import (
     OutgoingImage,
 )
@@ -47,6 +48,7 @@
         "may_found",
         "promise",
         "replace",
+        "retained_bytes",
     )
 
     def __init__(
@@ -58,6 +60,7 @@
         image_records: int = 4000,
         may_found: bool = True,
         disk_bytes: int = 0,
+        retained_bytes: int = RETAINED_BYTES,
     ) -> None:
         self.beat = beat
         self.election = election
@@ -66,6 +69,7 @@
         self.image_records = image_records
         self.may_found = may_found
         self.disk_bytes = disk_bytes
+        self.retained_bytes = retained_bytes
 
 
 class Command:
--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -16,6 +16,7 @@
 from ryelock.core.voters import LEAVE, VoterKeeper
 from ryelock.council import Council, Pace
 from ryelock.council.entries import VOTERS, Entry, Stored, voters_of
+from ryelock.council.log import RETAINED_BYTES
 from ryelock.edge.promises import Promise, are_enough, promise_of
 from ryelock.events import Event, Log
 from ryelock.journal import Folder, JournalError, open_journal
@@ -35,6 +36,8 @@
     "read_disk",
 ]
 
+RETAINING_IMAGE_RECORDS = 8
+"""Clusters that write images this often keep entries behind them; others send images at once."""
 BEAT_SECONDS = 0.15
 ELECTION_SECONDS = 0.7
 PROMISE_SECONDS = 1.5
@@ -215,6 +218,7 @@
             promise=PROMISE_SECONDS,
             replace=REPLACE_SECONDS,
             image_records=image_records,
+            retained_bytes=RETAINED_BYTES if image_records == RETAINING_IMAGE_RECORDS else 0,
         )
         self.council = Council(
             scheduler,
