--- a/packages/council/ryelock/council/state.py
+++ b/packages/council/ryelock/council/state.py
@@ -49,12 +49,14 @@
         "election_at",
         "hear",
         "incoming",
+        "isolated",
         "last_round_failed",
         "leader",
         "leader_address",
         "leader_heard",
         "learners",
         "leaving",
+        "led_at",
         "lines",
         "log",
         "machine",
@@ -94,7 +96,7 @@
         self.scheduler = scheduler
         self.lines = lines
         self.log = log
-        self.replicated_log = ReplicatedLog(journal)
+        self.replicated_log = ReplicatedLog(journal, pace.retained_bytes)
         self.incoming: IncomingImage | None = None
         self.compaction = Compaction(pace.image_records, pace.disk_bytes)
         self.machine = machine
@@ -117,6 +119,8 @@
         self.reach_at = -1e9
         self.disk_failed_at = -1e9
         self.leaving = False
+        self.isolated = False
+        self.led_at = scheduler.now()
         self.released: dict[str, float] = {}
         self.tries = 0
         self.peers: dict[str, Peer] = {}
