--- a/packages/proving/ryelock/proving/aimed.py
+++ b/packages/proving/ryelock/proving/aimed.py
@@ -53,7 +53,7 @@
     start = round(random.uniform(3.0, 5.0), 2)
     how = random.choice(CUT_VARIANTS)
     return [
-        fault(1.0, "ack_lost", x=0.6, for_s=site.length_s - 4.0),
+        fault(1.0, "ack_lost", x=0.6, for_s=site.length_seconds - 4.0),
         fault(start, "core_cut", how, count=1, for_s=CUT_SECONDS),
         planned(start + 1.0, "config_race", count=8, gap_s=0.8),
         planned(start + 8.0, "purge_storm", gap_s=0.1, for_s=3.0),
@@ -66,7 +66,7 @@
     """Many pairs of changes on one version, through losses of the leader and of answers."""
     first = round(random.uniform(8.0, 11.0), 2)
     return [
-        fault(0.5, "ack_lost", x=0.7, for_s=site.length_s - 3.0),
+        fault(0.5, "ack_lost", x=0.7, for_s=site.length_seconds - 3.0),
         planned(1.5, "config_race", count=RACES, gap_s=round(random.uniform(0.3, 0.6), 2)),
         planned(4.0, "bad_config", "stale_match", count=4, gap_s=0.9),
         core_fault(first, "node_kill", "leader race hard", count=1, for_s=2.5),
@@ -78,14 +78,14 @@
 
 def second_loss(site: Site, random: Random) -> list[Entry]:
     """Replacements, each followed by a loss as soon as the site's terms allow another."""
-    entries = [planned(1.0, "config_storm", gap_s=0.8, for_s=site.length_s - 6.0)]
+    entries = [planned(1.0, "config_storm", gap_s=0.8, for_s=site.length_seconds - 6.0)]
     at = 2.0
-    while at < site.length_s - 12.0:
+    while at < site.length_seconds - 12.0:
         gap = round(random.uniform(0.4, 1.5), 2)
         entries.append(
             fault(at, "replace_core", random.choice(("", "planned", "seed", "leader")), x=gap)
         )
-        loss = at + gap + site.catch_up_s + MARGIN_SECONDS
+        loss = at + gap + site.catch_up_seconds + MARGIN_SECONDS
         kind, how = random.choice(LOSSES)
         down = round(random.uniform(0.5, 1.5), 2)
         entries.append(
@@ -93,7 +93,7 @@
             if kind == "node_kill"
             else fault(loss, kind, how, for_s=down)
         )
-        at = loss + down + site.catch_up_s + MARGIN_SECONDS
+        at = loss + down + site.catch_up_seconds + MARGIN_SECONDS
     return entries
 
 
--- a/packages/proving/ryelock/proving/dayfile.py
+++ b/packages/proving/ryelock/proving/dayfile.py
@@ -19,14 +19,14 @@
 class Site:
     """What days of a site need: its name, the length of a day, which losses it allows, and when.
 
-    `length_s` and `catch_up_s` are seconds; `lost_at_once` counts machines; `services` are the
+    `lost_at_once` counts machines; `services` are the
     names of the services whose servers orders go to, `once_services` those of orders that may run
     once; `contracts` are the parts of the rules that are in force.
     """
 
     name: str
-    length_s: float
-    catch_up_s: float
+    length_seconds: float
+    catch_up_seconds: float
     lost_at_once: int
     services: tuple[str, ...]
     once_services: tuple[str, ...]
@@ -59,8 +59,8 @@
         once = {one["service"] for one in found["classes"] if one["kind"] == "unsafe"}
         return Site(
             name=str(found["name"]),
-            length_s=float(found["length_s"]),
-            catch_up_s=float(found["timing"]["catch_up_s"]),
+            length_seconds=float(found["length_s"]),
+            catch_up_seconds=float(found["timing"]["catch_up_s"]),
             lost_at_once=int(found["tolerate"]["machines"]),
             services=tuple(str(one["name"]) for one in found["services"]),
             once_services=tuple(sorted(str(name) for name in once)),
@@ -95,7 +95,7 @@
     """The day file, with a note as a comment at its top."""
     lines = [f"# {note}", "[[day]]", f"name = {as_value(day.name)}", f"seed = {day.seed}"]
     if day.closing is not None:
-        closing: dict[str, object] = {"kind": day.closing.kind, "down_s": day.closing.down_s}
+        closing: dict[str, object] = {"kind": day.closing.kind, "down_s": day.closing.down_seconds}
         if day.closing.how:
             closing["how"] = day.closing.how
         lines.append(f"closing = {as_value(closing)}")
--- a/packages/proving/ryelock/proving/days.py
+++ b/packages/proving/ryelock/proving/days.py
@@ -128,9 +128,9 @@
     raise CoverageError(f"{count} days cannot hold all pairs of {len(kinds)} kinds")
 
 
-def draw_times(number: int, length_s: float, random: Random) -> list[float]:
+def draw_times(number: int, length_seconds: float, random: Random) -> list[float]:
     """Times in a few groups within the day, so that entries overlap."""
-    last = length_s - LAST_BEFORE_END
+    last = length_seconds - LAST_BEFORE_END
     groups = [random.uniform(FIRST_AT, last) for _ in range(GROUPS)]
     times = [random.choice(groups) + random.uniform(0.0, GROUP_SPREAD) for _ in range(number)]
     return [min(time, last) for time in times]
@@ -158,7 +158,7 @@
     """A day with one entry for each of the kinds, ended by the closing fault."""
     random = Random(f"{seed} entries")
     entries: list[Entry] = []
-    for kind, at in zip(kinds, draw_times(len(kinds), site.length_s, random), strict=True):
+    for kind, at in zip(kinds, draw_times(len(kinds), site.length_seconds, random), strict=True):
         entries.append(draw_entry(KINDS[kind], at, variants.draw(KINDS[kind]), random))
     ended = draw_closing(closing, variants.closing(closing), random)
     return Day(name, seed, tuple(sorted(entries, key=lambda entry: entry.at)), ended)
--- a/packages/proving/ryelock/proving/troubles.py
+++ b/packages/proving/ryelock/proving/troubles.py
@@ -81,7 +81,7 @@
 
     kind: str
     how: str
-    down_s: float
+    down_seconds: float
 
 
 CLOSING_VARIANTS: Mapping[str, tuple[str, ...]] = {
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -74,7 +74,7 @@
             self.assertGreater(len(kinds), len(set(kinds)))
             self.assertIsNotNone(day.closing)
             self.assertTrue(overlapping_pairs(day.entries))
-            self.assertTrue(all(0.0 < entry.at < SITE.length_s for entry in day.entries))
+            self.assertTrue(all(0.0 < entry.at < SITE.length_seconds for entry in day.entries))
 
     def test_every_variant_of_every_kind_is_drawn_and_no_other(self) -> None:
         found = coverage(draw_days(SITE, COUNT, 1), list(KINDS))
@@ -111,7 +111,7 @@
             self.assertEqual(days, draw_aimed(SITE, aim, 3, 1))
             self.assertEqual(3, len({day.seed for day in days}))
             for day in days:
-                self.assertTrue(all(0.0 < entry.at < SITE.length_s for entry in day.entries))
+                self.assertTrue(all(0.0 < entry.at < SITE.length_seconds for entry in day.entries))
 
     def test_a_second_loss_comes_right_after_the_time_to_catch_up(self) -> None:
         for day in draw_aimed(SITE, "second-loss", 5, 1):
@@ -119,8 +119,8 @@
             for before, after in zip(strikes[::2], strikes[1::2], strict=True):
                 self.assertEqual("replace_core", before.kind)
                 returned = before.at + before.figures["x"]
-                self.assertGreaterEqual(after.at, returned + SITE.catch_up_s)
-                self.assertLess(after.at, returned + SITE.catch_up_s + 0.5)
+                self.assertGreaterEqual(after.at, returned + SITE.catch_up_seconds)
+                self.assertLess(after.at, returned + SITE.catch_up_seconds + 0.5)
 
     def test_spoiled_answers_are_those_of_orders_that_run_once(self) -> None:
         for day in draw_aimed(SITE, "lost-answers", 3, 1):
