A repeatable request that may have run is told 503 again, with the time to come back

The rule on promises names requests that may run once only; for these nothing changes. The check of the answers' table is narrowed to them with that reason.

--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -173,10 +173,11 @@
     def decline(self, exchange: Exchange, order: Order, failure: Failure) -> Step[None]:
         """The final answer of an order that is given up on, at once.
 
-        Nobody is promised that an order has not run where a server may have run it.
+        Nobody is promised that an order which may run once has not run where a server may have
+        run it. Whoever sends a repeatable order again does no harm, and is told when.
         """
         comes_back = failure.status in (429, 503)
-        if comes_back and order.may_have_run:
+        if comes_back and order.may_have_run and order.klass == "once":
             failure = Failure(502, failure.reason, failure.unknown, failure.back)
         order.status = failure.status
         order.reason = failure.reason
--- a/packages/proving/ryelock/proving/answer_cases.py
+++ b/packages/proving/ryelock/proving/answer_cases.py
@@ -109,7 +109,7 @@
             found.append(f"once: {self.name} ran {self.runs} times")
         if self.kind in RUNS_ONCE and not self.certain:
             found.append(f"once: {self.name} was sent again though it may have run")
-        if self.told.status in PROMISES and self.runs:
+        if self.kind in RUNS_ONCE and self.told.status in PROMISES and self.runs:
             found.append(f"promises: {self.name} was told {self.told.status} and ran")
         if self.told.status == 200 and not self.right and not self.injected:
             found.append(f"bytes: {self.name} got another body: {self.told.body[:40]!r}")
