Renewals go before a crowd of requests, and connections are polled each 20 ms

Their tasks stand in one queue, and a renewal needs four turns of it (timer, poll, reader, answer); with a queue of 0.6 to 0.8 s each renewal ran out of its time (hold and 0.4 s) and began anew, for 6 s and more.

Mended: a task may be urgent; the edge's renewal, its readers and its search for the leader are; and a turn runs tasks for 20 ms at most, not 1,000 steps, before it polls.

--- a/packages/edge/ryelock/edge/member.py
+++ b/packages/edge/ryelock/edge/member.py
@@ -130,7 +130,7 @@
         self.running: Running | None = None
 
     def start(self) -> None:
-        self.running = self.scheduler.spawn("member", self.work())
+        self.running = self.scheduler.spawn("member", self.work(), urgent=True)
 
     def stop(self) -> None:
         if self.running is not None:
@@ -193,7 +193,7 @@
         """
         box: Mailbox[str] = Mailbox(self.scheduler)
         for address in candidates:
-            self.scheduler.spawn("who leads", self.ask_leader(address, box))
+            self.scheduler.spawn("who leads", self.ask_leader(address, box), urgent=True)
         until = self.scheduler.now() + ROUND_SECONDS
         self.named = False
         for _ in candidates:
@@ -382,7 +382,7 @@
             **self.asking(),
         }
         for address in addresses:
-            self.scheduler.spawn("promise", self.ask_promise(address, message, box))
+            self.scheduler.spawn("promise", self.ask_promise(address, message, box), urgent=True)
         promises: list[Promise] = []
         soft: Message | None = None
         for _ in addresses:
--- a/packages/edge/ryelock/edge/owner.py
+++ b/packages/edge/ryelock/edge/owner.py
@@ -3,9 +3,10 @@
 An ask has one step or two on one link. Where the budget of retries has no room for the owner's
 silence, a lookup comes first, which lets the owner send nothing to a server: it answers at once,
 with a copy or that it has none. The fetch waits for a fill that is under way there, or begins one,
-and names how many servers it may send to; its answer names how many it reached. So a silent owner has sent nothing to a server
-unless it fell silent within the fetch itself, and what it may have sent is known: nothing after a
-lookup, at most the number that the fetch named after a silence, the number it told otherwise.
+and names how many servers it may send to; its answer names how many it reached. So a silent owner
+has sent nothing to a server unless it fell silent within the fetch itself, and what it may have
+sent is known: nothing after a lookup, at most the number that the fetch named after a silence, the
+number it told otherwise.
 
 Weighed: one step always (an owner that hangs then costs a repeat for each ask that it swallowed,
 and requests are refused once none is left), a lookup always (on a site of 98 machines the round
--- a/packages/loop/ryelock/loop/tasks.py
+++ b/packages/loop/ryelock/loop/tasks.py
@@ -12,6 +12,10 @@
 from typing import Generic, Protocol, TypeVar
 
 Item = TypeVar("Item")
+CLOCK_STEPS = 4
+"""The clock is read after so many steps."""
+RUN_SECONDS = 0.02
+"""Tasks run for so long before connections are polled again."""
 
 
 class Clock(Protocol):
@@ -43,11 +47,12 @@
 class Running:
     """One task: its generator, and a ticket that makes old wakes stale."""
 
-    __slots__ = ("generator", "mailbox", "name", "over", "queued", "ticket")
+    __slots__ = ("generator", "mailbox", "name", "over", "queued", "ticket", "urgent")
 
-    def __init__(self, name: str, generator: Step[None]) -> None:
-        """Create a task that has not run yet."""
+    def __init__(self, name: str, generator: Step[None], urgent: bool = False) -> None:
+        """Create a task that has not run yet; an urgent one goes before all others."""
         self.name = name
+        self.urgent = urgent
         self.generator = generator
         self.mailbox: Mailbox[object] | None = None
         self.ticket = 0
@@ -105,13 +110,14 @@
 class Scheduler:
     """Runs the tasks of one process in a repeatable order."""
 
-    __slots__ = ("beats", "clock", "fault", "ready", "sequence")
+    __slots__ = ("beats", "clock", "fault", "ready", "sequence", "urgent")
 
     def __init__(self, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
         """Create a scheduler; `fault` is called with the name and error of a failed task."""
         self.clock = clock
         self.fault = fault
         self.ready: deque[Running] = deque()
+        self.urgent: deque[Running] = deque()
         self.beats: list[tuple[float, int, Running, int]] = []
         self.sequence = 0
 
@@ -119,9 +125,13 @@
         """Return monotonic seconds."""
         return self.clock.now()
 
-    def spawn(self, name: str, generator: Step[None]) -> Running:
-        """Start a task; the name stands in fault reports."""
-        running = Running(name, generator)
+    def spawn(self, name: str, generator: Step[None], urgent: bool = False) -> Running:
+        """Start a task; the name stands in fault reports.
+
+        An urgent task goes before all that are not: for the few whose delay under load would
+        cost more than a request's, such as the renewal of a lease.
+        """
+        running = Running(name, generator, urgent)
         self.make_ready(running)
         return running
 
@@ -130,7 +140,7 @@
         if not running.queued and not running.over:
             running.queued = True
             running.ticket += 1
-            self.ready.append(running)
+            (self.urgent if running.urgent else self.ready).append(running)
 
     def pause(self, seconds: float) -> Step[None]:
         """Wait so many seconds."""
@@ -138,16 +148,27 @@
         while self.now() < until:
             yield Wait(None, until)
 
-    def run_ready(self, most: int = 1000) -> bool:
-        """Run what is due, at most so many steps; says whether more is ready."""
+    @property
+    def has_ready(self) -> bool:
+        """Whether a task is ready to run."""
+        return bool(self.urgent or self.ready)
+
+    def run_ready(self, most: int = 1000, seconds: float = RUN_SECONDS) -> bool:
+        """Run what is due, at most so many steps or so long; says whether more is ready.
+
+        The bound in seconds lets the caller poll its connections while a crowd keeps tasks ready.
+        """
         self.ring()
-        while self.ready and most > 0:
+        until = self.now() + seconds
+        while most > 0 and self.has_ready:
             most -= 1
-            running = self.ready.popleft()
+            running = self.urgent.popleft() if self.urgent else self.ready.popleft()
             running.queued = False
             if not running.over:
                 self.resume(running)
-        return bool(self.ready)
+            if most % CLOCK_STEPS == 0 and self.now() >= until:
+                break
+        return self.has_ready
 
     def ring(self) -> None:
         """Make the tasks ready whose timers are due."""
--- a/packages/proving/ryelock/proving/model/cluster.py
+++ b/packages/proving/ryelock/proving/model/cluster.py
@@ -174,7 +174,7 @@
         if self.node is None or self.frozen or self.busy_until > self.world.time:
             return False
         scheduler = self.scheduler
-        if not scheduler.ready:
+        if not scheduler.has_ready:
             beat = scheduler.next_beat()
             if beat is None or beat > self.clock.now():
                 return False
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -489,7 +489,7 @@
                 except Crash:
                     self.kill(node.name, True)
                     continue
-                busy = busy or bool(node.scheduler.ready)
+                busy = busy or node.scheduler.has_ready
 
     def step(self, until: float) -> bool:
         """Run what is due, then move to the next moment; False at the end."""
--- a/packages/wire/ryelock/wire/__init__.py
+++ b/packages/wire/ryelock/wire/__init__.py
@@ -206,7 +206,9 @@
             link = self.network.connect(self.address)
             self.link = link
             link.write(HELLO)
-            self.reader = self.scheduler.spawn(f"wire to {self.address}", self.read(link))
+            self.reader = self.scheduler.spawn(
+                f"wire to {self.address}", self.read(link), urgent=True
+            )
         self.sequence += 1
         number = self.sequence
         box: Mailbox[Message | None] = Mailbox(self.scheduler)
