--- a/packages/loop/ryelock/loop/tasks.py
+++ b/packages/loop/ryelock/loop/tasks.py
@@ -14,7 +14,7 @@
 Item = TypeVar("Item")
 CLOCK_STEPS = 4
 """The clock is read after so many steps."""
-RUN_SECONDS = 0.02
+RUN_SECONDS = 0.06
 """Tasks run for so long before connections are polled again."""
 
 
