News of the platform's list ends a held renewal at once

A renewal that is held open was ended by log entries only; what the list had changed waited for the end of the hold, up to 1 s with 98 machines, on top of the list's own lag (0.8 s), the reading (0.8 s) and 0.5 s that the loaded edge took for the request.

Mended: a listing that differs from the one before wakes the renewals.

--- a/packages/core/ryelock/core/platform.py
+++ b/packages/core/ryelock/core/platform.py
@@ -34,6 +34,7 @@
         "missed",
         "network",
         "on_duty",
+        "on_news",
         "read_listing",
         "scheduler",
         "source",
@@ -52,6 +53,7 @@
         self.heard = b""
         self.missed = False
         self.on_duty: Callable[[], bool] = lambda: True
+        self.on_news: Callable[[], None] = lambda: None
         self.read_listing: Read = self.read_own
 
     def work(self) -> Step[None]:
@@ -102,8 +104,11 @@
             return
         digest = fresh.digest()
         fresh.version = held.version if held is not None else 0
-        fresh.version += digest != self.digest
+        changed = digest != self.digest
+        fresh.version += changed
         self.listing, self.digest = fresh, digest
+        if changed:
+            self.on_news()
 
     def miss(self, reason: str) -> None:
         if not self.missed:
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -127,6 +127,7 @@
         self.council.say = self.say
         self.council.hear = self.on_said
         self.council.applied_news.append(self.renewals.tell)
+        self.platform.on_news = self.renewals.tell
         self.desk = Desk(
             scheduler,
             network,
