Members' zones are read once a look at the voters; cases' tests share their player

Two looks at most now, same counts. ControlCaseTests and RaceTests had the same method twice. Behaviour and assertions as before; 123 tests of control cases, losses, status, council, membership and the kept-to rules passed.

--- a/packages/core/ryelock/core/voters.py
+++ b/packages/core/ryelock/core/voters.py
@@ -5,6 +5,8 @@
 over and ends once the answer says `may_end`.
 """
 
+from collections import Counter
+
 from ryelock.council import Council, majority_of
 from ryelock.council.entries import Voters
 from ryelock.council.membership import Membership, Spare, next_voters
@@ -83,7 +85,7 @@
             frozenset(lost),
             frozenset(self.leaving),
             tuple(self.spares()),
-            {disk: self.crowded(address) for disk, address in council.voters.items()},
+            self.crowded(council.voters),
         )
 
     def forget_old(self) -> None:
@@ -107,7 +109,8 @@
     def spares(self) -> list[Spare]:
         """Those of them that are level with the log, the ones in the emptiest zones first."""
         level = [spare for spare in self.waiting() if self.is_level(spare.disk)]
-        return sorted(level, key=lambda spare: (self.crowded(spare.address), spare.disk))
+        crowded = self.crowded({spare.disk: spare.address for spare in level})
+        return sorted(level, key=lambda spare: (crowded[spare.disk], spare.disk))
 
     def is_level(self, disk: str) -> bool:
         council = self.council
@@ -119,11 +122,13 @@
             and self.scheduler.now() - peer.heard < council.pace.election
         )
 
-    def crowded(self, address: str) -> int:
-        """How many voters stand in the zone of an address already."""
+    def crowded(self, disks: Voters) -> dict[str, int]:
+        """How many voters stand in the zone of each disk already; one look at the members."""
+        if not disks:
+            return {}
         zones = {session.wire: session.zone for session in self.roster.members().values()}
-        zone = zones.get(address, "")
-        return sum(zones.get(other) == zone for other in self.council.voters.values())
+        voting = Counter(zones.get(address) for address in self.council.voters.values())
+        return {disk: voting[zones.get(address, "")] for disk, address in disks.items()}
 
     def is_lost(self, disk: str) -> bool:
         """Whether a voter has another disk now, or stored nothing for too long."""
--- a/tests/test_control_cases.py
+++ b/tests/test_control_cases.py
@@ -47,13 +47,17 @@
     return [mock.patch.object(Leading, "drain", drain)]
 
 
-class ControlCaseTests(testtools.TestCase):
+class CaseTests(testtools.TestCase):
+    """Plays a case with some mechanisms taken out."""
+
     def found(self, name: str, seed: int, patches: list[Patch]) -> list[str]:
         with ExitStack() as stack:
             for patch in patches:
                 stack.enter_context(patch)
             return CONTROL_CASES[name](seed).violations
 
+
+class ControlCaseTests(CaseTests):
     def breaks(self, name: str, patches: Callable[[], list[Patch]], rule: str) -> None:
         found: list[str] = []
         for seed in SEEDS:
@@ -106,13 +110,7 @@
     return [*small_memory(), mock.patch.object(Outcomes, "stand", lambda *_: None)]
 
 
-class RaceTests(testtools.TestCase):
-    def found(self, name: str, seed: int, patches: list[Patch]) -> list[str]:
-        with ExitStack() as stack:
-            for patch in patches:
-                stack.enter_context(patch)
-            return CONTROL_CASES[name](seed).violations
-
+class RaceTests(CaseTests):
     def test_one_of_racing_changes_is_acknowledged(self) -> None:
         for seed in range(20):
             self.assertEqual([], self.found("racing-changes", seed, []))
