--- a/packages/proving/ryelock/proving/__main__.py
+++ b/packages/proving/ryelock/proving/__main__.py
@@ -10,7 +10,7 @@
 
 from ryelock.proving.cases import CASES  # noqa: E402
 from ryelock.proving.catchup_measure import measure_catch_up  # noqa: E402
-from ryelock.proving.days_command import days  # noqa: E402
+from ryelock.proving.days_command import days, played  # noqa: E402
 from ryelock.proving.finals import FINALS, run_final  # noqa: E402
 from ryelock.proving.measure import MEASURES, measure  # noqa: E402
 from ryelock.proving.pieces import measure_pieces  # noqa: E402
@@ -295,7 +295,8 @@
 def main() -> None:
     sys.exit(
         defopt.run(
-            [fleet, simulate, case, finals, measures, scale, pieces, catch_up, days], short={}
+            [fleet, simulate, case, finals, measures, scale, pieces, catch_up, days, played],
+            short={},
         )
     )
 
--- a/packages/proving/ryelock/proving/days_command.py
+++ b/packages/proving/ryelock/proving/days_command.py
@@ -1,4 +1,4 @@
-"""The command `days` of `python -m ryelock.proving`."""
+"""The commands `days` and `played` of `python -m ryelock.proving`."""
 
 import sys
 from pathlib import Path
@@ -6,6 +6,7 @@
 from ryelock.proving.aimed import AIMS, draw_aimed
 from ryelock.proving.dayfile import SiteError, read_site, write_day
 from ryelock.proving.days import CoverageError, coverage, coverage_lines, draw_days
+from ryelock.proving.played import ReportError, read_report, summary_lines
 from ryelock.proving.troubles import KINDS, open_kinds
 
 
@@ -45,3 +46,20 @@
     wanted = () if aim else chosen or open_kinds(place.contracts)
     sys.stdout.writelines(f"{line}\n" for line in coverage_lines(coverage(drawn, wanted)))
     return 0
+
+
+def played(*, site: str, reports: str) -> int:
+    """Tell what played days came to: what broke, pairs brought about, the smallest margins.
+
+    :param site: site file of the bench
+    :param reports: folder with the `.report` files of `fleetbench run SITE DAY --report FILE`
+    """
+    try:
+        place = read_site(Path(site))
+        found = [read_report(path) for path in sorted(Path(reports).glob("*.report"))]
+    except (SiteError, ReportError, OSError) as error:
+        sys.stderr.write(f"{error}\n")
+        return 2
+    lines = summary_lines(found, open_kinds(place.contracts))
+    sys.stdout.writelines(f"{line}\n" for line in lines)
+    return 1 if any(day.broken for day in found) else 0
