Simulator: bytes that a cut holds up are lost once their sender resets the connection

Schedule 1 of the stand-in reported an order run 4 s after its caller left. Cause: the edge had reset the connection after the deadline, while a cut held the request's bytes up; the simulated network delivered them after the cut healed all the same. Ruled out: the edge sending late (it sent 3 ms after the order came, and reset at the deadline).

--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -49,7 +49,7 @@
 class SimLink(Link):
     """One end of a link; `other` is the other end once it stands."""
 
-    __slots__ = ("closing", "due", "gone", "node", "other", "reading", "waiting")
+    __slots__ = ("closing", "due", "gone", "node", "other", "reading", "waiting", "was_reset")
 
     def __init__(self, node: "SimNode", peer: str) -> None:
         super().__init__(node.scheduler, peer)
@@ -59,6 +59,7 @@
         self.closing = False
         self.gone = False
         self.reading = True
+        self.was_reset = False
         self.waiting: list[bytes] = []
 
     def write(self, data: bytes) -> None:
@@ -84,6 +85,7 @@
     def abort(self) -> None:
         if self.ended:
             return
+        self.was_reset = True
         self.node.world.reset(self)
         self.finished()
 
@@ -428,7 +430,10 @@
         return next((node for node in self.nodes.values() if node.host == host), None)
 
     def carry(self, link: SimLink, data: bytes) -> None:
-        """Bring bytes, or the end, to the other side, in order."""
+        """Bring bytes, or the end, to the other side, in order.
+
+        Bytes that a cut or a full peer holds up are lost once their sender resets the connection.
+        """
         other = link.other
         if other is None:
             return
@@ -442,6 +447,8 @@
             if link.gone and not link.node.power and not data:
                 return
             if self.blocked(link.node, other.node) or not other.reading:
+                if link.was_reset:
+                    return
                 link.due = max(link.due, self.time + 0.1)
                 self.at(self.time + 0.1, act)
                 return
