Waiting for a rate counts from a request's arrival; Retry-After tells the expected room

Cause: a request that had waited for another's fetch of the same object then waited a full patience at the gate as well. Cause: with 10 edges before 60/s each has 6/s and a bucket of one; refused requests were told to come back after 5 to 20 % of the target (10 to 40 ms), when the bucket was still empty, and used up four tries in 0.1 s. Retry-After now adds the expected wait for room, 1 s at most. Ruled out: shares that lag (they added up to 59 of 60).

--- a/packages/edge/ryelock/edge/admission.py
+++ b/packages/edge/ryelock/edge/admission.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from ryelock.edge.context import Failure
-from ryelock.edge.gate import Gate
+from ryelock.edge.gate import Gate, come_back
 from ryelock.edge.orders import Caller, Order
 from ryelock.edge.replies import NO_SHARE, Replies
 from ryelock.exchange import (
@@ -47,14 +47,25 @@
     def pass_gate(
         self, exchange: Exchange, order: Order, route: Route, gate: Gate
     ) -> Step[Failure | None]:
-        patience = self.deadline(exchange, route) - self.scheduler.now()
+        """Wait for room for at most the service's patience, counted from the request's arrival.
+
+        A request that has already waited for another's fetch of the same object does not wait
+        as long again here.
+        """
+        until = min(self.deadline(exchange, route), exchange.started + gate.patience())
+        patience = until - self.scheduler.now()
         if not self.dialect.own and route.target_seconds:
             patience = min(patience, route.target_seconds * PATIENCE_PART)
-        back = yield from gate.enter(order.route_name, route.share, patience, order.probe)
-        if back:
+        wait = yield from gate.enter(order.route_name, route.share, patience, order.probe)
+        if wait is not None:
             bare = gate.bucket.holding(self.scheduler.now()) <= 0 and not gate.bucket.counted
             order.allowance = NO_SHARE if bare else "declined: over the service's rate or queue"
-            return Failure(503, "the service is at its rate; the order was not sent", back=back)
+            return Failure(
+                503,
+                "the service is at its rate; the order was not sent",
+                back=come_back(wait),
+                room_in=wait,
+            )
         order.allowance = "allowed"
         if exchange.left:
             gate.leave(order.route_name)
--- a/packages/edge/ryelock/edge/context.py
+++ b/packages/edge/ryelock/edge/context.py
@@ -25,13 +25,31 @@
 class Failure:
     """Why an order has no server's answer, and whether it may have run."""
 
-    __slots__ = ("back", "reason", "status", "unknown")
+    __slots__ = ("back", "reason", "room_in", "status", "unknown")
 
-    def __init__(self, status: int, reason: str, unknown: bool = False, back: float = 1.0) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        unknown: bool = False,
+        back: float = 1.0,
+        room_in: float = 0.0,
+    ) -> None:
+        """Create a failure.
+
+        Args:
+            status: HTTP status for the caller.
+            reason: why, for the caller and the record of the request.
+            unknown: whether a server may have run the request.
+            back: seconds after which the caller should come back.
+            room_in: seconds until the service's rate is expected to have room; 0 where the
+                rate is not the reason, infinite where that is not known.
+        """
         self.status = status
         self.reason = reason
         self.unknown = unknown
         self.back = back
+        self.room_in = room_in
 
 
 class Carried:
--- a/packages/edge/ryelock/edge/gate.py
+++ b/packages/edge/ryelock/edge/gate.py
@@ -100,8 +100,10 @@
             route, 0
         ) < self.most_flight(share)
 
-    def enter(self, route: str, share: float, patience: float, first: bool) -> Step[float]:
-        """Wait to be let through: 0 when let through, else seconds after which to come back.
+    def enter(self, route: str, share: float, patience: float, first: bool) -> Step[float | None]:
+        """Wait to be let through: None when let through, else seconds until there is room.
+
+        Those seconds are an estimate, and infinite while this edge holds no share of the rate.
 
         A probe goes before all who wait: declined, it would tell of the crowd, not of the edge.
         """
@@ -109,7 +111,7 @@
         now = self.scheduler.now()
         if not self.waiting and self.has_room(route, share) and self.bucket.allow(now):
             self.let_through(route)
-            return 0.0
+            return None
         queue = self.queues.setdefault(route, deque())
         ahead = self.waiting
         wait = self.bucket.wait_for(now, ahead)
@@ -119,7 +121,7 @@
             or ahead >= self.service.queue
             or len(queue) >= max(1, math.ceil(self.service.queue * share))
         ):
-            return come_back(wait)
+            return wait
         waiting = Waiting(self.scheduler)
         if first:
             queue.appendleft(waiting)
@@ -141,8 +143,8 @@
         finally:
             waiting.over = True
         if allowed is None:
-            return come_back(self.bucket.wait_for(self.scheduler.now(), self.waiting))
-        return 0.0
+            return self.bucket.wait_for(self.scheduler.now(), self.waiting)
+        return None
 
     def again(self, patience: float) -> Step[bool]:
         """Room for one redispatch, by the budget of repeats and, perhaps soon, by rate."""
--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -28,6 +28,10 @@
 from ryelock.register import DERIVED_MOST, Route
 
 OBJECT_MOST = 300
+UNROUTED_BACK_SECONDS = 0.2
+"""Retry-After of a refusal that belongs to no route."""
+ROOM_BACK_SECONDS_MOST = 1.0
+"""Retry-After grows by the expected wait for room by so much at most."""
 NO_SHARE = "declined: no share of the service's rate is held here yet"
 
 
@@ -195,7 +199,7 @@
         ]
         keyed = field(exchange.head.fields, b"idempotency-key") is not None
         if not self.dialect.own:
-            back = self.soon(order.rule) if order.rule is not None else 0.2
+            back = self.retry_after(order, failure)
             fields = [(b"Content-Type", b"application/json")]
             if comes_back:
                 fields.append(
@@ -223,6 +227,17 @@
             body = b""
         yield from exchange.answer(failure.status, fields, body)
 
+    def retry_after(self, order: Order, failure: Failure) -> float:
+        """Seconds after which a caller should come back.
+
+        Not before the service's rate is expected to have room: a caller that comes back sooner
+        is refused again and uses up its tries.
+        """
+        if order.rule is None:
+            return UNROUTED_BACK_SECONDS
+        room_in = failure.room_in if math.isfinite(failure.room_in) else 0.0
+        return self.soon(order.rule) + min(room_in, ROOM_BACK_SECONDS_MOST)
+
     def soon(self, route: Route) -> float:
         """Seconds after which to come back: within the time that is of full worth."""
         if self.dialect.own or not route.target_seconds:
