Answers to callers are paced below the link's rate; control and requests to servers go first

Cause of the broken DRAIN and CONFIG on grown sites: not the processor. The edges' link (575,000 bytes a second) was full: up to 600,000 bytes were queued, so renewals took 1.3 s where they are held 0.94 s, and requests that may run once were sent 0.3 to 0.7 s after they came. Ruled out: the processor (above); the leader's link (100 Mbit/s).

--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -123,7 +123,7 @@
                 env.head_bytes, env.body_bytes, env.links_most, env.idle_seconds, env.order_seconds
             )
             self.orders_door = HttpDoor(
-                scheduler, network, log, env.order_address, limits, self.way.serve
+                scheduler, network, log, env.order_address, limits, self.way.serve, bulk=True
             )
             self.session.order = self.orders_door.address
         self.prober: Prober | None = None
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -244,6 +244,9 @@
     gone_seconds = Setting(600.0, number(1, 86_400), "how long a lost edge is still probed")
     image_records = Setting(4000, whole(10, 10_000_000), "records between two images")
     disk_bytes = Setting(0, whole(0, 1 << 50), "size of the data folder's disk; 0: not known")
+    link_bytes = Setting(
+        0, whole(0, 1 << 40), "bytes a second that the machine's link carries; 0: not known"
+    )
     segment_bytes = Setting(4_194_304, whole(4096, 1 << 30), "size at which a segment is closed")
 
     head_bytes = Setting(32_768, whole(1024, 1 << 20), "longest head of an order or answer")
--- a/packages/exchange/ryelock/exchange/door.py
+++ b/packages/exchange/ryelock/exchange/door.py
@@ -162,6 +162,7 @@
 class HttpDoor:
     __slots__ = (
         "address",
+        "bulk",
         "busy",
         "closing",
         "leaving",
@@ -181,7 +182,9 @@
         address: str,
         limits: Limits,
         serve: Serve,
+        bulk: bool = False,
     ) -> None:
+        self.bulk = bulk
         self.scheduler = scheduler
         self.network = network
         self.log = log
@@ -201,6 +204,7 @@
             )
             link.close()
             return
+        link.bulk = self.bulk
         self.links[link] = self.scheduler.spawn(f"orders from {link.peer}", self.take(link))
 
     def take(self, link: Link) -> Step[None]:
@@ -220,6 +224,7 @@
                 self.busy += 1
                 try:
                     yield from self.serve(exchange)
+                    yield from link.drain(0, self.limits.order_seconds)
                 finally:
                     self.busy -= 1
                 if not exchange.finished:
--- /dev/null
+++ b/packages/loop/ryelock/loop/egress.py
@@ -0,0 +1,92 @@
+"""Pacing of bulk answers, so that their queue forms in this process and not in the machine's link.
+
+A link carries packets in the order in which they were sent. Where answers are sent as fast as the
+sockets take them, a heartbeat or a request to a server waits behind all of them, on a slow link
+for a second and more. Bulk connections therefore take turns at a rate a little below the link's;
+everything else is sent at once and only counted.
+"""
+
+from typing import Protocol
+
+from ryelock.loop.tasks import Mailbox, Scheduler, Step
+
+LINK_SHARE = 0.92
+"""Part of the link's rate that is used; the rest is for headers and acknowledgements."""
+TURN_SECONDS = 0.008
+"""A connection's turn is what the link carries in this time, in seconds."""
+TURN_BYTES_LEAST = 2_800
+"""A turn is at least two full packets."""
+DEBT_SECONDS_MOST = 0.2
+"""What is sent at once may use up so much of the bulk connections' time ahead, in seconds."""
+
+
+class BulkSender(Protocol):
+    """A connection whose bytes are paced."""
+
+    def send_some(self, most: int) -> int:
+        """Send at most so many of the queued bytes; returns how many the socket took."""
+        ...
+
+    @property
+    def has_more(self) -> bool:
+        """Whether bytes are queued that the socket would take now."""
+        ...
+
+
+class EgressPacer:
+    """Token bucket in bytes, from which bulk connections take turns."""
+
+    __slots__ = ("bytes_per_second", "filled_at", "news", "scheduler", "tokens", "turn", "waiting")
+
+    def __init__(self, scheduler: Scheduler, link_bytes_per_second: float) -> None:
+        """Create a pacer with a full bucket and start its task."""
+        self.scheduler = scheduler
+        self.bytes_per_second = link_bytes_per_second * LINK_SHARE
+        self.turn = max(TURN_BYTES_LEAST, int(self.bytes_per_second * TURN_SECONDS))
+        self.tokens = float(self.turn)
+        self.filled_at = scheduler.now()
+        self.waiting: dict[BulkSender, None] = {}
+        self.news: Mailbox[bool] = Mailbox(scheduler)
+        scheduler.spawn("egress", self.work(), urgent=True)
+
+    def fill(self) -> None:
+        """Add the bytes that the link carried since the last look."""
+        now = self.scheduler.now()
+        earned = (now - self.filled_at) * self.bytes_per_second
+        self.tokens = min(float(self.turn), self.tokens + earned)
+        self.filled_at = now
+
+    def count(self, sent: int) -> None:
+        """Count bytes that were sent without waiting for a turn."""
+        self.fill()
+        debt_most = self.bytes_per_second * DEBT_SECONDS_MOST
+        self.tokens = max(-debt_most, self.tokens - sent)
+
+    def submit(self, sender: BulkSender) -> None:
+        """Let a connection with queued bytes send, now or when its turn comes."""
+        if sender in self.waiting:
+            return
+        self.waiting[sender] = None
+        self.send_turns()
+        if self.waiting and not len(self.news):
+            self.news.put(True)
+
+    def send_turns(self) -> None:
+        """Give turns to the waiting connections while there are tokens."""
+        self.fill()
+        while self.waiting and self.tokens > 0:
+            sender = next(iter(self.waiting))
+            del self.waiting[sender]
+            self.tokens -= sender.send_some(self.turn)
+            if sender.has_more:
+                self.waiting[sender] = None
+
+    def work(self) -> Step[None]:
+        """Give turns as tokens come, for the life of the process."""
+        while True:
+            if not self.waiting:
+                yield from self.news.take()
+                continue
+            self.send_turns()
+            if self.waiting:
+                yield from self.scheduler.pause(max(0.001, -self.tokens / self.bytes_per_second))
--- a/packages/loop/ryelock/loop/network.py
+++ b/packages/loop/ryelock/loop/network.py
@@ -17,14 +17,28 @@
 
 
 class Link:
-    """A connection as a stream of bytes; subclasses carry the bytes."""
-
-    __slots__ = ("ended", "held", "inbox", "opened", "peer", "room", "scheduler", "unsent")
+    """A connection as a stream of bytes; subclasses carry the bytes.
+
+    What is written to a `bulk` connection gives way to what is written to others.
+    """
+
+    __slots__ = (
+        "bulk",
+        "ended",
+        "held",
+        "inbox",
+        "opened",
+        "peer",
+        "room",
+        "scheduler",
+        "unsent",
+    )
 
     def __init__(self, scheduler: Scheduler, peer: str) -> None:
         """Create a connection that is not yet open to a peer's host:port."""
         self.scheduler = scheduler
         self.peer = peer
+        self.bulk = False
         self.inbox: Mailbox[bytes] = Mailbox(scheduler)
         self.room: Mailbox[bool] = Mailbox(scheduler)
         self.opened = False
--- a/packages/loop/ryelock/loop/reactor.py
+++ b/packages/loop/ryelock/loop/reactor.py
@@ -16,6 +16,7 @@
 from circuits.core.handlers import handler
 from circuits.core.pollers import EPoll
 
+from ryelock.loop.egress import EgressPacer
 from ryelock.loop.network import Greeting, Link, NetworkError
 from ryelock.loop.tasks import Mailbox, Scheduler
 
@@ -68,25 +69,55 @@
             self.flush()
 
     def flush(self) -> None:
-        """Send queued bytes until the socket takes no more."""
-        while self.pieces:
-            piece = self.pieces[0]
+        """Send queued bytes, those of a bulk connection when its turn comes."""
+        pacer = self.reactor.pacer
+        if pacer is None:
+            self.send_some(self.unsent)
+        elif self.bulk and self.pieces:
+            self.want_write(False)
+            pacer.submit(self)
+        else:
+            pacer.count(self.send_some(self.unsent))
+
+    @property
+    def has_more(self) -> bool:
+        """Whether bytes are queued that the socket would take now; see BulkSender."""
+        return bool(self.pieces) and not self.writing and not self.ended
+
+    def send_some(self, most: int) -> int:
+        """Send at most so many queued bytes; returns how many the socket took."""
+        if self.ended:
+            return 0
+        sent = 0
+        full = False
+        while self.pieces and sent < most and not full:
+            piece = self.pieces[0][: most - sent]
             try:
                 count = self.socket.send(piece)
             except OSError as error:
-                if error.errno in AGAIN:
-                    break
-                self.abort()
-                return
+                if error.errno not in AGAIN:
+                    self.abort()
+                    return sent
+                count, full = 0, True
+            full = full or count < len(piece)
+            sent += count
             self.unsent -= count
-            if count < len(piece):
-                self.pieces[0] = piece[count:]
-                break
+            self.drop_sent(count)
+        self.want_write(full)
+        if not self.pieces:
+            self.all_sent()
+        return sent
+
+    def drop_sent(self, count: int) -> None:
+        """Drop so many bytes from the first queued piece."""
+        piece = self.pieces[0]
+        if count < len(piece):
+            self.pieces[0] = piece[count:]
+        else:
             self.pieces.popleft()
-        if self.pieces:
-            self.want_write(True)
-            return
-        self.want_write(False)
+
+    def all_sent(self) -> None:
+        """End a connection that was closed; tell a writer that waits for room."""
         if self.closing:
             self.abort()
         elif len(self.room) == 0:
@@ -141,14 +172,25 @@
 
     channel = "reactor"
 
-    def __init__(self, fault: Callable[[str, BaseException], None]) -> None:
-        """Create a reactor; `fault` is called with the name and error of a task that failed."""
+    def __init__(
+        self, fault: Callable[[str, BaseException], None], link_bytes_per_second: float = 0.0
+    ) -> None:
+        """Create a reactor.
+
+        Args:
+            fault: called with the name and error of a task that failed.
+            link_bytes_per_second: what the machine's link carries; 0 where it is not known, and
+                bulk connections are not paced.
+        """
         super().__init__()
         self.scheduler = Scheduler(MachineClock(), fault)
         self.signals: Mailbox[int] = Mailbox(self.scheduler)
         self.links: dict[socket.socket, SocketLink] = {}
         self.doors: dict[socket.socket, Greeting] = {}
         self.poller = EPoll().register(self)
+        self.pacer = (
+            EgressPacer(self.scheduler, link_bytes_per_second) if link_bytes_per_second else None
+        )
 
     def listen(self, address: str, greeting: Greeting) -> str:
         """Listen on host:port; see Network."""
--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -94,7 +94,7 @@
             trace="".join(traceback.format_exception(error))[-4000:],
         )
 
-    reactor = Reactor(fault)
+    reactor = Reactor(fault, env.link_bytes)
     try:
         node = build(reactor, log, SystemRandom())
     except (FolderError, NetworkError) as error:
