--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -30,8 +30,8 @@
 OBJECT_MOST = 300
 UNROUTED_BACK_SECONDS = 0.2
 """Retry-After of a refusal that belongs to no route."""
-ROOM_BACK_SECONDS_MOST = 1.0
-"""Retry-After grows by the expected wait for room by so much at most."""
+ROOM_BACK_SECONDS_MOST = 0.9
+"""A caller is not kept away longer than this for want of room: the rate's shares move sooner."""
 NO_SHARE = "declined: no share of the service's rate is held here yet"
 
 
@@ -235,8 +235,10 @@
         """
         if order.rule is None:
             return UNROUTED_BACK_SECONDS
-        room_in = failure.room_in if math.isfinite(failure.room_in) else 0.0
-        return self.soon(order.rule) + min(room_in, ROOM_BACK_SECONDS_MOST)
+        soon = self.soon(order.rule)
+        if not math.isfinite(failure.room_in):
+            return soon
+        return max(soon, min(soon + failure.room_in, ROOM_BACK_SECONDS_MOST))
 
     def soon(self, route: Route) -> float:
         """Seconds after which to come back: within the time that is of full worth."""
