Only a planned stop waits for unsent answers; the platform's network alone drops held bytes

Five tests fell with (a partial run of the suite): unmarked_repeats_1, the purge-flood take-out and the eight-disk losses, since each answer waited for its delivery on the simulated network; the late verdict's take-out, since its message was lost with a reset connection. A stop now waits for what is queued; nothing else does. Held bytes are dropped only where the platform's page says so (tests/premises.py); elsewhere the network may still bring them late, which is the harder case. No check was changed.

--- a/packages/exchange/ryelock/exchange/door.py
+++ b/packages/exchange/ryelock/exchange/door.py
@@ -165,6 +165,7 @@
         "bulk",
         "busy",
         "closing",
+        "closing_links",
         "leaving",
         "limits",
         "links",
@@ -191,6 +192,7 @@
         self.limits = limits
         self.serve = serve
         self.links: dict[Link, Running] = {}
+        self.closing_links: list[Link] = []
         self.busy = 0
         self.closing = False
         self.leaving = False
@@ -224,7 +226,6 @@
                 self.busy += 1
                 try:
                     yield from self.serve(exchange)
-                    yield from link.drain(0, self.limits.order_seconds)
                 finally:
                     self.busy -= 1
                 if not exchange.finished:
@@ -245,7 +246,19 @@
             if exchange is not None and exchange.begun and not exchange.finished:
                 link.abort()
             else:
-                link.close()
+                self.close(link)
+
+    def close(self, link: Link) -> None:
+        """End a connection; one with unsent bytes is remembered until they are sent."""
+        self.closing_links = [other for other in self.closing_links if other.unsent]
+        if link.unsent:
+            self.closing_links.append(link)
+        link.close()
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes of an answer wait to be sent."""
+        return any(link.unsent for link in (*self.links, *self.closing_links))
 
     def say_bad(self, link: Link, status: int, reason: str) -> None:
         body = reason.encode() + b"\n"
@@ -277,10 +290,12 @@
         """
         started = self.scheduler.now()
         while self.scheduler.now() < started + seconds and (
-            self.busy or (self.links and self.scheduler.now() < started + IDLE_GRACE)
+            self.busy
+            or self.has_unsent
+            or (self.links and self.scheduler.now() < started + IDLE_GRACE)
         ):
             yield from self.scheduler.pause(0.02)
-        done = self.busy == 0
+        done = self.busy == 0 and not self.has_unsent
         for link, running in list(self.links.items()):
             running.cancel()
             link.close()
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -270,6 +270,7 @@
         "points",
         "ports",
         "random",
+        "reset_drops_held_bytes",
         "seed",
         "sequence",
         "spikes",
@@ -288,6 +289,7 @@
         self.listeners: dict[str, tuple[SimNode, Greeting]] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.spikes = 0.005
+        self.reset_drops_held_bytes = False
         self.points = 0
         self.fire: Callable[[int, SimNode, str], bool] | None = None
         self.faults: list[str] = []
@@ -432,7 +434,8 @@
     def carry(self, link: SimLink, data: bytes) -> None:
         """Bring bytes, or the end, to the other side, in order.
 
-        Bytes that a cut or a full peer holds up are lost once their sender resets the connection.
+        Where `reset_drops_held_bytes` is set, bytes that a cut or a full peer holds up are lost once
+        their sender resets the connection.
         """
         other = link.other
         if other is None:
@@ -447,7 +450,7 @@
             if link.gone and not link.node.power and not data:
                 return
             if self.blocked(link.node, other.node) or not other.reading:
-                if link.was_reset:
+                if link.was_reset and self.reset_drops_held_bytes:
                     return
                 link.due = max(link.due, self.time + 0.1)
                 self.at(self.time + 0.1, act)
--- a/tests/premises.py
+++ b/tests/premises.py
@@ -228,6 +228,7 @@
         self.seed = seed
         self.zones = zones or {"a": "north", "b": "north", "c": "north"}
         self.world = World(seed)
+        self.world.reset_drops_held_bytes = True
         self.history: list[Arrival] = []
         self.notes: list[Note] = []
         self.services = {name: ServiceStandIn(name) for name in services}
