--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -434,8 +434,8 @@
     def carry(self, link: SimLink, data: bytes) -> None:
         """Bring bytes, or the end, to the other side, in order.
 
-        Where `reset_drops_held_bytes` is set, bytes that a cut or a full peer holds up are lost once
-        their sender resets the connection.
+        Where `reset_drops_held_bytes` is set, bytes that a cut or a full peer holds up are lost
+        once their sender resets the connection.
         """
         other = link.other
         if other is None:
