--- a/packages/council/ryelock/council/applying.py
+++ b/packages/consensus/ryelock/consensus/applying.py
@@ -2,14 +2,14 @@
 
 from expression import Error, Ok
 
-from ryelock.council.entries import (
+from ryelock.consensus.entries import (
     NOTE,
     WORD,
     Entry,
     Image,
 )
-from ryelock.council.state import MemberState
-from ryelock.council.types import CouncilError
+from ryelock.consensus.state import MemberState
+from ryelock.consensus.types import ConsensusError
 from ryelock.events import (
     IMAGE_WRITTEN,
     VOTERS_CHANGED,
@@ -86,7 +86,7 @@
         if epoch == entry.epoch:
             box.put(Ok(result))
         else:
-            box.put(Error(CouncilError("another word took its place", True)))
+            box.put(Error(ConsensusError("another word took its place", True)))
 
     def tell_applied(self) -> None:
         for tell in self.applied_news:
--- a/packages/council/ryelock/council/elections.py
+++ b/packages/consensus/ryelock/consensus/elections.py
@@ -6,12 +6,12 @@
 first promise, and after a restart joins nobody for one promise's length.
 """
 
-from ryelock.council.entries import (
+from ryelock.consensus.entries import (
     majority_of,
 )
-from ryelock.council.following import Following
-from ryelock.council.messages import whole
-from ryelock.council.types import Command
+from ryelock.consensus.following import Following
+from ryelock.consensus.messages import whole
+from ryelock.consensus.types import Command
 from ryelock.loop import Mailbox, Step
 from ryelock.wire import Message
 
@@ -75,7 +75,7 @@
         if whole(message["epoch"]) != self.epoch or not self.may_stand:
             return {"ok": False}
         self.tries += 1
-        self.scheduler.spawn("council election", self.campaign(self.tries, False))
+        self.scheduler.spawn("consensus election", self.campaign(self.tries, False))
         return {"ok": True}
 
     def reach(self) -> Step[None]:
@@ -89,7 +89,7 @@
         for disk, address in voters.items():
             if disk != self.disk:
                 self.scheduler.spawn(
-                    "council reach",
+                    "consensus reach",
                     self.ask_vote(address, {"kind": "council.who"}, 0.3 * self.pace.election, box),
                 )
         answers = 1
@@ -144,7 +144,9 @@
                     "last_index": self.last_index,
                     "last_epoch": self.epoch_at(self.last_index),
                 }
-                self.scheduler.spawn("council vote", self.ask_vote(address, message, seconds, box))
+                self.scheduler.spawn(
+                    "consensus vote", self.ask_vote(address, message, seconds, box)
+                )
         own = int(self.disk in voters)
         votes, answers, asked, needed = own, own, own, majority_of(len(voters))
         until = self.scheduler.now() + seconds
--- a/packages/council/ryelock/council/entries.py
+++ b/packages/consensus/ryelock/consensus/entries.py
@@ -1,4 +1,4 @@
-"""What the council writes: entries, votes, images, and how they stand on disk."""
+"""What the consensus group writes: entries, votes, images, and how they stand on disk."""
 
 import cbor2
 
--- a/packages/council/ryelock/council/following.py
+++ b/packages/consensus/ryelock/consensus/following.py
@@ -1,12 +1,12 @@
 """A follower's part: heartbeats, entries and images from the leader."""
 
-from ryelock.council.entries import (
+from ryelock.consensus.entries import (
     Image,
     entry_of,
 )
-from ryelock.council.messages import listed, whole
-from ryelock.council.replication import Replication
-from ryelock.council.transfer import (
+from ryelock.consensus.messages import listed, whole
+from ryelock.consensus.replication import Replication
+from ryelock.consensus.transfer import (
     IncomingImage,
     piece_of,
 )
--- a/packages/council/ryelock/council/joining.py
+++ b/packages/consensus/ryelock/consensus/joining.py
@@ -4,14 +4,14 @@
 
 import cbor2
 
-from ryelock.council.entries import (
+from ryelock.consensus.entries import (
     VOTERS,
     Entry,
     Voters,
 )
-from ryelock.council.proposals import Proposals
-from ryelock.council.replication import WHO_SECONDS
-from ryelock.council.types import Command
+from ryelock.consensus.proposals import Proposals
+from ryelock.consensus.replication import WHO_SECONDS
+from ryelock.consensus.types import Command
 from ryelock.events import (
     FOUNDED,
 )
@@ -67,7 +67,7 @@
         addresses = {*self.seeds, *self.voters.values(), self.leader_address} - {"", self.address}
         box: Mailbox[tuple[str, Message]] = Mailbox(self.scheduler)
         for address in sorted(addresses):
-            self.scheduler.spawn("council who", self.ask_who(address, box))
+            self.scheduler.spawn("consensus who", self.ask_who(address, box))
         answers: dict[str, Message] = {}
         if self.address in self.seeds:
             answers[self.address] = self.on_who({})
--- a/packages/council/ryelock/council/log.py
+++ b/packages/consensus/ryelock/consensus/log.py
@@ -8,7 +8,7 @@
 
 from bisect import bisect_left, bisect_right
 
-from ryelock.council.entries import (
+from ryelock.consensus.entries import (
     VOTERS,
     WORD,
     Entry,
--- a/packages/council/ryelock/council/membership.py
+++ b/packages/consensus/ryelock/consensus/membership.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ryelock.council.entries import Voters, majority_of
+from ryelock.consensus.entries import Voters, majority_of
 
 VOTERS_MOST = 5
 VOTERS_FEW = 3
--- a/packages/council/ryelock/council/seat.py
+++ b/packages/consensus/ryelock/consensus/node.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
-from ryelock.council.joining import Joining
-from ryelock.council.types import Command, Proposal
+from ryelock.consensus.joining import Joining
+from ryelock.consensus.types import Command, Proposal
 from ryelock.events import (
     FOLLOWS_AGAIN,
     ISOLATED,
@@ -24,14 +24,14 @@
 """A node whose disk refused a write stands for no election for so long."""
 
 
-class Council(Joining):
+class Consensus(Joining):
     """A member that runs: started, stopped, asked by others."""
 
     __slots__ = ()
 
     def start(self) -> None:
-        self.tasks.append(self.scheduler.spawn("council", self.work()))
-        self.tasks.append(self.scheduler.spawn("council joins", self.join()))
+        self.tasks.append(self.scheduler.spawn("consensus", self.work()))
+        self.tasks.append(self.scheduler.spawn("consensus joins", self.join()))
 
     def stop(self) -> None:
         self.drop_leading("stopping")
@@ -76,14 +76,14 @@
         pace = self.pace.election
         if now - self.leader_heard > 0.5 * pace and now - self.reach_at > 0.6 * pace:
             self.reach_at = now
-            self.scheduler.spawn("council reach", self.reach())
+            self.scheduler.spawn("consensus reach", self.reach())
         if now < self.election_at or now < self.disk_failed_at + DISK_RETRY_SECONDS:
             return
         if self.leaving:
             return
         self.put_off_election()
         self.tries += 1
-        self.scheduler.spawn("council election", self.campaign(self.tries, True))
+        self.scheduler.spawn("consensus election", self.campaign(self.tries, True))
 
     def tell_isolation(self, now: float) -> None:
         """Write once that no leader is heard, and once that one is again."""
@@ -94,7 +94,7 @@
             self.log.write(ISOLATED if isolated else FOLLOWS_AGAIN, epoch=self.epoch)
 
     def answer(self, message: Message, reply: Reply) -> bool:
-        """Take an ask into the queue; False when it is not for the council."""
+        """Take an ask into the queue; False when it is not for the consensus."""
         handlers: dict[str, Callable[[Message], Message]] = {
             "council.who": self.on_who,
             "council.beat": self.on_beat,
--- a/packages/council/ryelock/council/proposals.py
+++ b/packages/consensus/ryelock/consensus/proposals.py
@@ -3,8 +3,8 @@
 import cbor2
 from expression import Error
 
-from ryelock.council.elections import Elections
-from ryelock.council.entries import (
+from ryelock.consensus.elections import Elections
+from ryelock.consensus.entries import (
     NOTE,
     VOTERS,
     WORD,
@@ -12,8 +12,8 @@
     Voters,
     voters_of,
 )
-from ryelock.council.membership import VOTERS_MOST
-from ryelock.council.types import CouncilError, Outcome, Proposal
+from ryelock.consensus.membership import VOTERS_MOST
+from ryelock.consensus.types import ConsensusError, Outcome, Proposal
 from ryelock.events import (
     VOTERS_CHANGED,
 )
@@ -31,7 +31,7 @@
         return (yield from self.submit(WORD, data, 10.0))
 
     def note(self, data: bytes) -> Step[Outcome]:
-        """Agree on what only the council's own machines keep; `words_since` passes it by."""
+        """Agree on what only the control nodes keep; `words_since` passes it by."""
         return (yield from self.submit(NOTE, data, 10.0))
 
     def submit(self, kind: str, data: bytes, seconds: float) -> Step[Outcome]:
@@ -39,14 +39,14 @@
         self.commands.put(Proposal(kind, data, box))
         outcome = yield from box.take(seconds)
         if outcome is None:
-            return Error(CouncilError("no majority answered in time", False))
+            return Error(ConsensusError("no majority answered in time", False))
         return outcome
 
     def take_proposals(self, proposals: list[Proposal]) -> None:
         """Append what was proposed and have it replicated; the owner's task only."""
         if self.role != "leader":
             for proposal in proposals:
-                proposal.box.put(Error(CouncilError("this node does not lead", True)))
+                proposal.box.put(Error(ConsensusError("this node does not lead", True)))
             return
         entries: list[Entry] = []
         taken: list[Proposal] = []
@@ -54,7 +54,7 @@
             if proposal.kind == VOTERS:
                 fault = self.fault_of_voters(voters_of(proposal.data), entries)
                 if fault:
-                    proposal.box.put(Error(CouncilError(fault, True)))
+                    proposal.box.put(Error(ConsensusError(fault, True)))
                     continue
             index = self.last_index + 1 + len(entries)
             entries.append(Entry(index, self.epoch, proposal.kind, proposal.data))
@@ -62,7 +62,7 @@
         if not self.store(entries):
             for proposal in taken:
                 # The records may be found on the disk after a restart, so this is not certain.
-                proposal.box.put(Error(CouncilError("the leader's disk takes no more", False)))
+                proposal.box.put(Error(ConsensusError("the leader's disk takes no more", False)))
             self.disk_failed_at = self.scheduler.now()
             self.pass_leading_on("its disk failed")
             return
--- a/packages/council/ryelock/council/replication.py
+++ b/packages/consensus/ryelock/consensus/replication.py
@@ -9,17 +9,17 @@
 
 from expression import Error, Result
 
-from ryelock.council.applying import Applying
-from ryelock.council.entries import (
+from ryelock.consensus.applying import Applying
+from ryelock.consensus.entries import (
     NOTHING,
     Entry,
 )
-from ryelock.council.log import ENTRY_OVERHEAD_BYTES
-from ryelock.council.transfer import (
+from ryelock.consensus.log import ENTRY_OVERHEAD_BYTES
+from ryelock.consensus.transfer import (
     IMAGE_PIECE_BYTES,
     OutgoingImage,
 )
-from ryelock.council.types import BATCH_BYTES, BATCH_BYTES_LEAST, Command, CouncilError, Peer
+from ryelock.consensus.types import BATCH_BYTES, BATCH_BYTES_LEAST, Command, ConsensusError, Peer
 from ryelock.events import (
     LEADING,
 )
@@ -67,7 +67,7 @@
                 peer.running.cancel()
         self.peers = {}
         for _, box in self.waiting.values():
-            box.put(Error(CouncilError(f"leadership was lost midway: {reason}", False)))
+            box.put(Error(ConsensusError(f"leadership was lost midway: {reason}", False)))
         self.waiting = {}
         self.put_off_election()
 
@@ -95,7 +95,9 @@
         epoch = self.epoch
         self.drop_leading(reason)
         if successor is not None:
-            self.scheduler.spawn("council takeover", self.name_successor(successor.address, epoch))
+            self.scheduler.spawn(
+                "consensus takeover", self.name_successor(successor.address, epoch)
+            )
 
     def name_successor(self, address: str, epoch: int) -> Step[None]:
         message: Message = {"kind": "council.takeover", "epoch": epoch}
@@ -104,7 +106,7 @@
     def add_peer(self, disk: str, address: str) -> None:
         peer = Peer(disk, address, self.last_index + 1, self.scheduler)
         self.peers[disk] = peer
-        peer.running = self.scheduler.spawn(f"council to {address}", self.carry(peer, self.epoch))
+        peer.running = self.scheduler.spawn(f"consensus to {address}", self.carry(peer, self.epoch))
 
     def follow_voters(self) -> None:
         """Carry the log to every voter, also one that was added just now."""
--- a/packages/council/ryelock/council/state.py
+++ b/packages/consensus/ryelock/consensus/state.py
@@ -1,26 +1,26 @@
 """What one member of the consensus holds, and what follows from that alone.
 
-`MemberState` is the first of the layers that make up `Council`; each layer is a class that adds one
-job to the layer below: applying, replication, following, elections, proposals, joining. All state
-is changed by the owner's task only (see seat.py); the tasks beside it hand their findings to it.
+`MemberState` is the first of the layers that make up `Consensus`; each layer is a class that adds
+one job to the layer below: applying, replication, following, elections, proposals, joining. All
+state is changed by the owner's task only (see node.py); the tasks beside it hand their findings to it.
 """
 
 from collections.abc import Callable
 from random import Random
 
-from ryelock.council.compaction import Compaction
-from ryelock.council.entries import (
+from ryelock.consensus.compaction import Compaction
+from ryelock.consensus.entries import (
     VOTERS,
     Entry,
     Image,
     Voters,
     majority_of,
 )
-from ryelock.council.log import ReplicatedLog
-from ryelock.council.transfer import (
+from ryelock.consensus.log import ReplicatedLog
+from ryelock.consensus.transfer import (
     IncomingImage,
 )
-from ryelock.council.types import Command, Hears, Machine, Outcome, Pace, Peer, Proposal, Said
+from ryelock.consensus.types import Command, Hears, Machine, Outcome, Pace, Peer, Proposal, Said
 from ryelock.events import (
     Log,
 )
--- a/packages/council/ryelock/council/status.py
+++ b/packages/consensus/ryelock/consensus/status.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ryelock.council.seat import Council
+from ryelock.consensus.node import Consensus
 
 NEVER_SECONDS = 1e6
 """A leader or peer that was last heard longer ago than this was never heard in this life."""
@@ -69,17 +69,17 @@
         }
 
 
-def member_status(council: Council) -> MemberStatus:
+def member_status(consensus: Consensus) -> MemberStatus:
     """Return the state of this member."""
-    behind = council.commit - council.applied
-    heard = seconds_since(council, council.leader_heard)
-    if council.leaving:
+    behind = consensus.commit - consensus.applied
+    heard = seconds_since(consensus, consensus.leader_heard)
+    if consensus.leaving:
         state = MemberState.LEAVING
-    elif council.role == "leader":
+    elif consensus.role == "leader":
         state = MemberState.LEADER
-    elif not council.knows_leader():
+    elif not consensus.knows_leader():
         state = MemberState.ISOLATED
-    elif council.disk in council.voters:
+    elif consensus.disk in consensus.voters:
         state = MemberState.FOLLOWER
     else:
         state = MemberState.LEARNER
@@ -87,29 +87,30 @@
 
 
 def replica_statuses(
-    council: Council, lost: frozenset[str], leaving: frozenset[str]
+    consensus: Consensus, lost: frozenset[str], leaving: frozenset[str]
 ) -> list[ReplicaStatus]:
     """Return every disk that a leader carries its log to, and its own, in the order of names."""
     addresses = {
-        council.disk: council.address,
-        **{disk: peer.address for disk, peer in council.peers.items()},
-        **council.voters,
+        consensus.disk: consensus.address,
+        **{disk: peer.address for disk, peer in consensus.peers.items()},
+        **consensus.voters,
     }
     return [
-        replica_status(council, disk, addresses[disk], lost, leaving) for disk in sorted(addresses)
+        replica_status(consensus, disk, addresses[disk], lost, leaving)
+        for disk in sorted(addresses)
     ]
 
 
 def replica_status(
-    council: Council, disk: str, address: str, lost: frozenset[str], leaving: frozenset[str]
+    consensus: Consensus, disk: str, address: str, lost: frozenset[str], leaving: frozenset[str]
 ) -> ReplicaStatus:
     """Return one disk as its leader sees it."""
-    behind = max(0, council.commit - council.match_of(disk))
-    peer = council.peers.get(disk)
-    heard = 0.0 if disk == council.disk else None
+    behind = max(0, consensus.commit - consensus.match_of(disk))
+    peer = consensus.peers.get(disk)
+    heard = 0.0 if disk == consensus.disk else None
     if peer is not None:
-        heard = seconds_since(council, peer.heard)
-    if disk == council.disk:
+        heard = seconds_since(consensus, peer.heard)
+    if disk == consensus.disk:
         state = ReplicaState.LEADER
     elif disk in leaving:
         state = ReplicaState.LEAVING
@@ -119,10 +120,10 @@
         state = ReplicaState.CATCHING_UP
     else:
         state = ReplicaState.LEVEL
-    return ReplicaStatus(disk, address, disk in council.voters, state, behind, heard)
+    return ReplicaStatus(disk, address, disk in consensus.voters, state, behind, heard)
 
 
-def seconds_since(council: Council, moment: float) -> float | None:
+def seconds_since(consensus: Consensus, moment: float) -> float | None:
     """Return seconds since a moment of the member's clock; None where it never came."""
-    seconds = council.scheduler.now() - moment
+    seconds = consensus.scheduler.now() - moment
     return None if seconds > NEVER_SECONDS else round(seconds, 3)
--- a/packages/council/ryelock/council/transfer.py
+++ b/packages/consensus/ryelock/consensus/transfer.py
@@ -6,7 +6,7 @@
 another leader, begins anew.
 """
 
-from ryelock.council.entries import Image, Voters
+from ryelock.consensus.entries import Image, Voters
 
 IMAGE_PIECE_BYTES = 262_144
 """The most bytes of an image in one message."""
--- a/packages/council/ryelock/council/types.py
+++ b/packages/consensus/ryelock/consensus/types.py
@@ -5,8 +5,8 @@
 
 from expression import Result
 
-from ryelock.council.log import RETAINED_BYTES
-from ryelock.council.transfer import (
+from ryelock.consensus.log import RETAINED_BYTES
+from ryelock.consensus.transfer import (
     OutgoingImage,
 )
 from ryelock.loop import Mailbox, Running, Scheduler
@@ -17,7 +17,7 @@
 BATCH_BYTES_LEAST = 16_384
 
 
-class CouncilError(Exception):
+class ConsensusError(Exception):
     """A word was not taken; certain says whether that is beyond doubt."""
 
     def __init__(self, reason: str, certain: bool) -> None:
@@ -38,7 +38,7 @@
 
 
 class Pace:
-    """How fast a council beats, elects, replaces and writes images; whether it may be founded."""
+    """Intervals of heartbeats, elections and replacement, and when snapshots are written."""
 
     __slots__ = (
         "beat",
@@ -112,7 +112,7 @@
         self.running: Running | None = None
 
 
-Outcome = Result[object, CouncilError]
+Outcome = Result[object, ConsensusError]
 """What came of a proposal."""
 Said = Callable[[], Message]
 Hears = Callable[[str, Message, float | None], None]
--- a/packages/core/ryelock/core/__init__.py
+++ b/packages/core/ryelock/core/__init__.py
@@ -1,4 +1,4 @@
-"""The control node: a disk, a seat in the council, and what the leader does for all.
+"""The control node: a disk, a seat in the consensus group, and what the leader does for all.
 
 process.py puts it together; renewals.py answers sessions and keeps account of terms;
 leading.py takes operators' words; keeper.py tends voters and duties; aggregator.py is the
--- a/packages/core/ryelock/core/keeper.py
+++ b/packages/core/ryelock/core/keeper.py
@@ -1,7 +1,7 @@
 """What the leader tends: lost duties, voters that are gone for good, watches that nobody wrote."""
 
+from ryelock.consensus import Consensus
 from ryelock.core.voters import VoterKeeper
-from ryelock.council import Council
 from ryelock.duty import Duty, next_duty
 from ryelock.events import DUTY_GIVEN, WATCH_DERIVED, WATCH_ENDED, Log
 from ryelock.loop import Scheduler, Step
@@ -20,7 +20,7 @@
 
 class Keeper:
     __slots__ = (
-        "council",
+        "consensus",
         "derives",
         "duties",
         "log",
@@ -36,7 +36,7 @@
         self,
         scheduler: Scheduler,
         log: Log,
-        council: Council,
+        consensus: Consensus,
         register: Register,
         roster: Roster,
         duties: tuple[str, ...],
@@ -49,17 +49,17 @@
         self.lost: dict[str, tuple[str, str]] = {}
         self.scheduler = scheduler
         self.log = log
-        self.council = council
+        self.consensus = consensus
         self.register = register
         self.roster = roster
-        self.voters = VoterKeeper(scheduler, council, roster)
+        self.voters = VoterKeeper(scheduler, consensus, roster)
 
     def work(self) -> Step[None]:
         while True:
             yield from self.scheduler.pause(0.4)
-            if self.council.settled:
+            if self.consensus.settled:
                 yield from self.tend_duties()
-            if self.council.settled:
+            if self.consensus.settled:
                 yield from self.tend_watches()
 
     def tend_duties(self) -> Step[None]:
@@ -75,7 +75,7 @@
                 yield from self.give(wanted)
 
     def give(self, duty: Duty) -> Step[None]:
-        outcome = yield from self.council.propose(encode_word("duty", **duty.plain()))
+        outcome = yield from self.consensus.propose(encode_word("duty", **duty.plain()))
         if outcome.is_ok():
             self.log.write(
                 DUTY_GIVEN,
@@ -110,7 +110,7 @@
                 kept = derived_watches(register.configuration, places)
                 places = places_of(kept)
         if kept != before:
-            outcome = yield from self.council.propose(encode_word("derived", places=places))
+            outcome = yield from self.consensus.propose(encode_word("derived", places=places))
             if outcome.is_ok():
                 self.tell_watches(before, register.derived)
 
--- a/packages/core/ryelock/core/leading.py
+++ b/packages/core/ryelock/core/leading.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
+from ryelock.consensus import Consensus
 from ryelock.core.renewals import Renewals
-from ryelock.council import Council
 from ryelock.events import (
     CHANGE_DECLINED,
     CHANGE_TAKEN,
@@ -28,20 +28,20 @@
 
 
 class Leading:
-    __slots__ = ("council", "log", "register", "renewals", "replicas", "roster", "scheduler")
+    __slots__ = ("consensus", "log", "register", "renewals", "replicas", "roster", "scheduler")
 
     def __init__(
         self,
         scheduler: Scheduler,
         log: Log,
-        council: Council,
+        consensus: Consensus,
         register: Register,
         roster: Roster,
         renewals: Renewals,
     ) -> None:
         self.scheduler = scheduler
         self.log = log
-        self.council = council
+        self.consensus = consensus
         self.register = register
         self.roster = roster
         self.renewals = renewals
@@ -49,7 +49,7 @@
 
     def serve(self, message: Message) -> Step[Message]:
         """One operator's order at the leader."""
-        if self.council.role != "leader":
+        if self.consensus.role != "leader":
             return {"status": "elsewhere"}
         what, given = message.get("what"), message.get("given")
         if what == "change":
@@ -59,7 +59,7 @@
             return (yield from self.take("purge", given, {"scopes": scopes}))
         if what in ("drain", "recover"):
             return (yield from self.drain(what == "drain", given))
-        if not (yield from self.council.confirm(CONFIRM_SECONDS)):
+        if not (yield from self.consensus.confirm(CONFIRM_SECONDS)):
             return {"status": "not-taken", "reason": UNCONFIRMED}
         if what == "read":
             return {
@@ -74,10 +74,10 @@
         if what == "members":
             return {
                 "members": self.shown_members(),
-                "voters": self.council.voters,
+                "voters": self.consensus.voters,
                 "replicas": self.replicas(),
-                "leader": self.council.name,
-                "epoch": self.council.epoch,
+                "leader": self.consensus.name,
+                "epoch": self.consensus.epoch,
             }
         return {"status": "malformed", "fault": "unknown order"}
 
@@ -106,7 +106,7 @@
             data = encode_word(kind, id=identity, wall=self.scheduler.clock.wall(), **fields)
         except (ValueError, TypeError, RecursionError, OverflowError):
             return {"status": "malformed", "fault": "not readable"}
-        outcome = yield from self.council.propose(data)
+        outcome = yield from self.consensus.propose(data)
         if outcome.is_error():
             status = "not-taken" if outcome.error.certain else "unknown"
             return {"status": status, "reason": outcome.error.reason, "id": identity}
@@ -131,7 +131,7 @@
             data = encode_word(str(message["kind"]), key=message["key"], order=message["order"])
         except (KeyError, ValueError, TypeError):
             return {"status": "malformed"}
-        outcome = yield from self.council.note(data)
+        outcome = yield from self.consensus.note(data)
         if outcome.is_error():
             return {"status": "elsewhere" if outcome.error.certain else "unknown"}
         return outcome.ok if isinstance(outcome.ok, dict) else {"status": "malformed"}
@@ -148,7 +148,7 @@
         forced = given.get("force") is True
         if reason and not forced:
             # A refusal is final: it may rest only on state that is certainly the newest.
-            if not (yield from self.council.confirm(CONFIRM_SECONDS)):
+            if not (yield from self.consensus.confirm(CONFIRM_SECONDS)):
                 return {"status": "not-taken", "reason": UNCONFIRMED}
             reason = self.against_drain(target) if on else self.against_recover(target)
         if reason and not forced:
@@ -220,7 +220,7 @@
 
     def decide(self, message: Message) -> Step[Message]:
         """A verdict from the aggregator, taken when its duty's epoch still stands."""
-        if self.council.role != "leader":
+        if self.consensus.role != "leader":
             return {"status": "elsewhere"}
         if not self.in_time(message):
             self.log.write(VERDICT_LATE, holder=message.get("holder"), epoch=message.get("epoch"))
@@ -233,7 +233,7 @@
             verdict=verdict,
             wall=self.scheduler.clock.wall(),
         )
-        outcome = yield from self.council.propose(data)
+        outcome = yield from self.consensus.propose(data)
         if outcome.is_error():
             return {"status": "not-taken", "reason": outcome.error.reason}
         result = outcome.ok
@@ -249,12 +249,13 @@
 
     def in_time(self, message: Message) -> bool:
         """Whether a verdict was judged lately: after a beat of this leader that is not old."""
-        if message.get("holder") == self.council.name:
+        if message.get("holder") == self.consensus.name:
             return True
         match message.get("clock"):
             case [str(disk), float(clock)]:
                 return (
-                    disk == self.council.disk and 0 <= self.scheduler.now() - clock <= LATE_SECONDS
+                    disk == self.consensus.disk
+                    and 0 <= self.scheduler.now() - clock <= LATE_SECONDS
                 )
             case _:
                 return False
@@ -279,7 +280,7 @@
             "duties": {name: duty.plain() for name, duty in register.duties.items()},
             "decisions": register.decisions[-100:],
             "members": self.shown_members(),
-            "voters": self.council.voters,
-            "leader": self.council.name,
-            "epoch": self.council.epoch,
+            "voters": self.consensus.voters,
+            "leader": self.consensus.name,
+            "epoch": self.consensus.epoch,
         }
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+from ryelock.consensus import Consensus, Pace
+from ryelock.consensus.status import member_status
 from ryelock.core.aggregator import Aggregator
 from ryelock.core.keeper import Keeper
 from ryelock.core.leading import Leading
@@ -9,8 +11,6 @@
 from ryelock.core.platform import PlatformReader
 from ryelock.core.renewals import Renewals
 from ryelock.core.voters import LEAVE
-from ryelock.council import Council, Pace
-from ryelock.council.status import member_status
 from ryelock.desk import OPERATOR, Desk
 from ryelock.duty import Duty
 from ryelock.env import Env
@@ -32,7 +32,7 @@
 class ControlNode:
     __slots__ = (
         "aggregator",
-        "council",
+        "consensus",
         "desk",
         "door",
         "env",
@@ -82,7 +82,7 @@
             env.may_found,
             env.disk_bytes,
         )
-        self.council = Council(
+        self.consensus = Consensus(
             scheduler,
             self.lines,
             log,
@@ -102,20 +102,20 @@
             env,
             scheduler,
             log,
-            self.council,
+            self.consensus,
             self.register,
             self.roster,
             self.platform,
             f"members@{source}",
         )
         self.leading = Leading(
-            scheduler, log, self.council, self.register, self.roster, self.renewals
+            scheduler, log, self.consensus, self.register, self.roster, self.renewals
         )
         duties = ("aggregator", READER) if env.reader_duty else ("aggregator",)
         self.keeper = Keeper(
             scheduler,
             log,
-            self.council,
+            self.consensus,
             self.register,
             self.roster,
             duties,
@@ -124,9 +124,9 @@
         )
         self.leading.replicas = self.keeper.voters.replicas
         self.aggregator = Aggregator(env, scheduler, self.register, self.roster, self.decide)
-        self.council.say = self.say
-        self.council.hear = self.on_said
-        self.council.applied_news.append(self.renewals.tell)
+        self.consensus.say = self.say
+        self.consensus.hear = self.on_said
+        self.consensus.applied_news.append(self.renewals.tell)
         self.platform.on_news = self.renewals.tell
         self.desk = Desk(
             scheduler,
@@ -162,7 +162,7 @@
             control=self.session.control,
             disk=self.session.disk,
         )
-        self.council.start()
+        self.consensus.start()
         spawn = self.scheduler.spawn
         self.running = [
             spawn("keeper", self.keeper.work()),
@@ -175,7 +175,7 @@
 
     def follow(self, env: Env) -> None:
         """Settings that changed: the seeds; all others stand for the life of the process."""
-        self.council.seeds = env.seeds
+        self.consensus.seeds = env.seeds
 
     def reads(self) -> bool:
         """Whether this node holds the duty of reading the platform's list."""
@@ -183,22 +183,24 @@
         return duty is not None and duty.holder == self.env.name
 
     def leader(self) -> str:
-        if self.council.role == "leader":
+        if self.consensus.role == "leader":
             return "here"
-        return self.council.leader_address if self.council.knows_leader() else ""
+        return self.consensus.leader_address if self.consensus.knows_leader() else ""
 
     def others(self) -> list[str]:
-        return [address for address in self.council.voters.values() if address != self.session.wire]
+        return [
+            address for address in self.consensus.voters.values() if address != self.session.wire
+        ]
 
     # Asks of other processes.
 
     def on_ask(self, message: Message, reply: Reply) -> None:
         kind = message.get("kind")
         if kind == "council.promise":
-            self.council.answer(message, self.with_listing(message, reply))
-        elif self.council.answer(message, reply):
+            self.consensus.answer(message, self.with_listing(message, reply))
+        elif self.consensus.answer(message, reply):
             return
-        elif kind == "renew" and not self.council.settled and message.get("passed") is not True:
+        elif kind == "renew" and not self.consensus.settled and message.get("passed") is not True:
             self.scheduler.spawn("renewal", self.pass_renewal(message, reply))
         elif kind == "renew":
             self.scheduler.spawn("renewal", self.renewals.renew(message, reply))
@@ -302,7 +304,7 @@
         """This node's own session, and sessions that ended."""
         while True:
             self.session.ready = not self.stopping
-            self.session.applied = self.council.applied
+            self.session.applied = self.consensus.applied
             fresh = Session()
             for slot in Session.__slots__:
                 setattr(fresh, slot, getattr(self.session, slot))
@@ -311,7 +313,7 @@
             yield from self.scheduler.pause(0.25)
 
     def fitness(self) -> Message:
-        known = self.council.knows_leader()
+        known = self.consensus.knows_leader()
         reason = "stopping" if self.stopping else "" if known else "no leader is known"
         return {
             "name": self.env.name,
@@ -320,13 +322,13 @@
             "ready": not reason,
             "reason": reason,
             "version": self.register.version,
-            "index": self.council.applied,
-            "epoch": self.council.epoch,
-            "leads": self.council.role == "leader",
-            "voter": self.council.disk in self.council.voters,
-            "leader": self.council.leader_address,
-            "disk": self.council.disk,
-            **member_status(self.council).plain(),
+            "index": self.consensus.applied,
+            "epoch": self.consensus.epoch,
+            "leads": self.consensus.role == "leader",
+            "voter": self.consensus.disk in self.consensus.voters,
+            "leader": self.consensus.leader_address,
+            "disk": self.consensus.disk,
+            **member_status(self.consensus).plain(),
         }
 
     # The end.
@@ -341,7 +343,7 @@
         yield from self.leave_council(until)
         self.desk.door.stop_taking()
         yield from self.desk.door.finish(max(FINISH_SECONDS, until - self.scheduler.now()))
-        self.council.stop()
+        self.consensus.stop()
         for running in self.running:
             running.cancel()
         self.log.write(STOPPED)
@@ -352,16 +354,16 @@
         A spare takes the voter's place where there is one; a node that only restarts comes back
         as a spare. Without a leader that answers, the wait ends at `until`.
         """
-        self.council.leaving = True
-        self.log.write(LEAVING, voter=self.council.disk in self.council.voters)
-        message: Message = {"kind": LEAVE, "disk": self.council.disk}
+        self.consensus.leaving = True
+        self.log.write(LEAVING, voter=self.consensus.disk in self.consensus.voters)
+        message: Message = {"kind": LEAVE, "disk": self.consensus.disk}
         while self.scheduler.now() < until:
             leader = self.leader()
             if leader == "here":
-                successor = self.council.best_successor(self.keeper.voters.leaving)
+                successor = self.consensus.best_successor(self.keeper.voters.leaving)
                 if not successor:
                     return
-                yield from self.council.hand_over(successor)
+                yield from self.consensus.hand_over(successor)
             elif leader:
                 found = yield from self.lines.ask(leader, message, LEAVE_ASK_SECONDS)
                 if found.is_ok() and found.ok.get("may_end") is True:
@@ -376,6 +378,6 @@
             if not held or not any(duty.successor for duty in held):
                 return
             for duty in held:
-                if self.council.role == "leader" and duty.successor:
+                if self.consensus.role == "leader" and duty.successor:
                     yield from self.keeper.give(Duty(duty.name, duty.successor, duty.epoch + 1, ""))
             yield from self.scheduler.pause(0.1)
--- a/packages/core/ryelock/core/renewals.py
+++ b/packages/core/ryelock/core/renewals.py
@@ -9,8 +9,8 @@
 from collections import deque
 
 from ryelock.allowance import Divider, is_narrow
+from ryelock.consensus import Consensus
 from ryelock.core.platform import PlatformReader
-from ryelock.council import Council
 from ryelock.env import Env
 from ryelock.events import SESSION_ENDED, SESSION_STANDS, Log
 from ryelock.loop import Mailbox, Scheduler, Step
@@ -64,7 +64,7 @@
 
 class Renewals:
     __slots__ = (
-        "council",
+        "consensus",
         "divider",
         "env",
         "epoch",
@@ -92,7 +92,7 @@
         env: Env,
         scheduler: Scheduler,
         log: Log,
-        council: Council,
+        consensus: Consensus,
         register: Register,
         roster: Roster,
         platform: PlatformReader,
@@ -101,7 +101,7 @@
         self.env = env
         self.scheduler = scheduler
         self.log = log
-        self.council = council
+        self.consensus = consensus
         self.register = register
         self.roster = roster
         self.platform = platform
@@ -131,8 +131,8 @@
 
     def lead(self) -> None:
         """A new epoch of this node's leading: no account of terms is carried over."""
-        if self.epoch != self.council.epoch:
-            self.epoch = self.council.epoch
+        if self.epoch != self.consensus.epoch:
+            self.epoch = self.consensus.epoch
             self.divider = Divider()
             self.terms = Terms()
 
@@ -181,8 +181,8 @@
 
     def renew(self, message: Message, reply: Reply) -> Step[None]:
         """One session's ask, held back a little while there is no news for it."""
-        if not self.council.settled:
-            reply({"ok": False, "leader": self.council.leader_address})
+        if not self.consensus.settled:
+            reply({"ok": False, "leader": self.consensus.leader_address})
             return
         self.lead()
         try:
@@ -234,8 +234,8 @@
                 yield from box.take(min(soon, until - self.scheduler.now()))
         finally:
             del self.waiting[id(box)]
-        if not self.council.settled or self.epoch != self.council.epoch:
-            reply({"ok": False, "leader": self.council.leader_address})
+        if not self.consensus.settled or self.epoch != self.consensus.epoch:
+            reply({"ok": False, "leader": self.consensus.leader_address})
             return
         reply(self.renewal(session, node, vector, holding, wanted))
 
@@ -248,7 +248,7 @@
         Where edges serve after a lapse nothing ends by itself: there, whether those that are in
         touch had the time to say what they hold.
         """
-        return now >= self.council.settled_at + self.account_length
+        return now >= self.consensus.settled_at + self.account_length
 
     @property
     def account_length(self) -> float:
@@ -289,7 +289,7 @@
     def has_news(self, vector: dict[str, int]) -> bool:
         listing = self.platform.believed(self.scheduler.now())
         return (
-            vector.get("register", 0) < self.council.applied_word
+            vector.get("register", 0) < self.consensus.applied_word
             or self.source not in vector
             or (listing is not None and vector.get(self.platform.source) != listing.version)
         )
@@ -303,13 +303,13 @@
         wanted: dict[str, int],
     ) -> Message:
         now = self.scheduler.now()
-        age = max(0.0, now - self.council.held_since())
-        sure = age < 0.9 * self.council.pace.election
+        age = max(0.0, now - self.consensus.held_since())
+        sure = age < 0.9 * self.consensus.pace.election
         if not sure:
             return unconfirmed_renewal(vector, age)
         answer: Message = {"ok": True, "age": age, "term": True, **self.words(vector)}
         if session.role == "edge":
-            self.terms.give(node, self.council.applied, now + self.term_length, now)
+            self.terms.give(node, self.consensus.applied, now + self.term_length, now)
             edges = self.edges()
             answer["shares"], answer["grants"] = self.shares(session, edges, holding, wanted, now)
             answer["edges"] = max(1, len(edges))
@@ -334,10 +334,10 @@
     def words(self, vector: dict[str, int]) -> Message:
         """What brings an edge level with this node: words, or an image where that is smaller."""
         since = vector.get("register", 0)
-        words = self.council.words_since(since) if since else None
+        words = self.consensus.words_since(since) if since else None
         if words is None or self.image_is_smaller(words):
-            return {"image": self.edge_image(), "index": self.council.applied}
-        return {"words": [[index, data] for index, data in words], "index": self.council.applied}
+            return {"image": self.edge_image(), "index": self.consensus.applied}
+        return {"words": [[index, data] for index, data in words], "index": self.consensus.applied}
 
     def image_is_smaller(self, words: list[tuple[int, bytes]]) -> bool:
         """Compared with the last image that was made, which may be a little older."""
@@ -351,9 +351,9 @@
 
         Notes, which edges are not told of, leave it as it is.
         """
-        if self.last_edge_image_index != self.council.applied_word or not self.last_edge_image:
+        if self.last_edge_image_index != self.consensus.applied_word or not self.last_edge_image:
             self.last_edge_image = self.register.image_for_edges()
-            self.last_edge_image_index = self.council.applied_word
+            self.last_edge_image_index = self.consensus.applied_word
         return self.last_edge_image
 
     def shares(
@@ -415,13 +415,13 @@
         term instead: what it gave has ended by then, and what its successor gives has the word.
         """
         started = self.scheduler.now()
-        epoch = self.council.epoch
+        epoch = self.consensus.epoch
         while self.scheduler.now() < started + self.account_length:
             now = self.scheduler.now()
             if (
-                self.council.role == "leader"
-                and self.council.epoch == epoch
-                and now >= self.council.settled_at + self.account_length
+                self.consensus.role == "leader"
+                and self.consensus.epoch == epoch
+                and now >= self.consensus.settled_at + self.account_length
                 and not self.terms.behind(index, now)
             ):
                 return
--- a/packages/core/ryelock/core/voters.py
+++ b/packages/core/ryelock/core/voters.py
@@ -1,16 +1,16 @@
 """The leader's care for its voters: lost ones are replaced, leaving ones released.
 
-The decision is `ryelock.council.membership`; here is what it rests on: who was heard lately, which
-spares hold the log, and who asked to leave. A node that stops asks with `council.leave` over and
-over and ends once the answer says `may_end`.
+The decision is `ryelock.consensus.membership`; here is what it rests on: who was heard lately,
+which spares hold the log, and who asked to leave. A node that stops asks with `council.leave` over
+and over and ends once the answer says `may_end`.
 """
 
 from collections import Counter
 
-from ryelock.council import Council, majority_of
-from ryelock.council.entries import Voters
-from ryelock.council.membership import Membership, Spare, next_voters
-from ryelock.council.status import replica_statuses
+from ryelock.consensus import Consensus, majority_of
+from ryelock.consensus.entries import Voters
+from ryelock.consensus.membership import Membership, Spare, next_voters
+from ryelock.consensus.status import replica_statuses
 from ryelock.events import VOTER_LOST
 from ryelock.loop import Scheduler, Step
 from ryelock.roster import Roster
@@ -32,11 +32,11 @@
 class VoterKeeper:
     """Adds and removes voters, one step after the other."""
 
-    __slots__ = ("council", "leaving", "roster", "scheduler")
+    __slots__ = ("consensus", "leaving", "roster", "scheduler")
 
-    def __init__(self, scheduler: Scheduler, council: Council, roster: Roster) -> None:
+    def __init__(self, scheduler: Scheduler, consensus: Consensus, roster: Roster) -> None:
         self.scheduler = scheduler
-        self.council = council
+        self.consensus = consensus
         self.roster = roster
         self.leaving: dict[str, float] = {}
 
@@ -44,20 +44,20 @@
         """Look after the voters for the life of the process, while this node leads."""
         while True:
             yield from self.scheduler.pause(TEND_SECONDS)
-            if self.council.settled:
+            if self.consensus.settled:
                 yield from self.tend()
 
     def tend(self) -> Step[None]:
         """All steps that can be made now."""
         for _ in range(STEPS_MOST):
-            if not self.council.settled:
+            if not self.consensus.settled:
                 return
             membership = self.membership()
             voters = next_voters(membership)
             if voters is None:
                 return
             self.tell_lost(membership, voters)
-            outcome = yield from self.council.change_voters(voters)
+            outcome = yield from self.consensus.change_voters(voters)
             if outcome.is_error():
                 return
 
@@ -65,27 +65,27 @@
         for disk in membership.lost_voters:
             if disk not in voters:
                 address = membership.voters[disk]
-                self.council.log.write(VOTER_LOST, disk=disk, address=address)
+                self.consensus.log.write(VOTER_LOST, disk=disk, address=address)
 
     def replicas(self) -> list[Message]:
         """Return every disk as this leader sees it, for operators."""
         membership = self.membership()
-        statuses = replica_statuses(self.council, membership.lost, membership.leaving)
+        statuses = replica_statuses(self.consensus, membership.lost, membership.leaving)
         return [status.plain() for status in statuses]
 
     def membership(self) -> Membership:
         """Voters and spares as this leader sees them."""
-        council = self.council
+        consensus = self.consensus
         self.forget_old()
-        recent = self.scheduler.now() - council.elected_at <= council.pace.beat * 4
-        lost = [] if recent else [disk for disk in council.voters if self.is_lost(disk)]
+        recent = self.scheduler.now() - consensus.elected_at <= consensus.pace.beat * 4
+        lost = [] if recent else [disk for disk in consensus.voters if self.is_lost(disk)]
         return Membership(
-            dict(council.voters),
-            council.disk,
+            dict(consensus.voters),
+            consensus.disk,
             frozenset(lost),
             frozenset(self.leaving),
             tuple(self.spares()),
-            self.crowded(council.voters),
+            self.crowded(consensus.voters),
         )
 
     def forget_old(self) -> None:
@@ -94,16 +94,16 @@
         for disk, asked in list(self.leaving.items()):
             if now - asked > LEAVING_SECONDS:
                 del self.leaving[disk]
-        for disk, (_, seen) in list(self.council.learners.items()):
-            if disk not in self.council.voters and now - seen > JOINED_SECONDS:
-                self.council.drop_learner(disk)
+        for disk, (_, seen) in list(self.consensus.learners.items()):
+            if disk not in self.consensus.voters and now - seen > JOINED_SECONDS:
+                self.consensus.drop_learner(disk)
 
     def waiting(self) -> list[Spare]:
         """Disks that joined lately, are no voters and are not leaving."""
         return [
             Spare(disk, address)
-            for disk, (address, _) in self.council.learners.items()
-            if disk not in self.council.voters and disk not in self.leaving
+            for disk, (address, _) in self.consensus.learners.items()
+            if disk not in self.consensus.voters and disk not in self.leaving
         ]
 
     def spares(self) -> list[Spare]:
@@ -113,13 +113,13 @@
         return sorted(level, key=lambda spare: (crowded[spare.disk], spare.disk))
 
     def is_level(self, disk: str) -> bool:
-        council = self.council
-        peer = council.peers.get(disk)
+        consensus = self.consensus
+        peer = consensus.peers.get(disk)
         return (
             peer is not None
-            and peer.match + LEVEL_ENTRIES >= council.commit
-            and peer.match >= council.base.index
-            and self.scheduler.now() - peer.heard < council.pace.election
+            and peer.match + LEVEL_ENTRIES >= consensus.commit
+            and peer.match >= consensus.base.index
+            and self.scheduler.now() - peer.heard < consensus.pace.election
         )
 
     def crowded(self, disks: Voters) -> dict[str, int]:
@@ -127,48 +127,48 @@
         if not disks:
             return {}
         zones = {session.wire: session.zone for session in self.roster.members().values()}
-        voting = Counter(zones.get(address) for address in self.council.voters.values())
+        voting = Counter(zones.get(address) for address in self.consensus.voters.values())
         return {disk: voting[zones.get(address, "")] for disk, address in disks.items()}
 
     def is_lost(self, disk: str) -> bool:
         """Whether a voter has another disk now, or stored nothing for too long."""
-        council = self.council
-        peer = council.peers.get(disk)
-        if disk == council.disk or peer is None:
+        consensus = self.consensus
+        peer = consensus.peers.get(disk)
+        if disk == consensus.disk or peer is None:
             return False
-        since = max(peer.stored, council.elected_at)
-        return peer.gone or self.scheduler.now() - since > council.pace.replace
+        since = max(peer.stored, consensus.elected_at)
+        return peer.gone or self.scheduler.now() - since > consensus.pace.replace
 
     # Leaving.
 
     def on_leave(self, message: Message) -> Message:
         """A node is stopping: note it, and tell whether it may end now."""
         disk = str(message.get("disk"))
-        if not self.council.settled:
+        if not self.consensus.settled:
             return {"ok": False, "may_end": False}
         self.leaving[disk] = self.scheduler.now()
         may_end = self.may_end(disk)
         if may_end:
-            self.council.release(disk)
+            self.consensus.release(disk)
         return {"ok": True, "may_end": may_end}
 
     def may_end(self, disk: str) -> bool:
         """Whether nothing rests on a disk, or no spare could take its place anyway."""
-        council = self.council
-        if council.changing_voters:
+        consensus = self.consensus
+        if consensus.changing_voters:
             return False
-        if disk not in council.voters:
+        if disk not in consensus.voters:
             return True
-        if self.scheduler.now() - council.elected_at < JOIN_WAIT_SECONDS or self.waiting():
+        if self.scheduler.now() - consensus.elected_at < JOIN_WAIT_SECONDS or self.waiting():
             return False
         return self.held_without(disk)
 
     def held_without(self, disk: str) -> bool:
         """Whether all that is agreed stands on a majority of the voters besides a disk."""
-        council = self.council
+        consensus = self.consensus
         holding = [
             other
-            for other in council.voters
-            if other != disk and council.match_of(other) >= council.commit
+            for other in consensus.voters
+            if other != disk and consensus.match_of(other) >= consensus.commit
         ]
-        return len(holding) >= majority_of(len(council.voters))
+        return len(holding) >= majority_of(len(consensus.voters))
--- a/packages/duty/ryelock/duty/__init__.py
+++ b/packages/duty/ryelock/duty/__init__.py
@@ -1,6 +1,6 @@
 """Duties that one node does: holder, epoch, and the successor its holder named.
 
-A duty is a word agreed by the council, so a majority always knows who holds it. The epoch
+A duty is a word agreed by the consensus group, so a majority always knows who holds it. The epoch
 grows with every hand-over; whoever takes the duty's word compares epochs and declines an
 older one. Who should hold it next is decided here, from what is told; nothing is kept.
 """
--- a/packages/edge/ryelock/edge/promises.py
+++ b/packages/edge/ryelock/edge/promises.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from ryelock.council import majority_of
+from ryelock.consensus import majority_of
 from ryelock.wire import Message
 
 
--- a/packages/proving/ryelock/proving/cases.py
+++ b/packages/proving/ryelock/proving/cases.py
@@ -490,12 +490,12 @@
 
 
 def voters_stand(scenario: Scenario) -> bool:
-    """Whether the council's voters are exactly the disks that are there."""
+    """Whether the voters are exactly the disks that are there."""
     leader = scenario.leader()
     if not leader or len(scenario.alive(scenario.cores)) < len(scenario.cores):
         return False
-    disks = {scenario.node(name).core.council.disk for name in scenario.cores}
-    return set(scenario.node(leader).core.council.voters) == disks
+    disks = {scenario.node(name).core.consensus.disk for name in scenario.cores}
+    return set(scenario.node(leader).core.consensus.voters) == disks
 
 
 def rolling(seed: int) -> Findings:
--- a/packages/proving/ryelock/proving/catchup.py
+++ b/packages/proving/ryelock/proving/catchup.py
@@ -13,7 +13,7 @@
 Findings come from what the operator was told and from what the nodes hold in the end.
 """
 
-from ryelock.council import Council
+from ryelock.consensus import Consensus
 from ryelock.loop import Step
 from ryelock.proving.checks import Findings
 from ryelock.proving.scenario import Scenario
@@ -85,9 +85,9 @@
         )
         self.writer = Writer(self.scenario, self.found)
 
-    def council(self, name: str) -> Council:
+    def consensus(self, name: str) -> Consensus:
         """Return the consensus member of a running control node."""
-        return self.scenario.node(name).core.council
+        return self.scenario.node(name).core.consensus
 
     def run_until_written(self, count: int) -> bool:
         """Run until so many changes were acknowledged."""
@@ -102,14 +102,14 @@
     def run_until_level(self, name: str) -> bool:
         """Run until a node has applied all that was agreed when this began."""
         scenario = self.scenario
-        councils = [self.council(other) for other in scenario.alive(scenario.cores)]
-        agreed = max(council.commit for council in councils)
+        councils = [self.consensus(other) for other in scenario.alive(scenario.cores)]
+        agreed = max(consensus.commit for consensus in councils)
         self.found.look("catch-up")
         level = scenario.world.run_until(
-            lambda: self.council(name).applied >= agreed, CATCH_UP_SECONDS
+            lambda: self.consensus(name).applied >= agreed, CATCH_UP_SECONDS
         )
         if not level:
-            place = self.council(name).applied
+            place = self.consensus(name).applied
             self.found.broken("catch-up", f"{name} is at {place} of {agreed}")
         return level
 
@@ -169,8 +169,8 @@
         leader = scenario.leader()
 
         def behind() -> bool:
-            council = self.council(back)
-            return council.knows_leader() and council.last_index < self.council(leader).commit
+            consensus = self.consensus(back)
+            return consensus.knows_leader() and consensus.last_index < self.consensus(leader).commit
 
         if not leader or not scenario.world.run_until(behind, CATCH_UP_SECONDS):
             return
@@ -187,7 +187,9 @@
             return
         leader = scenario.leader()
         could_win = scenario.world.run_until(
-            lambda: bool(leader) and self.council(back).last_index >= self.council(leader).commit,
+            lambda: (
+                bool(leader) and self.consensus(back).last_index >= self.consensus(leader).commit
+            ),
             CATCH_UP_SECONDS,
         )
         if not could_win or leader in ("", back):
@@ -206,7 +208,9 @@
         for name in scenario.cores:
             self.run_until_level(name)
             self.check_configuration(name, "in the end")
-        self.found.look("images", sum(self.council(name).base.index > 0 for name in scenario.cores))
+        self.found.look(
+            "images", sum(self.consensus(name).base.index > 0 for name in scenario.cores)
+        )
         for text in scenario.world.faults:
             self.found.broken("faults", text)
 
--- a/packages/proving/ryelock/proving/catchup_measure.py
+++ b/packages/proving/ryelock/proving/catchup_measure.py
@@ -1,6 +1,6 @@
 """What it costs a control node and an edge that were away to catch up, by changes and routes.
 
-A real leader and a real follower `Council` on folders of their own exchange the very messages of
+A real leader and a real follower `Consensus` on folders of their own exchange the very messages of
 the wire, encoded and decoded, without a socket: the figures are processor time of both sides, disk
 writes and syncs included, and bytes of messages. A link's time comes on top: bytes divided by its
 rate. Peak memory is what Python's allocator was asked for at once while the follower caught up,
@@ -15,11 +15,11 @@
 import cbor2
 from expression import Ok
 
+from ryelock.consensus import Consensus, Entry, Pace
+from ryelock.consensus.compaction import Compaction
+from ryelock.consensus.entries import WORD
+from ryelock.consensus.types import Peer
 from ryelock.core.renewals import Renewals
-from ryelock.council import Council, Entry, Pace
-from ryelock.council.compaction import Compaction
-from ryelock.council.entries import WORD
-from ryelock.council.types import Peer
 from ryelock.events import QuietLog
 from ryelock.journal import Journal, MachineFolder, open_journal
 from ryelock.loop import Network, Scheduler
@@ -56,15 +56,15 @@
     return encode_word("change", id=f"c{number}", change=change)
 
 
-def make_council(disk: str, folder: str, reactor: Reactor) -> Council:
-    """A council that is never started: messages are carried by hand."""
+def make_council(disk: str, folder: str, reactor: Reactor) -> Consensus:
+    """A consensus group that is never started: messages are carried by hand."""
     log = QuietLog(disk)
     journal = open_journal(MachineFolder(folder), log, SEGMENT_BYTES)
     if journal.is_error():
         raise journal.error
     scheduler: Scheduler = reactor.scheduler
     network: Network = reactor
-    return Council(
+    return Consensus(
         scheduler,
         Lines(scheduler, network, log),
         log,
@@ -79,7 +79,7 @@
     )
 
 
-def make_leader(folder: str, reactor: Reactor, changes: int, routes: int) -> Council:
+def make_leader(folder: str, reactor: Reactor, changes: int, routes: int) -> Consensus:
     """A leader that has applied so many changes and no image of them."""
     leader = make_council("leader", folder, reactor)
     leader.compaction = NoCompaction(0, 0)
@@ -97,13 +97,13 @@
     return leader
 
 
-def apply_all(council: Council) -> None:
+def apply_all(consensus: Consensus) -> None:
     """Apply everything that is committed."""
-    while council.applied < council.commit:
-        council.apply_committed()
+    while consensus.applied < consensus.commit:
+        consensus.apply_committed()
 
 
-def catch_up(leader: Council, follower: Council) -> tuple[int, int]:
+def catch_up(leader: Consensus, follower: Consensus) -> tuple[int, int]:
     """Messages and bytes until an empty follower has applied all that the leader has."""
     peer = Peer("follower", "follower:1", 1, leader.scheduler)
     messages = size = 0
@@ -121,7 +121,7 @@
     return messages, size
 
 
-def follower_figures(leader: Council, reactor: Reactor, way: str) -> Figures:
+def follower_figures(leader: Consensus, reactor: Reactor, way: str) -> Figures:
     """One empty follower's catch-up: times and bytes, then its memory in another run."""
     with tempfile.TemporaryDirectory(prefix="ryelock-") as folder:
         follower = make_council("follower", folder, reactor)
@@ -143,10 +143,10 @@
     }
 
 
-def edge_figures(leader: Council) -> Figures:
+def edge_figures(leader: Consensus) -> Figures:
     """What an edge at the first change is sent, and how long it takes to apply that."""
     renewals = object.__new__(Renewals)
-    renewals.council = leader
+    renewals.consensus = leader
     assert isinstance(leader.machine, Register)
     renewals.register = leader.machine
     renewals.last_edge_image, renewals.last_edge_image_index = b"", 0
--- a/packages/proving/ryelock/proving/control_cases.py
+++ b/packages/proving/ryelock/proving/control_cases.py
@@ -194,7 +194,7 @@
     succession = succeed(scenario, others, found)
     superseded = change_elsewhere(scenario, others, watcher.drained, found)
     scenario.world.run(cut_at + ISOLATION_SECONDS - scenario.world.time)
-    epoch = scenario.node(others[0]).core.council.epoch
+    epoch = scenario.node(others[0]).core.consensus.epoch
     watcher.running = False
     reconnect(scenario, name)
     healed_at = scenario.world.time
@@ -221,7 +221,7 @@
     found.look("succession")
 
     def led() -> bool:
-        return any(scenario.node(other).core.council.settled for other in others)
+        return any(scenario.node(other).core.consensus.settled for other in others)
 
     if not scenario.world.run_until(led, SUCCESSION_SECONDS):
         found.broken("succession", f"no leader {SUCCESSION_SECONDS} s after the isolation")
@@ -406,13 +406,13 @@
     node = scenario.node(name)
 
     def serves() -> bool:
-        return bool(node.core.leader()) and node.core.council.epoch >= epoch
+        return bool(node.core.leader()) and node.core.consensus.epoch >= epoch
 
     found.look("return")
     if not scenario.world.run_until(serves, RETURN_SECONDS):
         found.broken("return", f"{way}: no leader known {RETURN_SECONDS} s after the cut healed")
     found.look("undisturbed")
-    now = max(scenario.node(core).core.council.epoch for core in scenario.cores)
+    now = max(scenario.node(core).core.consensus.epoch for core in scenario.cores)
     if now != epoch and way != "outgoing":
         found.broken("undisturbed", f"{way}: epoch {epoch} became {now} on the return")
     status, _ = scenario.ask_now("GET", "/configuration", None, name)
--- a/packages/proving/ryelock/proving/finals.py
+++ b/packages/proving/ryelock/proving/finals.py
@@ -166,11 +166,11 @@
 
 
 def voters(scenario: Scenario) -> list[str]:
-    council = scenario.node(scenario.leader()).core.council
+    consensus = scenario.node(scenario.leader()).core.consensus
     return [
         name
         for name in scenario.alive(scenario.cores)
-        if scenario.node(name).core.council.disk in council.voters
+        if scenario.node(name).core.consensus.disk in consensus.voters
     ]
 
 
--- a/packages/proving/ryelock/proving/loss_cases.py
+++ b/packages/proving/ryelock/proving/loss_cases.py
@@ -94,8 +94,8 @@
     if role == "leader" and leader in alive:
         return leader
     others = [name for name in alive if name != leader]
-    voters = scenario.node(leader).core.council.voters if leader else {}
-    spares = [name for name in others if scenario.node(name).core.council.disk not in voters]
+    voters = scenario.node(leader).core.consensus.voters if leader else {}
+    spares = [name for name in others if scenario.node(name).core.consensus.disk not in voters]
     seeds = [name for name in others if name in scenario.cores[:3]]
     fitting = {"spare": spares, "seed": seeds}.get(role, others)
     return random.choice(fitting or others)
@@ -188,7 +188,7 @@
     voters = [
         name
         for name in scenario.cores
-        if scenario.node(name).core.council.disk in scenario.node(leader).core.council.voters
+        if scenario.node(name).core.consensus.disk in scenario.node(leader).core.consensus.voters
     ]
     found.look("voters")
     if len(voters) != 3:
--- a/packages/proving/ryelock/proving/measure.py
+++ b/packages/proving/ryelock/proving/measure.py
@@ -103,7 +103,7 @@
     def stands() -> bool:
         leader = scenario.leader()
         return bool(leader) and (
-            scenario.node(lost).core.council.disk in scenario.node(leader).core.council.voters
+            scenario.node(lost).core.consensus.disk in scenario.node(leader).core.consensus.voters
         )
 
     return scenario.world.time - started if scenario.world.run_until(stands, 40) else None
@@ -297,18 +297,18 @@
     scenario.set_up()
     scenario.world.run(STANDING_SECONDS)
     leader = scenario.leader()
-    council = scenario.node(leader).core.council
+    consensus = scenario.node(leader).core.consensus
     lost = next(
         name
         for name in scenario.cores
-        if name != leader and scenario.node(name).core.council.disk in council.voters
+        if name != leader and scenario.node(name).core.consensus.disk in consensus.voters
     )
-    disk = scenario.node(lost).core.council.disk
+    disk = scenario.node(lost).core.consensus.disk
     started = scenario.world.time
     scenario.world.kill(lost, True)
 
     def replaced() -> bool:
-        return disk not in council.voters and len(council.voters) == VOTERS_BEFORE
+        return disk not in consensus.voters and len(consensus.voters) == VOTERS_BEFORE
 
     back = scenario.world.run_until(replaced, 20)
     return scenario.world.time - started if back else None
@@ -320,11 +320,11 @@
     scenario.set_up()
     scenario.world.run(STANDING_SECONDS)
     leader = scenario.leader()
-    voters = scenario.node(leader).core.council.voters
+    voters = scenario.node(leader).core.consensus.voters
     name = next(
         name
         for name in scenario.cores
-        if name != leader and scenario.node(name).core.council.disk in voters
+        if name != leader and scenario.node(name).core.consensus.disk in voters
     )
     node = scenario.node(name)
     started = scenario.world.time
--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -1,4 +1,4 @@
-"""All that the model test uses of the product's council, journal, register and keeper.
+"""All that the model test uses of the product's consensus, journal, register and keeper.
 
 Renames in those packages cost edits in this module only.
 """
@@ -11,12 +11,12 @@
 
 import cbor2
 
+from ryelock.consensus import Consensus, Pace
+from ryelock.consensus.entries import VOTERS, Entry, Stored, voters_of
+from ryelock.consensus.log import RETAINED_BYTES
 from ryelock.core.identity import open_disk, read_identity
 from ryelock.core.process import LEAVE_SECONDS_MOST, ControlNode
 from ryelock.core.voters import LEAVE, VoterKeeper
-from ryelock.council import Council, Pace
-from ryelock.council.entries import VOTERS, Entry, Stored, voters_of
-from ryelock.council.log import RETAINED_BYTES
 from ryelock.edge.promises import Promise, are_enough, promise_of
 from ryelock.events import Event, Log
 from ryelock.journal import Folder, JournalError, open_journal
@@ -48,8 +48,8 @@
 def batch_limit(size: int) -> Iterator[None]:
     """Entries of one heartbeat stay below so many bytes (at least one entry is sent)."""
     with (
-        mock.patch("ryelock.council.replication.BATCH_BYTES", size),
-        mock.patch("ryelock.council.types.BATCH_BYTES", size),
+        mock.patch("ryelock.consensus.replication.BATCH_BYTES", size),
+        mock.patch("ryelock.consensus.types.BATCH_BYTES", size),
     ):
         yield
 
@@ -141,7 +141,7 @@
         self.token = token
 
     def encode(self) -> bytes:
-        """The word that the council agrees on."""
+        """The word that the consensus group agrees on."""
         change = {
             "id": self.identity,
             "base": self.base,
@@ -186,9 +186,9 @@
 
 
 class ProductNode:
-    """One control node without its daemon: council, register and keeper on a disk."""
+    """One control node without its daemon: consensus, register and keeper on a disk."""
 
-    __slots__ = ("council", "lines", "register", "scheduler", "voter_keeper")
+    __slots__ = ("consensus", "lines", "register", "scheduler", "voter_keeper")
 
     def __init__(
         self,
@@ -220,7 +220,7 @@
             image_records=image_records,
             retained_bytes=RETAINED_BYTES if image_records == RETAINING_IMAGE_RECORDS else 0,
         )
-        self.council = Council(
+        self.consensus = Consensus(
             scheduler,
             cast(Lines, lines),
             log,
@@ -233,58 +233,58 @@
             pace,
             random,
         )
-        self.voter_keeper = VoterKeeper(scheduler, self.council, cast(Roster, EmptyRoster()))
+        self.voter_keeper = VoterKeeper(scheduler, self.consensus, cast(Roster, EmptyRoster()))
 
     def start(self) -> None:
-        """Start the council and the care for its voters."""
-        self.council.start()
+        """Start the consensus group and the care for its voters."""
+        self.consensus.start()
         self.scheduler.spawn("voters", self.voter_keeper.work())
 
     @property
     def disk(self) -> str:
         """The name of the disk."""
-        return self.council.disk
+        return self.consensus.disk
 
     @property
     def leads(self) -> bool:
         """Whether this node says that it leads."""
-        return self.council.role == "leader"
+        return self.consensus.role == "leader"
 
     @property
     def settled(self) -> bool:
         """Whether it leads and has seen an entry of its own epoch agreed."""
-        return self.council.settled
+        return self.consensus.settled
 
     @property
     def applied(self) -> int:
         """The index of the last entry applied."""
-        return self.council.applied
+        return self.consensus.applied
 
     @property
     def voters(self) -> dict[str, str]:
         """Addresses of the voters by disk."""
-        return dict(self.council.voters)
+        return dict(self.consensus.voters)
 
     @property
     def epoch(self) -> int:
         """The current epoch."""
-        return self.council.epoch
+        return self.consensus.epoch
 
     @property
     def learners(self) -> dict[str, str]:
         """Addresses of the disks that asked to join, by disk."""
-        return {disk: address for disk, (address, _) in self.council.learners.items()}
+        return {disk: address for disk, (address, _) in self.consensus.learners.items()}
 
     def answer(self, message: Message, reply: Reply) -> bool:
         """Take an ask of another process; False where it is for no part of this node."""
         if message.get("kind") == LEAVE:
             reply(self.voter_keeper.on_leave(message))
             return True
-        return self.council.answer(message, reply)
+        return self.consensus.answer(message, reply)
 
     def change(self, change: Change) -> Step[ChangeOutcome]:
         """Agree on a change, as the operators' desk does at the leader."""
-        outcome = yield from self.council.propose(change.encode())
+        outcome = yield from self.consensus.propose(change.encode())
         if outcome.is_error():
             certain = outcome.error.certain
             status = "not-taken" if certain else "unknown"
@@ -297,31 +297,31 @@
 
     def purge(self, number: int) -> Step[int]:
         """Agree on a purge; the index of its entry, or 0 where it was not acknowledged."""
-        outcome = yield from self.council.propose(purge_word(number))
+        outcome = yield from self.consensus.propose(purge_word(number))
         result = outcome.ok if outcome.is_ok() else None
         return int(result["index"]) if isinstance(result, dict) and "index" in result else 0
 
     def read(self) -> Step[tuple[int, str] | None]:
         """A confirmed read: version and newest change; None where it was not confirmed."""
-        if not (yield from self.council.confirm(2.0)):
+        if not (yield from self.consensus.confirm(2.0)):
             return None
         return self.register.version, self.register.newest_change()
 
     def change_voters(self, voters: dict[str, str]) -> Step[None]:
         """Ask for another set of voters."""
-        yield from self.council.change_voters(voters)
+        yield from self.consensus.change_voters(voters)
 
     def leave(self) -> Step[None]:
         """A planned stop, as the daemon leaves."""
         until = self.scheduler.now() + LEAVE_SECONDS_MOST
         yield from ControlNode.leave_council(cast(ControlNode, LeavingNode(self)), until)
-        self.council.stop()
+        self.consensus.stop()
 
     def hand_over(self) -> Step[None]:
         """Hand leadership to the best successor."""
-        successor = self.council.best_successor()
+        successor = self.consensus.best_successor()
         if self.leads and successor:
-            yield from self.council.hand_over(successor)
+            yield from self.consensus.hand_over(successor)
 
 
 class LeavingNode:
@@ -330,7 +330,7 @@
     def __init__(self, node: ProductNode) -> None:
         """Stand in for the daemon of a node."""
         self.node = node
-        self.council = node.council
+        self.consensus = node.consensus
         self.scheduler = node.scheduler
         self.lines = node.lines
         self.log: Log = SilentLog()
@@ -338,9 +338,9 @@
 
     def leader(self) -> str:
         """The leader's address, or that it is here."""
-        if self.council.role == "leader":
+        if self.consensus.role == "leader":
             return "here"
-        return self.council.leader_address if self.council.knows_leader() else ""
+        return self.consensus.leader_address if self.consensus.knows_leader() else ""
 
 
 class LeavingKeeper:
--- a/packages/proving/ryelock/proving/model/cluster.py
+++ b/packages/proving/ryelock/proving/model/cluster.py
@@ -69,7 +69,7 @@
         return max(self.machine.world.time, self.machine.busy_until) * self.rate + self.zero
 
     def wall(self) -> float:
-        """The council does not use the wall clock."""
+        """The consensus group does not use the wall clock."""
         return 0.0
 
     def set_rate(self, rate: float) -> None:
--- a/packages/proving/ryelock/proving/model/schedule.py
+++ b/packages/proving/ryelock/proving/model/schedule.py
@@ -484,7 +484,7 @@
             leader.scheduler.spawn("hand over", leader.node.hand_over())
 
     def leave(self, one: int, *_: int) -> None:
-        """A planned stop: the council ends in order, then the process."""
+        """A planned stop: the consensus group ends in order, then the process."""
         self.cluster.leave(self.machine(one))
 
     def promise(self, *_: int) -> None:
--- a/packages/proving/ryelock/proving/scenario.py
+++ b/packages/proving/ryelock/proving/scenario.py
@@ -234,7 +234,7 @@
 
     def leader(self) -> str:
         for name in self.alive(self.cores):
-            if self.node(name).core.council.settled:
+            if self.node(name).core.consensus.settled:
                 return name
         return ""
 
--- a/packages/proving/ryelock/proving/schedules.py
+++ b/packages/proving/ryelock/proving/schedules.py
@@ -54,16 +54,16 @@
     leader = scenario.leader()
     if not leader:
         return False
-    council = scenario.node(leader).core.council
+    consensus = scenario.node(leader).core.consensus
     disks = {
-        scenario.node(name).core.council.disk
+        scenario.node(name).core.consensus.disk
         for name in scenario.cores
         if scenario.node(name).alive
     }
     return (
-        set(council.voters) == disks
+        set(consensus.voters) == disks
         and len(disks) == len(scenario.cores)
-        and all(peer.match == council.last_index for peer in council.peers.values())
+        and all(peer.match == consensus.last_index for peer in consensus.peers.values())
     )
 
 
--- a/packages/register/ryelock/register/__init__.py
+++ b/packages/register/ryelock/register/__init__.py
@@ -2,7 +2,7 @@
 
 configuration.py is what a change may say, checked by dacite; derived.py is how watches are made
 up; state.py is the machine that
-the council's words drive, and that an edge drives with the words it pulled; vector.py holds
+the consensus group's words drive, and that an edge drives with the words it pulled; vector.py holds
 one version per source.
 """
 
--- a/packages/register/ryelock/register/state.py
+++ b/packages/register/ryelock/register/state.py
@@ -1,4 +1,4 @@
-"""The machine behind the council's words, and the replica of it on every edge.
+"""The machine behind the consensus group's words, and the replica of it on every edge.
 
 Words are changes, purges, drains, duties, decisions and made-up watches. Applying a word gives
 its outcome; the outcome of an id is remembered, so that the same change sent again gets its
@@ -266,7 +266,7 @@
         del self.decisions[:-DECISIONS_KEPT]
 
     def image(self) -> bytes:
-        """All of it, as the council's disks keep it."""
+        """All of it, as the consensus group's disks keep it."""
         whole = {
             **self.shared(),
             "decisions": self.decisions,
--- a/packages/roster/ryelock/roster/sessions.py
+++ b/packages/roster/ryelock/roster/sessions.py
@@ -1,7 +1,7 @@
 """Sessions: a node is a member while its session with a control node stands.
 
 A session is renewed with the leader; each control node tells the others its sessions with
-every beat of the council, as one source with one version. An edge that was lost without a
+every beat of the consensus group, as one source with one version. An edge that was lost without a
 goodbye is kept as gone for a while, so that probers go on fetching from it and a zone that
 lost all its edges is found by real fetches rather than forgotten.
 """
--- a/tests/consensus_takeouts.py
+++ b/tests/consensus_takeouts.py
@@ -1,15 +1,15 @@
-"""Mechanisms of council, journal and register taken out one at a time, by mock patches."""
+"""Mechanisms of consensus, journal and register taken out one at a time, by mock patches."""
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 from typing import Any
 from unittest import mock
 
+from ryelock.consensus import Consensus
+from ryelock.consensus.entries import Image
+from ryelock.consensus.log import ReplicatedLog
+from ryelock.consensus.types import ConsensusError, Peer
 from ryelock.core.voters import VoterKeeper
-from ryelock.council import Council
-from ryelock.council.entries import Image
-from ryelock.council.log import ReplicatedLog
-from ryelock.council.types import CouncilError, Peer
 from ryelock.journal import Journal, open_journal
 from ryelock.loop import Step
 from ryelock.proving.model.disk import ModelFolder
@@ -22,24 +22,24 @@
 
 @contextmanager
 def unsynced(method: str) -> Iterator[None]:
-    """What a method of the council writes stays unsynced."""
+    """What a method of the consensus group writes stays unsynced."""
     depth = [0]
-    sync, original = ModelFolder.sync, getattr(Council, method)
+    sync, original = ModelFolder.sync, getattr(Consensus, method)
 
     def without_sync(folder: ModelFolder, name: str) -> None:
         if not depth[0]:
             sync(folder, name)
 
-    def called(council: Council, *given: object) -> object:
+    def called(consensus: Consensus, *given: object) -> object:
         depth[0] += 1
         try:
-            return original(council, *given)
+            return original(consensus, *given)
         finally:
             depth[0] -= 1
 
     with (
         mock.patch.object(ModelFolder, "sync", without_sync),
-        mock.patch.object(Council, method, called),
+        mock.patch.object(Consensus, method, called),
     ):
         yield
 
@@ -48,40 +48,40 @@
 def older_epochs_counted() -> Iterator[None]:
     """An entry of an older epoch counts as agreed once it stands on a majority."""
     counting = [False]
-    count, advance, epoch_at = Council.count_commit, Council.advance, Council.epoch_at
+    count, advance, epoch_at = Consensus.count_commit, Consensus.advance, Consensus.epoch_at
 
-    def count_commit(council: Council) -> None:
+    def count_commit(consensus: Consensus) -> None:
         counting[0] = True
         try:
-            count(council)
+            count(consensus)
         finally:
             counting[0] = False
 
-    def advancing(council: Council, commit: int) -> None:
+    def advancing(consensus: Consensus, commit: int) -> None:
         counting[0] = False
-        advance(council, commit)
+        advance(consensus, commit)
 
-    def pretended(council: Council, index: int) -> int:
-        return council.epoch if counting[0] else epoch_at(council, index)
+    def pretended(consensus: Consensus, index: int) -> int:
+        return consensus.epoch if counting[0] else epoch_at(consensus, index)
 
     with (
-        mock.patch.object(Council, "count_commit", count_commit),
-        mock.patch.object(Council, "advance", advancing),
-        mock.patch.object(Council, "epoch_at", pretended),
+        mock.patch.object(Consensus, "count_commit", count_commit),
+        mock.patch.object(Consensus, "advance", advancing),
+        mock.patch.object(Consensus, "epoch_at", pretended),
     ):
         yield
 
 
 def altered(
-    method: str, alter: Callable[[Council, Plain], Plain]
+    method: str, alter: Callable[[Consensus, Plain], Plain]
 ) -> AbstractContextManager[object]:
-    """A handler of the council that is given another message."""
-    original = getattr(Council, method)
+    """A handler of the consensus group that is given another message."""
+    original = getattr(Consensus, method)
 
-    def handler(council: Council, message: Plain) -> object:
-        return original(council, alter(council, message))
+    def handler(consensus: Consensus, message: Plain) -> object:
+        return original(consensus, alter(consensus, message))
 
-    patched: AbstractContextManager[object] = mock.patch.object(Council, method, handler)
+    patched: AbstractContextManager[object] = mock.patch.object(Consensus, method, handler)
     return patched
 
 
@@ -92,8 +92,8 @@
 
 
 def votes_twice() -> AbstractContextManager[object]:
-    def forget(council: Council, message: Plain) -> Plain:
-        council.replicated_log.voted = ""
+    def forget(consensus: Consensus, message: Plain) -> Plain:
+        consensus.replicated_log.voted = ""
         return message
 
     return altered("on_vote", forget)
@@ -104,39 +104,39 @@
     with ExitStack() as stack:
         for method in ("on_vote", "on_beat", "on_image"):
             stack.enter_context(
-                altered(method, lambda council, message: {**message, "to": council.disk})
+                altered(method, lambda consensus, message: {**message, "to": consensus.disk})
             )
         yield
 
 
 def unconfirmed_reads() -> AbstractContextManager[object]:
-    def confirm(council: Council, _seconds: float) -> Step[bool]:
-        yield from council.scheduler.pause(0)
-        return council.role == "leader"
+    def confirm(consensus: Consensus, _seconds: float) -> Step[bool]:
+        yield from consensus.scheduler.pause(0)
+        return consensus.role == "leader"
 
-    return mock.patch.object(Council, "confirm", confirm)
+    return mock.patch.object(Consensus, "confirm", confirm)
 
 
 def promises_ignored() -> AbstractContextManager[object]:
-    original = Council.on_promise
+    original = Consensus.on_promise
 
-    def on_promise(council: Council, message: Plain) -> Plain:
-        answer = original(council, message)
-        council.promised = -1e9
+    def on_promise(consensus: Consensus, message: Plain) -> Plain:
+        answer = original(consensus, message)
+        consensus.promised = -1e9
         return answer
 
-    return mock.patch.object(Council, "on_promise", on_promise)
+    return mock.patch.object(Consensus, "on_promise", on_promise)
 
 
 def promises_forgotten() -> AbstractContextManager[object]:
     """A restarted voter keeps no promise of its life before."""
-    original = Council.__init__
+    original = Consensus.__init__
 
-    def init(council: Council, *given: Any) -> None:
-        original(council, *given)
-        council.promised = -1e9
+    def init(consensus: Consensus, *given: Any) -> None:
+        original(consensus, *given)
+        consensus.promised = -1e9
 
-    return mock.patch.object(Council, "__init__", init)
+    return mock.patch.object(Consensus, "__init__", init)
 
 
 @contextmanager
@@ -145,26 +145,26 @@
 
     A leader as it is now offers no image to a follower whose log reaches farther than that.
     """
-    next_for = Council.next_for
+    next_for = Consensus.next_for
 
-    def offer_image(council: Council, peer: Peer, answer: Plain, last: int) -> int:
+    def offer_image(consensus: Consensus, peer: Peer, answer: Plain, last: int) -> int:
         if answer.get("failed") is True:
-            return max(1, council.base.index)
-        return next_for(council, peer, answer, last)
+            return max(1, consensus.base.index)
+        return next_for(consensus, peer, answer, last)
 
     def install(log: ReplicatedLog, image: Image) -> bool:
         return log.replace_start(image, [])
 
     with (
         mock.patch.object(ReplicatedLog, "install", install),
-        mock.patch.object(Council, "next_for", offer_image),
+        mock.patch.object(Consensus, "next_for", offer_image),
     ):
         yield
 
 
 def unchecked_voters() -> AbstractContextManager[object]:
     """A change of voters is not checked where it is appended."""
-    return mock.patch.object(Council, "fault_of_voters", lambda _council, _voters, _entries: "")
+    return mock.patch.object(Consensus, "fault_of_voters", lambda _council, _voters, _entries: "")
 
 
 def base_unchecked() -> AbstractContextManager[object]:
@@ -211,8 +211,8 @@
         return max(1, voters // 2)
 
     with (
-        mock.patch("ryelock.council.state.majority_of", half),
-        mock.patch("ryelock.council.elections.majority_of", half),
+        mock.patch("ryelock.consensus.state.majority_of", half),
+        mock.patch("ryelock.consensus.elections.majority_of", half),
     ):
         yield
 
@@ -243,12 +243,12 @@
 
 def failed_write_refuses() -> AbstractContextManager[object]:
     """A failed write of the leader's is answered with "certainly not taken"."""
-    original = CouncilError.__init__
+    original = ConsensusError.__init__
 
-    def init(error: CouncilError, reason: str, certain: bool) -> None:
+    def init(error: ConsensusError, reason: str, certain: bool) -> None:
         original(error, reason, certain or "disk" in reason)
 
-    return mock.patch.object(CouncilError, "__init__", init)
+    return mock.patch.object(ConsensusError, "__init__", init)
 
 
 def few_promises() -> AbstractContextManager[object]:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -66,8 +66,8 @@
             core.register.configuration.plain(),
             core.register.drains,
             core.register.purge_number,
-            core.council.epoch,
-            sorted(core.council.voters),
+            core.consensus.epoch,
+            sorted(core.consensus.voters),
             sorted(core.roster.members()),
             {key: duty.plain() for key, duty in core.register.duties.items()},
         ]
@@ -149,7 +149,7 @@
         scenario.set_up()
         scenario.world.run(2)
         name = next(name for name in scenario.cores if name != scenario.leader())
-        before = scenario.node(name).core.council.disk
+        before = scenario.node(name).core.consensus.disk
         scenario.world.kill(name)
         folder = scenario.node(name).folder
         assert folder is not None
@@ -157,9 +157,9 @@
         data[14] ^= 255
         scenario.start(name)
         self.assertIn(JOURNAL_DAMAGED.number, self.events(scenario, name))
-        council = scenario.node(name).core.council
-        self.assertNotEqual(before, council.disk)
-        self.assertTrue(scenario.world.run_until(lambda: council.disk in council.voters, 20))
+        consensus = scenario.node(name).core.consensus
+        self.assertNotEqual(before, consensus.disk)
+        self.assertTrue(scenario.world.run_until(lambda: consensus.disk in consensus.voters, 20))
         self.assertEqual(1, scenario.node(name).core.register.version)
         self.assertTrue(any(file.startswith("damaged-") for file in folder.names()))
 
--- a/tests/test_checked.py
+++ b/tests/test_checked.py
@@ -26,7 +26,7 @@
     "wire",
     "exchange",
     "journal",
-    "council",
+    "consensus",
     "duty",
     "register",
     "roster",
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -5,9 +5,9 @@
 import testtools
 from test_replication import Lab
 
-from ryelock.council.compaction import Compaction, journal_bytes_most
-from ryelock.council.entries import WORD, Entry
-from ryelock.council.seat import Council
+from ryelock.consensus.compaction import Compaction, journal_bytes_most
+from ryelock.consensus.entries import WORD, Entry
+from ryelock.consensus.node import Consensus
 from ryelock.journal import FolderError, Journal
 from ryelock.proving.simulated import SimFolder
 
@@ -50,24 +50,24 @@
         self.word = data
 
 
-def taken(disk_bytes: int, records: int) -> tuple[int, Council]:
+def taken(disk_bytes: int, records: int) -> tuple[int, Consensus]:
     """How many large words one member takes before its disk declines one."""
     lab = Lab(image_records=1000, disk_bytes=disk_bytes)
-    council = lab.council("follower", SmallDisk())
-    council.machine = LastWord()
+    consensus = lab.consensus("follower", SmallDisk())
+    consensus.machine = LastWord()
     for index in range(1, records + 1):
         entry = Entry(index, 1, WORD, index.to_bytes(4, "big") * (RECORD_BYTES // 4))
-        if not council.store([entry]):
-            return index - 1, council
-        council.advance(index)
-    return records, council
+        if not consensus.store([entry]):
+            return index - 1, consensus
+        consensus.advance(index)
+    return records, consensus
 
 
 class CompactionTests(testtools.TestCase):
     def test_large_records_do_not_fill_the_disk(self) -> None:
-        count, council = taken(DISK_BYTES, 900)
+        count, consensus = taken(DISK_BYTES, 900)
         self.assertEqual(900, count)
-        self.assertLess(council.journal.replay_bytes, DISK_BYTES // 2)
+        self.assertLess(consensus.journal.replay_bytes, DISK_BYTES // 2)
 
     def test_a_full_disk_is_compacted_also_where_its_size_is_not_known(self) -> None:
         self.assertEqual(900, taken(0, 900)[0])
@@ -89,7 +89,7 @@
 
     def test_a_failed_image_is_not_tried_again_at_once(self) -> None:
         lab = Lab(image_records=100)
-        council = lab.follower
+        consensus = lab.follower
         tried: list[int] = []
 
         def write_image(journal: Journal, _image: bytes, _records: list[bytes]) -> object:
@@ -98,6 +98,6 @@
 
         with mock.patch.object(Journal, "write_image", write_image):
             for index in range(1, 201):
-                self.assertTrue(council.store([Entry(index, 1, WORD, b"word")]))
-                council.advance(index)
+                self.assertTrue(consensus.store([Entry(index, 1, WORD, b"word")]))
+                consensus.advance(index)
         self.assertTrue(1 < len(tried) < 12, tried)
--- a/tests/test_council.py
+++ b/tests/test_consensus.py
@@ -1,4 +1,4 @@
-"""What the council must not do: give an empty machine an old vote, carry an edge that is behind."""
+"""Consensus must not give an empty machine an old vote, nor carry an edge that is behind."""
 
 from collections.abc import Callable
 from typing import Any
@@ -6,7 +6,7 @@
 
 import testtools
 
-from ryelock.council import Council
+from ryelock.consensus import Consensus
 from ryelock.events import SERVER_ASIDE
 from ryelock.proving.scenario import Scenario
 
@@ -28,9 +28,11 @@
     return found.status
 
 
-def deaf_to_names(plain: Callable[[Council, Plain], Plain]) -> Callable[[Council, Plain], Plain]:
-    def handler(council: Council, message: Plain) -> Plain:
-        return plain(council, {**message, "to": council.disk})
+def deaf_to_names(
+    plain: Callable[[Consensus, Plain], Plain],
+) -> Callable[[Consensus, Plain], Plain]:
+    def handler(consensus: Consensus, message: Plain) -> Plain:
+        return plain(consensus, {**message, "to": consensus.disk})
 
     return handler
 
@@ -71,9 +73,9 @@
 
     def test_without_disk_names_the_last_word_is_lost(self) -> None:
         with (
-            mock.patch.object(Council, "on_vote", deaf_to_names(Council.on_vote)),
-            mock.patch.object(Council, "on_beat", deaf_to_names(Council.on_beat)),
-            mock.patch.object(Council, "on_image", deaf_to_names(Council.on_image)),
+            mock.patch.object(Consensus, "on_vote", deaf_to_names(Consensus.on_vote)),
+            mock.patch.object(Consensus, "on_beat", deaf_to_names(Consensus.on_beat)),
+            mock.patch.object(Consensus, "on_image", deaf_to_names(Consensus.on_image)),
         ):
             scenario, _ = self.lost_disk_and_leader(1)
             self.assertNotEqual("", scenario.leader())
@@ -88,7 +90,7 @@
 
             def voters(scenario: Scenario = scenario) -> set[str]:
                 leader = scenario.leader()
-                return set(scenario.node(leader).core.council.voters) if leader else set()
+                return set(scenario.node(leader).core.consensus.voters) if leader else set()
 
             def complete(voters: Callable[[], set[str]] = voters, wanted: int = wanted) -> bool:
                 return len(voters()) == wanted
@@ -98,9 +100,9 @@
             lost = next(
                 name
                 for name in scenario.cores
-                if name != leader and scenario.node(name).core.council.disk in voters()
+                if name != leader and scenario.node(name).core.consensus.disk in voters()
             )
-            disk = scenario.node(lost).core.council.disk
+            disk = scenario.node(lost).core.consensus.disk
             scenario.world.kill(lost, True)
             self.assertTrue(
                 scenario.world.run_until(
@@ -112,7 +114,7 @@
                 f"seed {seed}",
             )
             scenario.start(lost)
-            back = scenario.node(lost).core.council
+            back = scenario.node(lost).core.consensus
             self.assertTrue(
                 scenario.world.run_until(lambda back=back: back.knows_leader(), 10),  # type: ignore[misc]
                 f"seed {seed}: the voter that was replaced is left alone",
@@ -219,10 +221,10 @@
     def test_promises_do_not_carry_an_edge_that_is_behind(self) -> None:
         for seed in (1, 2):
             self.assertFalse(self.behind_without_leader(seed))
-        plain = Council.on_promise
+        plain = Consensus.on_promise
 
-        def careless(council: Council, message: Plain) -> Plain:
-            return {**plain(council, message), "last": 0}
+        def careless(consensus: Consensus, message: Plain) -> Plain:
+            return {**plain(consensus, message), "last": 0}
 
-        with mock.patch.object(Council, "on_promise", careless):
+        with mock.patch.object(Consensus, "on_promise", careless):
             self.assertTrue(self.behind_without_leader(1))
--- a/tests/test_consensus_model.py
+++ b/tests/test_consensus_model.py
@@ -1,4 +1,4 @@
-"""The consensus model: council, journal and register under adversarial schedules."""
+"""The consensus model: consensus, journal and register under adversarial schedules."""
 
 import pytest
 import testtools
--- a/tests/test_control_cases.py
+++ b/tests/test_control_cases.py
@@ -7,9 +7,9 @@
 
 import testtools
 
+from ryelock.consensus import Consensus
 from ryelock.core import renewals
 from ryelock.core.leading import Leading
-from ryelock.council import Council
 from ryelock.journal import FolderError
 from ryelock.proving.control_cases import CONTROL_CASES, ISOLATIONS, route_change
 from ryelock.proving.scenario import Scenario
@@ -22,7 +22,7 @@
 DISK_WRITES = ("append", "sync", "truncate", "write_whole")
 
 
-def confirmed_at_once(_council: Council, _seconds: float) -> Generator[Any, None, bool]:
+def confirmed_at_once(_council: Consensus, _seconds: float) -> Generator[Any, None, bool]:
     """A leader that trusts its own word instead of a majority's answer."""
     return True
     yield
@@ -31,17 +31,17 @@
 def never_deposed() -> list[Patch]:
     """A leader that believes in its majority for ever."""
 
-    def held_since(council: Council) -> float:
-        return council.scheduler.now()
+    def held_since(consensus: Consensus) -> float:
+        return consensus.scheduler.now()
 
-    return [mock.patch.object(Council, "held_since", held_since)]
+    return [mock.patch.object(Consensus, "held_since", held_since)]
 
 
 def refusals_without_confirmation() -> list[Patch]:
     plain = Leading.drain
 
     def drain(leading: Leading, on: bool, given: Any) -> Generator[Any, None, Any]:
-        with mock.patch.object(Council, "confirm", confirmed_at_once):
+        with mock.patch.object(Consensus, "confirm", confirmed_at_once):
             return (yield from plain(leading, on, given))
 
     return [mock.patch.object(Leading, "drain", drain)]
@@ -73,7 +73,7 @@
             self.assertEqual([], self.found("isolated-follower", seed, []))
 
     def test_reads_without_confirmation_are_served_in_isolation(self) -> None:
-        patches = [mock.patch.object(Council, "confirm", confirmed_at_once)]
+        patches = [mock.patch.object(Consensus, "confirm", confirmed_at_once)]
         self.breaks("isolated-leader", lambda: [*never_deposed(), *patches], "isolated answers")
 
     def test_a_leader_that_is_never_deposed_hands_out_old_state(self) -> None:
--- a/tests/test_edge_catchup.py
+++ b/tests/test_edge_catchup.py
@@ -8,9 +8,9 @@
 import testtools
 from test_replication import Lab
 
+from ryelock.consensus.entries import NOTE, WORD, Entry
+from ryelock.consensus.node import Consensus
 from ryelock.core.renewals import WORDS_BYTES_SMALL, Renewals
-from ryelock.council.entries import NOTE, WORD, Entry
-from ryelock.council.seat import Council
 from ryelock.register import Register, encode_word
 
 
@@ -30,25 +30,25 @@
     }
 
 
-def leader_with(changes: int, routes: int) -> Council:
+def leader_with(changes: int, routes: int) -> Consensus:
     lab = Lab()
-    council = lab.leader
-    council.machine = Register()
+    consensus = lab.leader
+    consensus.machine = Register()
     for number in range(changes):
         word = encode_word("change", id=f"c{number}", change=route_change(number, routes))
-        assert council.store([Entry(number + 1, 1, WORD, word)])
-        council.advance(number + 1)
-    assert isinstance(council.machine, Register)
-    assert council.machine.version == changes
-    return council
+        assert consensus.store([Entry(number + 1, 1, WORD, word)])
+        consensus.advance(number + 1)
+    assert isinstance(consensus.machine, Register)
+    assert consensus.machine.version == changes
+    return consensus
 
 
-def renewals_of(council: Council) -> Renewals:
-    """The leader's answers, with nothing of it but council and register."""
+def renewals_of(consensus: Consensus) -> Renewals:
+    """The leader's answers, with nothing of it but consensus and register."""
     renewals = object.__new__(Renewals)
-    renewals.council = council
-    assert isinstance(council.machine, Register)
-    renewals.register = council.machine
+    renewals.consensus = consensus
+    assert isinstance(consensus.machine, Register)
+    renewals.register = consensus.machine
     renewals.last_edge_image = b""
     renewals.last_edge_image_index = 0
     return renewals
@@ -62,7 +62,7 @@
         edge = Register()
         edge.restore(since_one["image"])
         self.assertEqual(60, edge.version)
-        words = renewals.council.words_since(1) or []
+        words = renewals.consensus.words_since(1) or []
         self.assertLess(len(cbor2.dumps(since_one)) * 10, sum(len(data) for _, data in words))
 
     def test_a_few_words_come_as_words(self) -> None:
@@ -71,13 +71,13 @@
         self.assertIn("image", renewals.words({}))
 
     def test_many_small_words_come_as_words_where_the_image_is_larger(self) -> None:
-        council = leader_with(1, 1500)
+        consensus = leader_with(1, 1500)
         for index in range(2, 900):
             word = encode_word("drain", id=f"d{index}", target=f"edge{index % 2}", on=True)
-            self.assertTrue(council.store([Entry(index, 1, WORD, word)]))
-            council.advance(index)
-        renewals = renewals_of(council)
-        words = council.words_since(1) or []
+            self.assertTrue(consensus.store([Entry(index, 1, WORD, word)]))
+            consensus.advance(index)
+        renewals = renewals_of(consensus)
+        words = consensus.words_since(1) or []
         size = sum(len(data) for _, data in words)
         self.assertTrue(WORDS_BYTES_SMALL // 2 < size < len(renewals.edge_image()), size)
         self.assertIn("words", renewals.words({"register": 1}))
@@ -94,15 +94,15 @@
         with mock.patch.object(Register, "image_for_edges", counted):
             for _ in range(20):
                 self.assertIn("image", renewals.words({"register": 1}))
-            council = renewals.council
+            consensus = renewals.consensus
             note = encode_word("claim", key=b"key", order="order")
-            self.assertTrue(council.store([Entry(council.last_index + 1, 1, NOTE, note)]))
-            council.advance(council.last_index)
+            self.assertTrue(consensus.store([Entry(consensus.last_index + 1, 1, NOTE, note)]))
+            consensus.advance(consensus.last_index)
             answer = renewals.words({"register": 1})
-            self.assertEqual((1, council.applied), (made.count, answer["index"]))
+            self.assertEqual((1, consensus.applied), (made.count, answer["index"]))
             word = encode_word("drain", id="d", target="edge", on=True)
-            self.assertTrue(council.store([Entry(council.last_index + 1, 1, WORD, word)]))
-            council.advance(council.last_index)
+            self.assertTrue(consensus.store([Entry(consensus.last_index + 1, 1, WORD, word)]))
+            consensus.advance(consensus.last_index)
             edge = Register()
             answer = renewals.words({"register": 1})
             assert isinstance(answer["image"], bytes)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -281,7 +281,7 @@
                 old,
                 old.core.decide(
                     {
-                        "clock": [leads.core.council.disk, leads.scheduler.now()],
+                        "clock": [leads.core.consensus.disk, leads.scheduler.now()],
                         "kind": "decision",
                         "holder": duty.holder,
                         "epoch": duty.epoch,
--- a/tests/test_lapse.py
+++ b/tests/test_lapse.py
@@ -13,7 +13,7 @@
 import testtools
 
 from ryelock.allowance import Divider
-from ryelock.council import Council
+from ryelock.consensus import Consensus
 from ryelock.exchange import call
 from ryelock.proving.scenario import Scenario
 
@@ -145,15 +145,15 @@
 
     def test_the_usual_wait_before_an_election_costs_it(self) -> None:
         """Take-out: with the first election as late as later ones, the return is late too."""
-        plain = Council.put_off_election
+        plain = Consensus.put_off_election
 
-        def usual(council: Council) -> None:
-            heard = council.leader_heard
-            council.leader_heard = max(heard, -1e6)
-            plain(council)
-            council.leader_heard = heard
+        def usual(consensus: Consensus) -> None:
+            heard = consensus.leader_heard
+            consensus.leader_heard = max(heard, -1e6)
+            plain(consensus)
+            consensus.leader_heard = heard
 
-        with mock.patch.object(Council, "put_off_election", usual):
+        with mock.patch.object(Consensus, "put_off_election", usual):
             found = [self.lose_all(lapsing(seed)) for seed in range(10, 16)]
         self.assertGreater(sorted(found)[len(found) // 2], 0.7, found)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from ryelock.council import majority_of
-from ryelock.council.entries import Voters
-from ryelock.council.membership import VOTERS_MOST, Membership, Spare, next_voters
+from ryelock.consensus import majority_of
+from ryelock.consensus.entries import Voters
+from ryelock.consensus.membership import VOTERS_MOST, Membership, Spare, next_voters
 
 STEPS_MOST = 20
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,7 @@
     def test_every_example_runs(self) -> None:
         pages = sorted(PARTS.glob("*.md"))
         self.assertEqual(
-            ["allowance", "council", "duty", "journal", "roster", "verdict"],
+            ["allowance", "consensus", "duty", "journal", "roster", "verdict"],
             [page.stem for page in pages],
         )
         for page in pages:
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -423,7 +423,7 @@
             premises.operator_node.scheduler.spawn("operator", send())
             premises.world.run(0.01 * (seed - 50))
             leader = next(
-                name for name in premises.cores if premises.node(name).core.council.settled
+                name for name in premises.cores if premises.node(name).core.consensus.settled
             )
             premises.kill(leader)
             premises.world.run(1)
--- a/tests/test_platform_shapes.py
+++ b/tests/test_platform_shapes.py
@@ -60,10 +60,10 @@
 
     def test_five_zones_with_three_edges_each_make_one_core(self) -> None:
         premises = Premises(7, FIVE, edges=3, servers=1).set_up()
-        leaders = [name for name in premises.cores if premises.node(name).core.council.settled]
+        leaders = [name for name in premises.cores if premises.node(name).core.consensus.settled]
         self.assertEqual(1, len(leaders))
         premises.world.run(10)
-        voters = premises.node(leaders[0]).core.council.voters
+        voters = premises.node(leaders[0]).core.consensus.voters
         self.assertEqual(5, len(voters))
 
     def test_control_nodes_without_a_disk_pass_operators_words_on(self) -> None:
--- a/tests/test_replicated_log.py
+++ b/tests/test_replicated_log.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from ryelock.council.entries import VOTERS, WORD, Entry, Image
-from ryelock.council.log import ReplicatedLog
+from ryelock.consensus.entries import VOTERS, WORD, Entry, Image
+from ryelock.consensus.log import ReplicatedLog
 from ryelock.events import QuietLog
 from ryelock.journal import FolderError, Journal, open_journal
 from ryelock.proving.simulated import SimFolder
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -7,11 +7,11 @@
 import testtools
 from expression import Error, Ok
 
-from ryelock.council.entries import WORD, Entry, Image
-from ryelock.council.log import RETAINED_BYTES, ReplicatedLog
-from ryelock.council.seat import Council
-from ryelock.council.transfer import IMAGE_PIECE_BYTES, piece_of
-from ryelock.council.types import BATCH_BYTES, BATCH_BYTES_LEAST, Pace, Peer
+from ryelock.consensus.entries import WORD, Entry, Image
+from ryelock.consensus.log import RETAINED_BYTES, ReplicatedLog
+from ryelock.consensus.node import Consensus
+from ryelock.consensus.transfer import IMAGE_PIECE_BYTES, piece_of
+from ryelock.consensus.types import BATCH_BYTES, BATCH_BYTES_LEAST, Pace, Peer
 from ryelock.events import QuietLog
 from ryelock.journal import open_journal
 from ryelock.loop import Scheduler
@@ -58,18 +58,18 @@
     def __init__(self, **pace: Any) -> None:
         self.clock = HandClock()
         self.pace = pace
-        self.leader = self.council("leader", SimFolder())
+        self.leader = self.consensus("leader", SimFolder())
         self.folder = SimFolder()
-        self.follower = self.council("follower", self.folder)
+        self.follower = self.consensus("follower", self.folder)
         self.peer = Peer("follower", "follower:1", 1, self.leader.scheduler)
 
-    def council(self, disk: str, folder: SimFolder) -> Council:
+    def consensus(self, disk: str, folder: SimFolder) -> Consensus:
         def fault(task: str, error: BaseException) -> None:
             raise AssertionError(f"{task}: {error!r}")
 
         journal = open_journal(folder, QuietLog(disk), 1 << 20)
         assert journal.is_ok()
-        return Council(
+        return Consensus(
             Scheduler(self.clock, fault),
             None,  # type: ignore[arg-type]
             QuietLog(disk),
@@ -83,9 +83,9 @@
             Random(disk),
         )
 
-    def words(self, council: Council) -> list[bytes]:
-        assert isinstance(council.machine, CountingMachine)
-        return council.machine.words
+    def words(self, consensus: Consensus) -> list[bytes]:
+        assert isinstance(consensus.machine, CountingMachine)
+        return consensus.machine.words
 
     def lead(self, epoch: int) -> None:
         """The leader's role as it is after an election, without its tasks."""
@@ -127,8 +127,8 @@
     def test_a_follower_with_many_divergent_entries_is_level_in_a_few_rounds(self) -> None:
         for theirs, ours in ((2, 3), (3, 2), (2, 2)):
             lab = Lab()
-            for council in (lab.leader, lab.follower):
-                self.assertTrue(council.replicated_log.append(entries(1, 50, 1)))
+            for consensus in (lab.leader, lab.follower):
+                self.assertTrue(consensus.replicated_log.append(entries(1, 50, 1)))
             self.assertTrue(lab.follower.replicated_log.append(entries(51, 350, theirs)))
             self.assertTrue(lab.leader.replicated_log.append(entries(51, 250, ours)))
             self.assertTrue(lab.leader.replicated_log.append(entries(251, 400, 4)))
@@ -140,10 +140,10 @@
             )
 
     def test_without_the_conflict_each_divergent_entry_costs_a_round(self) -> None:
-        def one_back(_leader: Council, peer: Peer, _answer: Message, _last: int) -> int:
+        def one_back(_leader: Consensus, peer: Peer, _answer: Message, _last: int) -> int:
             return max(1, peer.next - 1)
 
-        with mock.patch.object(Council, "next_for", one_back):
+        with mock.patch.object(Consensus, "next_for", one_back):
             lab = Lab()
             self.assertTrue(lab.follower.replicated_log.append(entries(1, 300, 2)))
             self.assertTrue(lab.leader.replicated_log.append(entries(1, 400, 3)))
@@ -165,8 +165,8 @@
     def test_a_follower_that_compacted_is_not_walked_back_to_an_image(self) -> None:
         """Its answers were lost while it took entries and wrote an image of them."""
         lab = Lab()
-        for council in (lab.leader, lab.follower):
-            self.assertTrue(council.replicated_log.append(entries(1, 300, 1)))
+        for consensus in (lab.leader, lab.follower):
+            self.assertTrue(consensus.replicated_log.append(entries(1, 300, 1)))
         lab.lead(2)
         lab.follower.advance(200)
         while lab.follower.applied < 200:
@@ -184,9 +184,9 @@
         self.assertLess(lab.rounds_until_level(200, limit=100_000), 30)
 
     def test_batches_of_one_size_never_cross_a_slow_link(self) -> None:
-        plain = Council.batch
+        plain = Consensus.batch
         with mock.patch.object(
-            Council, "batch", lambda council, start, _most: plain(council, start, BATCH_BYTES)
+            Consensus, "batch", lambda consensus, start, _most: plain(consensus, start, BATCH_BYTES)
         ):
             lab = Lab()
             self.assertTrue(lab.leader.replicated_log.append(entries(1, 200, 1, 5000)))
@@ -208,8 +208,8 @@
     def test_a_replica_a_little_behind_a_new_image_gets_entries(self) -> None:
         """Every edge and the slower follower were sent a whole image whenever one was written."""
         lab = Lab()
-        for council in (lab.leader, lab.follower):
-            self.assertTrue(council.replicated_log.append(entries(1, 200, 1)))
+        for consensus in (lab.leader, lab.follower):
+            self.assertTrue(consensus.replicated_log.append(entries(1, 200, 1)))
         lab.lead(2)
         lab.leader.commit = 200
         while lab.leader.applied < 200:
@@ -235,7 +235,7 @@
         self.assertFalse(log.reaches_back(log.retained_from - 1))
         self.assertTrue(log.reaches_back(log.retained_from))
         self.assertIsNone(lab.leader.words_since(log.retained_from - 2))
-        again = lab.council("leader", lab.leader.journal.folder)  # type: ignore[arg-type]
+        again = lab.consensus("leader", lab.leader.journal.folder)  # type: ignore[arg-type]
         self.assertEqual((1000, []), (again.base.index, again.replicated_log.retained))
         self.assertTrue(again.replicated_log.reaches_back(1000))
         self.assertFalse(again.replicated_log.reaches_back(999))
@@ -278,7 +278,7 @@
         lab = self.with_image(1_000_000)
         lab.round()
         lab.round()
-        lab.follower = lab.council("follower", lab.folder)
+        lab.follower = lab.consensus("follower", lab.folder)
         self.assertLess(lab.rounds_until_level(30), 12)
         self.assertEqual([b"w" * 1_000_000], lab.words(lab.follower))
 
@@ -295,13 +295,13 @@
     def test_a_word_sent_again_counts_once_on_an_edge_that_has_an_image(self) -> None:
         """An edge's image has no outcomes, so the leader passes by words that had no effect."""
         lab = Lab()
-        council, register, edge = lab.leader, Register(), Register()
-        council.machine = register
+        consensus, register, edge = lab.leader, Register(), Register()
+        consensus.machine = register
 
         def put(kind: str, **fields: object) -> None:
-            index = council.last_index + 1
-            self.assertTrue(council.store([Entry(index, 1, WORD, encode_word(kind, **fields))]))
-            council.advance(index)
+            index = consensus.last_index + 1
+            self.assertTrue(consensus.store([Entry(index, 1, WORD, encode_word(kind, **fields))]))
+            consensus.advance(index)
 
         purge = {"id": "same", "scopes": [{"route": "a"}]}
         drain = {"id": "drained", "target": "edge", "on": True}
@@ -312,7 +312,7 @@
         put("purge", **purge)
         put("drain", **drain)
         put("purge", id="other", scopes=[{"route": "b"}])
-        for index, data in council.words_since(edge.index) or []:
+        for index, data in consensus.words_since(edge.index) or []:
             edge.apply(index, data)
         self.assertEqual((2, {}), (register.purge_number, register.drains))
         self.assertEqual((2, {}), (edge.purge_number, edge.drains))
@@ -389,10 +389,10 @@
             acknowledged = max(acknowledged, (1, lab.peer.match)) if lab.peer.match else (0, 0)
             if random.random() < 0.3:
                 lab.folder.lose_power(random)
-                lab.follower = lab.council("follower", lab.folder)
+                lab.follower = lab.consensus("follower", lab.folder)
             self.check(lab.follower, acknowledged)
 
-    def check(self, member: Council, acknowledged: tuple[int, int]) -> None:
+    def check(self, member: Consensus, acknowledged: tuple[int, int]) -> None:
         mine = (member.epoch_at(member.last_index), member.last_index)
         self.assertTrue(mine >= acknowledged, f"{mine} after {acknowledged}")
         for last_epoch, last_index in ((0, 0), (1, max(0, acknowledged[1] - 1))):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,9 +10,9 @@
 
 from ryelock.allowance import Divider, RepeatBudget
 from ryelock.cache import Store
+from ryelock.consensus import Consensus
+from ryelock.consensus.transfer import IncomingImage
 from ryelock.core.voters import VoterKeeper
-from ryelock.council import Council
-from ryelock.council.transfer import IncomingImage
 from ryelock.edge.member import Member
 from ryelock.edge.orders import Failed
 from ryelock.edge.servers import Servers
@@ -104,21 +104,21 @@
 
 
 def reads_from_memory() -> list[Patch]:
-    def confirm(_council: Council, _seconds: float) -> Generator[Any, None, bool]:
+    def confirm(_council: Consensus, _seconds: float) -> Generator[Any, None, bool]:
         return True
         yield
 
     return [
-        mock.patch.object(Council, "confirm", confirm),
-        mock.patch.object(Council, "held_since", lambda council: council.scheduler.now()),
+        mock.patch.object(Consensus, "confirm", confirm),
+        mock.patch.object(Consensus, "held_since", lambda consensus: consensus.scheduler.now()),
     ]
 
 
 def alone_is_a_majority() -> list[Patch]:
-    def count_commit(council: Council) -> None:
-        council.advance(council.last_index)
+    def count_commit(consensus: Consensus) -> None:
+        consensus.advance(consensus.last_index)
 
-    return [mock.patch.object(Council, "count_commit", count_commit)]
+    return [mock.patch.object(Consensus, "count_commit", count_commit)]
 
 
 def declined_takes_effect() -> list[Patch]:
@@ -155,11 +155,11 @@
 def claims_of_one_disk() -> list[Patch]:
     """The leader's memory alone: lost with it."""
 
-    def note(council: Council, data: bytes) -> Generator[Any, None, Any]:
-        return Ok(council.machine.apply(council.applied, data))
+    def note(consensus: Consensus, data: bytes) -> Generator[Any, None, Any]:
+        return Ok(consensus.machine.apply(consensus.applied, data))
         yield
 
-    return [mock.patch.object(Council, "note", note)]
+    return [mock.patch.object(Consensus, "note", note)]
 
 
 def keys_never_given_back() -> list[Patch]:
@@ -204,10 +204,10 @@
 
 
 def no_promises() -> list[Patch]:
-    def on_promise(_council: Council, _message: Any) -> dict[str, object]:
+    def on_promise(_council: Consensus, _message: Any) -> dict[str, object]:
         return {"granted": False}
 
-    return [mock.patch.object(Council, "on_promise", on_promise)]
+    return [mock.patch.object(Consensus, "on_promise", on_promise)]
 
 
 def images_never_whole() -> list[Patch]:
@@ -216,12 +216,12 @@
 
 def votes_for_shorter_logs() -> list[Patch]:
     """A member takes its log for empty when it votes."""
-    plain = Council.on_vote
+    plain = Consensus.on_vote
 
-    def on_vote(council: Council, message: dict[str, Any]) -> dict[str, object]:
-        return plain(council, {**message, "last_index": 1 << 40, "last_epoch": 1 << 40})
+    def on_vote(consensus: Consensus, message: dict[str, Any]) -> dict[str, object]:
+        return plain(consensus, {**message, "last_index": 1 << 40, "last_epoch": 1 << 40})
 
-    return [mock.patch.object(Council, "on_vote", on_vote)]
+    return [mock.patch.object(Consensus, "on_vote", on_vote)]
 
 
 TAKEN_OUT: tuple[tuple[str, Callable[[], list[Patch]], str], ...] = (
