--- a/packages/allowance/ryelock/allowance/__init__.py
+++ b/packages/allowance/ryelock/allowance/__init__.py
@@ -5,7 +5,7 @@
 edge's side: it spends a share.
 """
 
-from ryelock.allowance.bucket import Bucket, RepeatBudget
+from ryelock.allowance.bucket import RetryBudget, TokenBucket
 from ryelock.allowance.divide import Divider, is_narrow, reserve
 
-__all__ = ["Bucket", "Divider", "RepeatBudget", "is_narrow", "reserve"]
+__all__ = ["TokenBucket", "Divider", "RetryBudget", "is_narrow", "reserve"]
--- a/packages/allowance/ryelock/allowance/bucket.py
+++ b/packages/allowance/ryelock/allowance/bucket.py
@@ -7,7 +7,7 @@
 """
 
 
-class Bucket:
+class TokenBucket:
     """Orders that may be sent to one service by one edge; all, where it is not limited."""
 
     __slots__ = (
@@ -104,7 +104,7 @@
         return max(0.0, (ahead + 1 - self.room) / self.share)
 
 
-class RepeatBudget:
+class RetryBudget:
     """Repeats that one edge may send to one service."""
 
     __slots__ = ("allowance", "room", "share")
--- a/packages/consensus/ryelock/consensus/state.py
+++ b/packages/consensus/ryelock/consensus/state.py
@@ -2,7 +2,8 @@
 
 `MemberState` is the first of the layers that make up `Consensus`; each layer is a class that adds
 one job to the layer below: applying, replication, following, elections, proposals, joining. All
-state is changed by the owner's task only (see node.py); the tasks beside it hand their findings to it.
+state is changed by the owner's task only (see node.py); the tasks beside it hand their findings
+to it.
 """
 
 from collections.abc import Callable
@@ -25,7 +26,7 @@
     Log,
 )
 from ryelock.journal import Journal
-from ryelock.loop import Mailbox, Running, Scheduler
+from ryelock.loop import Mailbox, Scheduler, TaskHandle
 from ryelock.wire import Lines
 
 RELEASED_SECONDS = 3.0
@@ -126,7 +127,7 @@
         self.peers: dict[str, Peer] = {}
         self.learners: dict[str, tuple[str, float]] = {}
         self.waiting: dict[int, tuple[int, Mailbox[Outcome]]] = {}
-        self.tasks: list[Running] = []
+        self.tasks: list[TaskHandle] = []
         self.say: Said = dict
         self.hear: Hears = lambda _disk, _message, _since: None
         self.commit = self.base.index
--- a/packages/consensus/ryelock/consensus/types.py
+++ b/packages/consensus/ryelock/consensus/types.py
@@ -9,7 +9,7 @@
 from ryelock.consensus.transfer import (
     OutgoingImage,
 )
-from ryelock.loop import Mailbox, Running, Scheduler
+from ryelock.loop import Mailbox, Scheduler, TaskHandle
 from ryelock.wire import Message
 
 BATCH_BYTES = 1_048_576
@@ -109,7 +109,7 @@
         self.stored = -1e9
         self.gone = False
         self.news: Mailbox[bool] = Mailbox(scheduler)
-        self.running: Running | None = None
+        self.running: TaskHandle | None = None
 
 
 Outcome = Result[object, ConsensusError]
--- a/packages/desk/ryelock/desk/__init__.py
+++ b/packages/control_api/ryelock/control_api/__init__.py
@@ -9,7 +9,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from ryelock.events import Log
-from ryelock.exchange import Exchange, Fields, HttpDoor, Limits
+from ryelock.exchange import Exchange, Fields, HttpServer, Limits
 from ryelock.exchange.reading import Cut, Late
 from ryelock.loop import Network, Scheduler, Step
 from ryelock.wire import Lines, Message
@@ -43,16 +43,16 @@
 }
 
 
-class Desk:
+class ControlApi:
     """Answers on the control address."""
 
     __slots__ = (
-        "door",
         "explain",
         "fitness",
         "lead_here",
         "leader",
         "lines",
+        "listener",
         "others",
         "scheduler",
     )
@@ -77,7 +77,7 @@
         self.lead_here = lead_here
         self.fitness = fitness
         self.explain = explain
-        self.door = HttpDoor(
+        self.listener = HttpServer(
             scheduler,
             network,
             log,
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -4,6 +4,7 @@
 
 from ryelock.consensus import Consensus, Pace
 from ryelock.consensus.status import member_status
+from ryelock.control_api import OPERATOR, ControlApi
 from ryelock.core.aggregator import Aggregator
 from ryelock.core.keeper import Keeper
 from ryelock.core.leading import Leading
@@ -11,15 +12,14 @@
 from ryelock.core.platform import PlatformReader
 from ryelock.core.renewals import Renewals
 from ryelock.core.voters import LEAVE
-from ryelock.desk import OPERATOR, Desk
 from ryelock.duty import Duty
 from ryelock.env import Env
 from ryelock.events import DUTY_FENCED, LEAVING, STARTED, STOPPED, STOPPING, Log
 from ryelock.journal import Journal
-from ryelock.loop import Network, Running, Scheduler, Step
+from ryelock.loop import Network, Scheduler, Step, TaskHandle
 from ryelock.register import Register
 from ryelock.roster import Roster, Session
-from ryelock.wire import Door, Lines, Message, Reply
+from ryelock.wire import Lines, Message, MessageServer, Reply
 
 LEAVE_SECONDS_MOST = 4.0
 """A stopping node waits for its place to be taken for so long at most."""
@@ -33,13 +33,13 @@
     __slots__ = (
         "aggregator",
         "consensus",
-        "desk",
-        "door",
+        "control_api",
         "env",
         "heard_clock",
         "keeper",
         "leading",
         "lines",
+        "listener",
         "log",
         "network",
         "platform",
@@ -72,7 +72,7 @@
         incarnation = f"{random.getrandbits(48):012x}"
         source = f"{env.name}/{incarnation}"
         self.roster = Roster(scheduler, source, max(3.0, 2 * env.term_seconds), env.gone_seconds)
-        self.door = Door(scheduler, network, log, env.wire_address, self.on_ask)
+        self.listener = MessageServer(scheduler, network, log, env.wire_address, self.on_ask)
         pace = Pace(
             env.beat_seconds,
             env.election_seconds,
@@ -90,7 +90,7 @@
             self.register,
             env.name,
             disk,
-            self.door.address,
+            self.listener.address,
             env.seeds,
             pace,
             random,
@@ -128,7 +128,7 @@
         self.consensus.hear = self.on_said
         self.consensus.applied_news.append(self.renewals.tell)
         self.platform.on_news = self.renewals.tell
-        self.desk = Desk(
+        self.control_api = ControlApi(
             scheduler,
             network,
             log,
@@ -147,11 +147,11 @@
         self.session.role = "core"
         self.session.zone = env.zone
         self.session.machine = env.machine
-        self.session.wire = self.door.address
-        self.session.control = self.desk.door.address
+        self.session.wire = self.listener.address
+        self.session.control = self.control_api.listener.address
         self.session.incarnation = incarnation
         self.session.disk = disk
-        self.running: list[Running] = []
+        self.running: list[TaskHandle] = []
 
     def start(self) -> None:
         self.log.write(
@@ -251,7 +251,7 @@
         found = yield from self.leading.serve(message)
         leader = self.leader()
         if found.get("status") == "elsewhere" and message.get("through") is True and leader:
-            found = yield from self.desk.ask_leader(leader, {**message, "through": False})
+            found = yield from self.control_api.ask_leader(leader, {**message, "through": False})
         reply(found)
 
     def answer_claim(self, message: Message, reply: Reply) -> Step[None]:
@@ -341,8 +341,10 @@
         self.session.ready = False
         yield from self.hand_over_duties()
         yield from self.leave_council(until)
-        self.desk.door.stop_taking()
-        yield from self.desk.door.finish(max(FINISH_SECONDS, until - self.scheduler.now()))
+        self.control_api.listener.stop_taking()
+        yield from self.control_api.listener.finish(
+            max(FINISH_SECONDS, until - self.scheduler.now())
+        )
         self.consensus.stop()
         for running in self.running:
             running.cancel()
--- a/packages/edge/ryelock/edge/context.py
+++ b/packages/edge/ryelock/edge/context.py
@@ -1,4 +1,4 @@
-"""What all steps of an order's way share: the edge's parts, and how a dispatch can end."""
+"""What all steps of a request's path share: the edge's parts, and how a dispatch can end."""
 
 from random import Random
 
@@ -52,7 +52,7 @@
         self.room_in = room_in
 
 
-class Carried:
+class UpstreamAnswer:
     """A server's answer: its head, what was read of its body, and the rest to come."""
 
     __slots__ = ("answer", "first", "head", "link", "reader", "sent", "server", "whole")
--- a/packages/edge/ryelock/edge/dispatch.py
+++ b/packages/edge/ryelock/edge/dispatch.py
@@ -4,7 +4,7 @@
 
 from ryelock.cache import Copy
 from ryelock.edge.answers import Answers
-from ryelock.edge.context import Carried, Failure
+from ryelock.edge.context import Failure, UpstreamAnswer
 from ryelock.edge.copies import CONDITIONS
 from ryelock.edge.gate import Gate
 from ryelock.edge.orders import Order
@@ -46,12 +46,12 @@
         gate: Gate,
         fill: bool,
         known: Copy | None = None,
-    ) -> Step[Result[Carried, Failure]]:
+    ) -> Step[Result[UpstreamAnswer, Failure]]:
         """Send an order to servers in turn until one answers or it must be given up."""
         until = self.deadline(exchange, route)
         used: set[tuple[str, str, str]] = set()
         failure = Failure(503, f"no live server of service {order.service}")
-        answered: Carried | None = None
+        answered: UpstreamAnswer | None = None
         servers_left = order.servers_left
         for number in range(servers_left):
             if not self.may_still_go(order):
@@ -132,7 +132,9 @@
                 return Error(failure)
         return self.last_of(answered, failure)
 
-    def last_of(self, answered: Carried | None, failure: Failure) -> Result[Carried, Failure]:
+    def last_of(
+        self, answered: UpstreamAnswer | None, failure: Failure
+    ) -> Result[UpstreamAnswer, Failure]:
         """A server's own failure goes to the caller where no other server could be tried."""
         return Ok(answered) if answered is not None else Error(failure)
 
@@ -147,7 +149,7 @@
         fill: bool,
         known: Copy | None,
         last: bool,
-    ) -> Step[Result[Carried, CallError]]:
+    ) -> Step[Result[UpstreamAnswer, CallError]]:
         """One dispatch: a link, the order's bytes, the answer's head, a short body whole."""
         kept = self.servers.kept_link(state) if self.may_use_kept_link(order) else None
         if kept is not None:
@@ -199,7 +201,7 @@
                 )
                 return Error(CallError("bytes behind the answer's end", True))
             carried = True
-            return Ok(Carried(answer.head, first, whole, answer, link, reader, state, sent))
+            return Ok(UpstreamAnswer(answer.head, first, whole, answer, link, reader, state, sent))
         except FramingError as error:
             self.log.write(
                 ANSWER_BROKEN, server=state.server.address, order=order.identity, fault=error.reason
--- a/packages/edge/ryelock/edge/gate.py
+++ b/packages/edge/ryelock/edge/gate.py
@@ -9,8 +9,8 @@
 import math
 from collections import deque
 
-from ryelock.allowance import Bucket, RepeatBudget
-from ryelock.loop import Mailbox, Running, Scheduler, Step
+from ryelock.allowance import RetryBudget, TokenBucket
+from ryelock.loop import Mailbox, Scheduler, Step, TaskHandle
 from ryelock.register import Service
 
 PATIENCE = 1.0
@@ -49,8 +49,8 @@
         self.scheduler = scheduler
         self.service = service
         now = scheduler.now()
-        self.bucket = Bucket(now, service.burst_seconds, service.limited)
-        self.budget = RepeatBudget(service.repeat_share, 1.0)
+        self.bucket = TokenBucket(now, service.burst_seconds, service.limited)
+        self.budget = RetryBudget(service.repeat_share, 1.0)
         self.flight = 0
         self.route_flight: dict[str, int] = {}
         self.queues: dict[str, deque[Waiting]] = {}
@@ -61,7 +61,7 @@
         self.arrivals = 0
         self.demand = 0.0
         self.demand_at = now
-        self.running: Running = scheduler.spawn(f"gate of {name}", self.pump())
+        self.running: TaskHandle = scheduler.spawn(f"gate of {name}", self.pump())
 
     def resize(self, service: Service, edges: int) -> None:
         self.service = service
--- a/packages/edge/ryelock/edge/way.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -1,4 +1,4 @@
-"""An order's way: `Way.serve` from top to bottom, and the steps it names.
+"""A request's path through an edge: `RequestHandler.serve` from top to bottom, and its steps.
 
 The rules it keeps: nothing is served without a term; nothing is sent to a server that is not
 live in a listing of the order's own service at that moment; an order that may run once is
@@ -11,7 +11,7 @@
 
 from ryelock.cache import Copy, Fill, copy_of, may_use
 from ryelock.edge.admission import caller_of
-from ryelock.edge.context import Carried, Failure
+from ryelock.edge.context import Failure, UpstreamAnswer
 from ryelock.edge.copies import Filling, refreshed
 from ryelock.edge.foresee import Foresee
 from ryelock.edge.orders import Order
@@ -30,8 +30,8 @@
 from ryelock.register import Route
 
 
-class Way(Foresee):
-    """An order's way through one edge; one of it a process."""
+class RequestHandler(Foresee):
+    """Serves requests; one instance a process."""
 
     __slots__ = ()
 
@@ -201,7 +201,12 @@
             gate.leave(name)
 
     def answer_filled(
-        self, exchange: Exchange, order: Order, route: Route, filling: Filling, carried: Carried
+        self,
+        exchange: Exchange,
+        order: Order,
+        route: Route,
+        filling: Filling,
+        carried: UpstreamAnswer,
     ) -> Step[None]:
         """A server's answer: kept where it may be, else passed on as it comes."""
         now = self.scheduler.now()
@@ -221,7 +226,12 @@
         yield from self.answer_copy(exchange, order, kept)
 
     def copy_from(
-        self, exchange: Exchange, order: Order, route: Route, filling: Filling, carried: Carried
+        self,
+        exchange: Exchange,
+        order: Order,
+        route: Route,
+        filling: Filling,
+        carried: UpstreamAnswer,
     ) -> Copy | None:
         """The copy that a server's answer makes: of a new object, or of one that is unchanged."""
         head = carried.head
--- a/packages/edge/ryelock/edge/member.py
+++ b/packages/edge/ryelock/edge/member.py
@@ -11,7 +11,7 @@
 
 from ryelock.edge.promises import Promise, are_enough, promise_of
 from ryelock.events import TERM_HELD, TERM_LAPSED, TERM_PROMISED, Log
-from ryelock.loop import Mailbox, Running, Scheduler, Step
+from ryelock.loop import Mailbox, Scheduler, Step, TaskHandle
 from ryelock.register import Register
 from ryelock.roster import Listing, Session, session_of
 from ryelock.roster.servers import servers_from
@@ -127,7 +127,7 @@
         self.failed_version: tuple[str, int] = ("", 0)
         self.grants: Grants = lambda _grants, _asked: None
         self.shares: Shares = lambda _shares, _until, _edges: None
-        self.running: Running | None = None
+        self.running: TaskHandle | None = None
 
     def start(self) -> None:
         self.running = self.scheduler.spawn("member", self.work(), urgent=True)
--- a/packages/edge/ryelock/edge/owner.py
+++ b/packages/edge/ryelock/edge/owner.py
@@ -41,7 +41,7 @@
 from ryelock.roster import Session
 
 if TYPE_CHECKING:
-    from ryelock.edge.way import Way
+    from ryelock.edge.handler import RequestHandler
 
 OPEN_SECONDS = 0.1
 LOOKUP_SECONDS = 0.25
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "exchange",
+        "handler",
         "keep",
         "known",
         "link",
@@ -97,12 +98,11 @@
         "route",
         "sent",
         "until",
-        "way",
     )
 
     def __init__(
         self,
-        way: "Way",
+        handler: "RequestHandler",
         peers: Peers,
         owner: Session,
         exchange: Exchange,
@@ -110,7 +110,7 @@
         route: Route,
         known: Copy | None,
     ) -> None:
-        self.way = way
+        self.handler = handler
         self.peers = peers
         self.owner = owner
         self.exchange = exchange
@@ -119,14 +119,14 @@
         self.known = known
         self.keep = False
         self.sent = 0.0
-        now = way.scheduler.now()
-        most = ANSWER_PART * max(0.0, way.deadline(exchange, route) - now)
+        now = handler.scheduler.now()
+        most = ANSWER_PART * max(0.0, handler.deadline(exchange, route) - now)
         if route.target_seconds:
             most = min(most, max(ANSWER_LEAST, TARGET_PART * route.target_seconds))
         self.until = now + most
         kept = peers.kept_link(owner.order)
-        self.link: Link = kept[0] if kept is not None else way.network.connect(owner.order)
-        self.reader = kept[1] if kept is not None else Reader(way.scheduler, self.link)
+        self.link: Link = kept[0] if kept is not None else handler.network.connect(owner.order)
+        self.reader = kept[1] if kept is not None else Reader(handler.scheduler, self.link)
 
     def run(self) -> Step[Copy | Relayed | None]:
         """What the owner gives; None where the order is to be fetched from a server here."""
@@ -154,19 +154,19 @@
         A fetch that the owner swallows may have reached a server, so the request that goes to
         another one then is a retry.
         """
-        gate = self.way.gates.get(self.order.service)
+        gate = self.handler.gates.get(self.order.service)
         return gate is not None and gate.budget.room >= self.peers.asked[self.owner.name]
 
     def look_up(self) -> Step[Reply | None]:
         """The owner's copy. Whatever comes of it, no server was sent anything."""
-        until = min(self.until, self.way.scheduler.now() + LOOKUP_SECONDS)
+        until = min(self.until, self.handler.scheduler.now() + LOOKUP_SECONDS)
         self.send(LOOKUP, until)
         return (yield from self.receive(until))
 
     def fetch(self) -> Step[Reply | None]:
         """The owner's copy, fetched by it; what it may have sent is charged to the order."""
         servers = max(1, self.order.servers_left - 1)
-        self.send(servers, self.way.deadline(self.exchange, self.route))
+        self.send(servers, self.handler.deadline(self.exchange, self.route))
         reply = yield from self.receive(self.until, patient=True)
         if reply is None:
             self.order.charge_owner(servers)
@@ -176,23 +176,23 @@
 
     def send(self, servers: int, until: float) -> None:
         """Ask under the caller's name, since servers repeat no other."""
-        way = self.way
+        handler = self.handler
         order = self.order
         head = self.exchange.head
-        dialect = way.dialect
+        dialect = handler.dialect
         dropped = {*CONDITIONS, b"expect", *OWN_FIELDS, dialect.deadline.lower()}
         fields: Fields = [
             (name, value) for name, value in end_to_end(head.fields) if name.lower() not in dropped
         ]
-        self.sent = way.scheduler.now()
+        self.sent = handler.scheduler.now()
         if dialect.identity and field(fields, dialect.identity.lower()) is None:
             fields.append((dialect.identity, order.identity.encode("latin-1")))
         if dialect.deadline:
             fields.append((dialect.deadline, b"%d" % max(1, int((until - self.sent) * 1000))))
         if self.known is not None and self.known.etag is not None:
             fields.append((b"If-None-Match", self.known.etag))
-        session = way.member.session
-        said = f"{session.name} {session.mark} {way.store.purged} {way.plan.version}"
+        session = handler.member.session
+        said = f"{session.name} {session.mark} {handler.store.purged} {handler.plan.version}"
         fields.append((PEER_FIELD, said.encode()))
         fields.append((SERVERS_FIELD, b"%d" % servers))
         send_order(self.link, b"GET", head.target, fields, b"")
@@ -203,16 +203,16 @@
         try:
             found = yield from self.read_head(until)
             if found.is_error() and patient and self.must_wait():
-                until = self.way.deadline(self.exchange, self.route)
+                until = self.handler.deadline(self.exchange, self.route)
                 found = yield from self.read_head(until)
             if found.is_error():
                 if self.peers.heard(self.owner) < self.sent:
                     self.peers.doubt(self.owner)
                 return None
             answer = found.ok
-            if not self.way.answers(self.order, answer.head):
+            if not self.handler.answers(self.order, answer.head):
                 return None
-            body, whole = yield from self.way.read_first(answer, until, True)
+            body, whole = yield from self.handler.read_first(answer, until, True)
         except (Cut, Late, FramingError):
             self.peers.doubt(self.owner)
             return None
@@ -220,11 +220,11 @@
         return self.read_reply(answer.head, body, whole)
 
     def read_head(self, until: float) -> Step[Result[Answer, CallError]]:
-        return (yield from read_answer(self.reader, b"GET", self.way.env.head_bytes, until))
+        return (yield from read_answer(self.reader, b"GET", self.handler.env.head_bytes, until))
 
     def must_wait(self) -> bool:
         """Whether no server may be sent the order from here, so that only the owner is left."""
-        gate = self.way.gates.get(self.order.service)
+        gate = self.handler.gates.get(self.order.service)
         return not self.link.ended and (
             self.order.servers_left <= 1 or gate is None or gate.budget.room < 1.0
         )
@@ -249,7 +249,7 @@
         return Refusal(head.status, servers)
 
     def read_copy(self, head: AnswerHead, body: bytes, age: float) -> Copy | None:
-        now = self.way.scheduler.now()
+        now = self.handler.scheduler.now()
         if head.status == 304 and self.known is not None:
             copy: Copy | None = refreshed(self.known, head, self.sent, now)
         else:
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -8,19 +8,19 @@
 
 from ryelock.allowance import is_narrow, reserve
 from ryelock.allowance.divide import GRANT_SECONDS
-from ryelock.desk import Desk
+from ryelock.control_api import ControlApi
 from ryelock.edge.gate import Gate
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.member import Member
 from ryelock.edge.plan import Plan
-from ryelock.edge.way import Way
 from ryelock.env import Env
 from ryelock.events import STARTED, STOPPED, STOPPING, Log
-from ryelock.exchange import Dialect, HttpDoor, Limits
-from ryelock.loop import Network, Running, Scheduler, Step
+from ryelock.exchange import Dialect, HttpServer, Limits
+from ryelock.loop import Network, Scheduler, Step, TaskHandle
 from ryelock.register import CallerLimits, Register, Watch
 from ryelock.roster import Listing, Session
 from ryelock.watch import Prober, Target
-from ryelock.wire import Door, Lines, Message, Reply
+from ryelock.wire import Lines, Message, MessageServer, Reply
 
 STAND_INS = 2
 LASTING = 1e18
@@ -30,16 +30,17 @@
     """An edge (with or without probing), a prober or a desk."""
 
     __slots__ = (
-        "desk",
-        "door",
+        "control_api",
         "env",
+        "handler",
         "lines",
+        "listener",
         "log",
         "member",
         "network",
-        "orders_door",
         "prober",
         "register",
+        "request_server",
         "role",
         "running",
         "scheduler",
@@ -47,7 +48,6 @@
         "stopping",
         "told",
         "told_epoch",
-        "way",
     )
 
     def __init__(
@@ -91,11 +91,11 @@
         )
         self.member.changed = self.on_change
         self.member.listing_news = self.on_listing
-        self.way: Way | None = None
-        self.orders_door: HttpDoor | None = None
-        self.door = Door(scheduler, network, log, env.wire_address, self.on_ask)
-        self.session.wire = self.door.address
-        self.desk = Desk(
+        self.handler: RequestHandler | None = None
+        self.request_server: HttpServer | None = None
+        self.listener = MessageServer(scheduler, network, log, env.wire_address, self.on_ask)
+        self.session.wire = self.listener.address
+        self.control_api = ControlApi(
             scheduler,
             network,
             log,
@@ -107,25 +107,27 @@
             self.fitness,
             self.explain if role == "edge" else None,
         )
-        self.session.control = self.desk.door.address
+        self.session.control = self.control_api.listener.address
         if role == "edge":
-            self.way = Way(env, scheduler, network, log, self.member, random, dialect or Dialect())
+            self.handler = RequestHandler(
+                env, scheduler, network, log, self.member, random, dialect or Dialect()
+            )
             self.member.demand = self.demand
             self.member.holding = self.holding
             self.member.promised_shares = self.promised_shares
             self.member.wanted = self.wanted
             self.member.shares = self.on_shares
             self.member.grants = self.on_grants
-            self.member.failures = self.way.failed.take_fresh
-            self.member.objects = self.way.lately_served
+            self.member.failures = self.handler.failed.take_fresh
+            self.member.objects = self.handler.lately_served
             self.member.hear_failed = self.on_failed
             limits = Limits(
                 env.head_bytes, env.body_bytes, env.links_most, env.idle_seconds, env.order_seconds
             )
-            self.orders_door = HttpDoor(
-                scheduler, network, log, env.order_address, limits, self.way.serve, bulk=True
+            self.request_server = HttpServer(
+                scheduler, network, log, env.order_address, limits, self.handler.serve, bulk=True
             )
-            self.session.order = self.orders_door.address
+            self.session.order = self.request_server.address
         self.prober: Prober | None = None
         self.told = 0
         self.told_epoch = -1
@@ -144,7 +146,7 @@
                 self.targets,
                 dialect,
             )
-        self.running: list[Running] = []
+        self.running: list[TaskHandle] = []
 
     def start(self) -> None:
         self.log.write(
@@ -176,13 +178,13 @@
 
     def on_change(self) -> None:
         """A new place in the register: plan, gates and copies follow at once."""
-        way = self.way
-        if way is None:
+        handler = self.handler
+        if handler is None:
             return
         configuration = self.register.configuration
-        if way.plan.version != self.register.version:
-            before = way.plan
-            way.plan = Plan(self.register.version, configuration)
+        if handler.plan.version != self.register.version:
+            before = handler.plan
+            handler.plan = Plan(self.register.version, configuration)
             known = dict(zip(before.route_names, before.routes, strict=True))
             moved = {
                 name
@@ -191,69 +193,69 @@
                 or (now.service, now.split, now.cached)
                 != (route.service, route.split, route.cached)
             }
-            for key in [key for key in way.store.copies if key[0] in moved]:
-                way.store.drop(key)
-            for key, fill in list(way.store.fills.items()):
+            for key in [key for key in handler.store.copies if key[0] in moved]:
+                handler.store.drop(key)
+            for key, fill in list(handler.store.fills.items()):
                 if key[0] in moved:
                     fill.spoiled = True
             self.limit(configuration.limits.get("callers"))
             for name, service in configuration.services.items():
-                gate = way.gates.get(name)
+                gate = handler.gates.get(name)
                 if gate is None:
-                    gate = way.gates[name] = Gate(self.scheduler, name, service)
+                    gate = handler.gates[name] = Gate(self.scheduler, name, service)
                 gate.resize(service, self.member.edges)
-            for name in [name for name in way.gates if name not in configuration.services]:
-                way.gates.pop(name).running.cancel()
-        way.store.take_purges(self.register.purges, self.register.purge_number)
+            for name in [name for name in handler.gates if name not in configuration.services]:
+                handler.gates.pop(name).running.cancel()
+        handler.store.take_purges(self.register.purges, self.register.purge_number)
 
     def limit(self, said: CallerLimits | None) -> None:
         """What callers may send, by the configuration or else by this process's settings."""
-        if self.orders_door is None:
+        if self.request_server is None:
             return
-        limits, env = self.orders_door.limits, self.env
+        limits, env = self.request_server.limits, self.env
         said = said or CallerLimits()
         limits.head_bytes = said.head_bytes or env.head_bytes
         limits.body_bytes = said.body_bytes or env.body_bytes
         limits.idle_seconds = said.idle_seconds or env.idle_seconds
 
     def on_listing(self, listing: Listing) -> None:
-        if self.way is not None:
-            self.way.servers.take(listing)
+        if self.handler is not None:
+            self.handler.servers.take(listing)
 
     def demand(self) -> dict[str, float]:
-        if self.way is None:
+        if self.handler is None:
             return {}
-        return {name: gate.measure() for name, gate in self.way.gates.items()}
+        return {name: gate.measure() for name, gate in self.handler.gates.items()}
 
     def holding(self) -> dict[str, float]:
-        if self.way is None:
+        if self.handler is None:
             return {}
         now = self.scheduler.now()
-        return {name: gate.bucket.holding(now) for name, gate in self.way.gates.items()}
+        return {name: gate.bucket.holding(now) for name, gate in self.handler.gates.items()}
 
     def promised_shares(self) -> dict[str, float]:
         """What this edge may spend while there is no leader: what it held, or the reserve."""
-        if self.way is None:
+        if self.handler is None:
             return {}
         edges = self.member.edges
         held = self.holding()
-        for name, gate in self.way.gates.items():
+        for name, gate in self.handler.gates.items():
             service = gate.service
             if gate.bucket.counted or is_narrow(service.rate, service.burst_seconds, edges):
                 held[name] = reserve(service.rate, service.burst_seconds, edges)
         return held
 
     def wanted(self) -> dict[str, int]:
-        if self.way is None:
+        if self.handler is None:
             return {}
-        return {name: gate.wanted() for name, gate in self.way.gates.items() if gate.wanted()}
+        return {name: gate.wanted() for name, gate in self.handler.gates.items() if gate.wanted()}
 
     def on_grants(self, grants: dict[str, tuple[int, float, float]], asked: float) -> None:
         """Whole orders of narrow services; good for a moment from before they were asked for."""
-        if self.way is None:
+        if self.handler is None:
             return
         for name, (granted, expected, found) in grants.items():
-            gate = self.way.gates.get(name)
+            gate = self.handler.gates.get(name)
             if gate is not None:
                 gate.bucket.grant(granted, expected, found, asked + GRANT_SECONDS)
                 if gate.waiting:
@@ -261,28 +263,28 @@
 
     def on_failed(self, callers: list[bytes]) -> None:
         """Failures that other edges told callers, who may come here next."""
-        if self.way is not None:
+        if self.handler is not None:
             for caller in callers:
-                self.way.failed.hear(caller, self.scheduler.now())
+                self.handler.failed.hear(caller, self.scheduler.now())
 
     def on_shares(self, shares: dict[str, float], until: float, edges: int) -> None:
-        if self.way is None:
+        if self.handler is None:
             return
         now = self.scheduler.now()
         if self.env.serve_lapsed:
             until = LASTING
         for name, share in shares.items():
-            gate = self.way.gates.get(name)
+            gate = self.handler.gates.get(name)
             if gate is not None:
                 gate.bucket.give(share, until, now)
-        for gate in self.way.gates.values():
+        for gate in self.handler.gates.values():
             gate.resize(gate.service, edges)
 
     def tend(self) -> Step[None]:
         """Keep what the session says of this node up to date."""
         while True:
-            if self.way is not None:
-                self.session.served = self.way.served
+            if self.handler is not None:
+                self.session.served = self.handler.served
             self.session.applied = self.register.index
             self.session.ready = self.ready
             yield from self.scheduler.pause(0.1)
@@ -437,17 +439,17 @@
 
     def explain(self, query: Message) -> Step[Message]:
         """What became of an order, or what would become of a method and URL now."""
-        way = self.way
-        if way is None:
+        handler = self.handler
+        if handler is None:
             return {"fault": "no orders come here"}
         identity = query.get("order")
         if isinstance(identity, str):
-            kept = way.orders.kept.get(identity)
+            kept = handler.orders.kept.get(identity)
             if kept is None:
                 return {"fault": f"order {identity} is not remembered here"}
             return kept.plain()
         method, target = str(query.get("method", "GET")), str(query.get("target", "/"))
-        return way.foresee(method, target, str(query.get("host", "")))
+        return handler.foresee(method, target, str(query.get("host", "")))
         yield
 
     # The end.
@@ -457,14 +459,14 @@
         self.stopping = True
         self.session.ready = False
         self.log.write(STOPPING)
-        if self.orders_door is not None:
+        if self.request_server is not None:
             linger = self.env.linger_seconds
             if not self.env.serve_lapsed:
                 linger = min(linger, self.env.stop_seconds / 4)
-            self.orders_door.leaving = True
+            self.request_server.leaving = True
             yield from self.scheduler.pause(linger)
-            self.orders_door.stop_taking()
-            yield from self.orders_door.finish(self.env.stop_seconds)
+            self.request_server.stop_taking()
+            yield from self.request_server.finish(self.env.stop_seconds)
         if self.prober is not None:
             self.prober.stop()
         yield from self.member.say_goodbye()
--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -4,7 +4,7 @@
 import math
 
 from ryelock.cache import Copy, answer_from
-from ryelock.edge.context import Carried, Failure
+from ryelock.edge.context import Failure, UpstreamAnswer
 from ryelock.edge.orders import Order
 from ryelock.edge.owner import (
     AGE_FIELD,
@@ -40,7 +40,7 @@
 
     __slots__ = ()
 
-    def relay(self, exchange: Exchange, order: Order, carried: Carried) -> Step[None]:
+    def relay(self, exchange: Exchange, order: Order, carried: UpstreamAnswer) -> Step[None]:
         """A server's answer to the caller, piece by piece; cut where it is cut."""
         head, answer = carried.head, carried.answer
         fields = end_to_end(head.fields)
@@ -95,7 +95,7 @@
                 exchange.cut()
                 carried.link.abort()
 
-    def free_link(self, carried: Carried) -> None:
+    def free_link(self, carried: UpstreamAnswer) -> None:
         if carried.answer.keep and carried.answer.body.over:
             self.servers.keep_link(
                 carried.server, carried.link, carried.reader, idle_of(carried.head)
--- a/packages/exchange/ryelock/exchange/__init__.py
+++ b/packages/exchange/ryelock/exchange/__init__.py
@@ -1,12 +1,11 @@
 """HTTP/1.1 on both sides, byte-exact and bounded.
 
 See heads.py for what circuits.web's parser is kept for and what it is not, reading.py for
-framing, door.py for the side that takes orders and caller.py for the side that sends them.
+framing, http_server.py for the side that takes orders and caller.py for the side that sends them.
 """
 
 from ryelock.exchange.caller import Answer, CallError, call, read_answer, send_order
 from ryelock.exchange.dialect import Dialect
-from ryelock.exchange.door import Exchange, HttpDoor, Limits
 from ryelock.exchange.heads import (
     AnswerHead,
     Fields,
@@ -21,6 +20,7 @@
     reason_of,
     tokens,
 )
+from ryelock.exchange.http_server import Exchange, HttpServer, Limits
 from ryelock.exchange.reading import Reader
 
 __all__ = [
@@ -31,7 +31,7 @@
     "Exchange",
     "Fields",
     "FramingError",
-    "HttpDoor",
+    "HttpServer",
     "Limits",
     "OrderHead",
     "Reader",
--- a/packages/exchange/ryelock/exchange/door.py
+++ b/packages/exchange/ryelock/exchange/http_server.py
@@ -22,7 +22,7 @@
     tokens,
 )
 from ryelock.exchange.reading import Body, Cut, Late, Reader
-from ryelock.loop import Link, Network, Running, Scheduler, Step
+from ryelock.loop import Link, Network, Scheduler, Step, TaskHandle
 
 UNSENT_MOST = 262_144
 IDLE_GRACE = 1.0
@@ -54,28 +54,34 @@
         "body",
         "chunked",
         "deadline",
-        "door",
         "finished",
         "head",
         "keep",
         "left_to_send",
         "link",
+        "listener",
         "reader",
         "started",
         "waits_to_send",
     )
 
     def __init__(
-        self, door: "HttpDoor", link: Link, reader: Reader, head: OrderHead, body: Body, keep: bool
+        self,
+        listener: "HttpServer",
+        link: Link,
+        reader: Reader,
+        head: OrderHead,
+        body: Body,
+        keep: bool,
     ) -> None:
-        self.door = door
+        self.listener = listener
         self.link = link
         self.reader = reader
         self.head = head
         self.body = body
         self.keep = keep
-        self.started = door.scheduler.now()
-        self.deadline = self.started + door.limits.order_seconds
+        self.started = listener.scheduler.now()
+        self.deadline = self.started + listener.limits.order_seconds
         self.begun = False
         self.finished = False
         self.chunked = False
@@ -91,7 +97,7 @@
         if self.waits_to_send and not self.body.over and not self.reader.buffer:
             self.link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.waits_to_send = False
-        return (yield from self.body.whole(self.door.limits.body_bytes, self.deadline))
+        return (yield from self.body.whole(self.listener.limits.body_bytes, self.deadline))
 
     def begin(
         self, status: int, reason: bytes, fields: Fields, length: int | None, dated: bool = True
@@ -105,7 +111,7 @@
         lines = [b"HTTP/1.1 %d %s" % (status, reason or reason_of(status))]
         lines += [name + b": " + value for name, value in fields]
         if dated and field(fields, b"date") is None:
-            lines.append(b"Date: " + http_date(self.door.scheduler.clock.wall()))
+            lines.append(b"Date: " + http_date(self.listener.scheduler.clock.wall()))
         if length is not None:
             self.left_to_send = length
             if not bare or (status == 304 and length):
@@ -118,7 +124,7 @@
                 self.keep = False
         if not self.body.over:
             self.keep = False
-        if self.door.closing or self.door.leaving:
+        if self.listener.closing or self.listener.leaving:
             self.keep = False
         if not self.keep:
             lines.append(b"Connection: close")
@@ -152,14 +158,14 @@
     def answer(self, status: int, fields: Fields, body: bytes) -> Step[None]:
         """A whole answer at once."""
         self.begin(status, b"", fields, len(body))
-        yield from self.send(body, self.door.limits.order_seconds)
+        yield from self.send(body, self.listener.limits.order_seconds)
         self.finish()
 
 
 Serve = Callable[[Exchange], Step[None]]
 
 
-class HttpDoor:
+class HttpServer:
     __slots__ = (
         "address",
         "bulk",
@@ -191,7 +197,7 @@
         self.log = log
         self.limits = limits
         self.serve = serve
-        self.links: dict[Link, Running] = {}
+        self.links: dict[Link, TaskHandle] = {}
         self.closing_links: list[Link] = []
         self.busy = 0
         self.closing = False
--- a/packages/loop/ryelock/loop/__init__.py
+++ b/packages/loop/ryelock/loop/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ryelock.loop.network import Greeting, Link, Network, NetworkError
-from ryelock.loop.tasks import Clock, Mailbox, Running, Scheduler, Step, Wait
+from ryelock.loop.tasks import Clock, Mailbox, Scheduler, Step, TaskHandle, Wait
 
 __all__ = [
     "Clock",
@@ -14,7 +14,7 @@
     "Mailbox",
     "Network",
     "NetworkError",
-    "Running",
+    "TaskHandle",
     "Scheduler",
     "Step",
     "Wait",
--- a/packages/loop/ryelock/loop/reactor.py
+++ b/packages/loop/ryelock/loop/reactor.py
@@ -186,7 +186,7 @@
         self.scheduler = Scheduler(MachineClock(), fault)
         self.signals: Mailbox[int] = Mailbox(self.scheduler)
         self.links: dict[socket.socket, SocketLink] = {}
-        self.doors: dict[socket.socket, Greeting] = {}
+        self.listeners: dict[socket.socket, Greeting] = {}
         self.poller = EPoll().register(self)
         self.pacer = (
             EgressPacer(self.scheduler, link_bytes_per_second) if link_bytes_per_second else None
@@ -195,28 +195,28 @@
     def listen(self, address: str, greeting: Greeting) -> str:
         """Listen on host:port; see Network."""
         host, port = split_address(address)
-        door = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            door.bind((host, port))
-            door.listen(1024)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host, port))
+            listener.listen(1024)
         except OSError as error:
-            door.close()
+            listener.close()
             raise NetworkError(f"cannot listen on {address}: {error.strerror}") from error
-        door.setblocking(False)
-        self.doors[door] = greeting
-        self.poller.addReader(self, door)
-        found = door.getsockname()
+        listener.setblocking(False)
+        self.listeners[listener] = greeting
+        self.poller.addReader(self, listener)
+        found = listener.getsockname()
         return f"{found[0]}:{found[1]}"
 
     def stop_listening(self, address: str) -> None:
         """Close the listener at an address; see Network."""
-        for door in list(self.doors):
-            found = door.getsockname()
+        for listener in list(self.listeners):
+            found = listener.getsockname()
             if f"{found[0]}:{found[1]}" == address:
-                self.poller.discard(door)
-                del self.doors[door]
-                door.close()
+                self.poller.discard(listener)
+                del self.listeners[listener]
+                listener.close()
 
     def connect(self, address: str) -> Link:
         """Start to connect; a connection that cannot be started is returned ended."""
@@ -236,11 +236,11 @@
         link.want_write(True)
         return link
 
-    def accept(self, door: socket.socket) -> None:
+    def accept(self, listener: socket.socket) -> None:
         """Accept waiting connections, at most 64 a turn."""
         for _ in range(64):
             try:
-                plain, peer = door.accept()
+                plain, peer = listener.accept()
             except OSError:
                 return
             plain.setblocking(False)
@@ -249,12 +249,12 @@
             link.opened = True
             self.links[plain] = link
             link.want_read(True)
-            self.doors[door](link)
+            self.listeners[listener](link)
 
     @handler("_read")  # type: ignore[untyped-decorator]
     def on_readable(self, plain: socket.socket) -> None:
         """Accept connections or receive bytes, as the poller tells."""
-        if plain in self.doors:
+        if plain in self.listeners:
             self.accept(plain)
             return
         link = self.links.get(plain)
@@ -305,7 +305,7 @@
         if more or not self.running:
             event.reduce_time_left(0)  # type: ignore[attr-defined]
             return
-        beat = self.scheduler.next_beat()
+        beat = self.scheduler.next_timer()
         if beat is not None:
             left = max(0.0, beat - self.scheduler.now())
             event.reduce_time_left(left)  # type: ignore[attr-defined]
--- a/packages/loop/ryelock/loop/tasks.py
+++ b/packages/loop/ryelock/loop/tasks.py
@@ -44,7 +44,7 @@
 Step = Generator[Wait, None, Item]
 
 
-class Running:
+class TaskHandle:
     """One task: its generator, and a ticket that makes old wakes stale."""
 
     __slots__ = ("generator", "mailbox", "name", "over", "queued", "ticket", "urgent")
@@ -79,7 +79,7 @@
         """Create an empty queue whose reader runs on this scheduler."""
         self.scheduler = scheduler
         self.items: deque[Item] = deque()
-        self.waiting: Running | None = None
+        self.waiting: TaskHandle | None = None
 
     def put(self, item: Item) -> None:
         """Append an item and wake the reader."""
@@ -110,32 +110,32 @@
 class Scheduler:
     """Runs the tasks of one process in a repeatable order."""
 
-    __slots__ = ("beats", "clock", "fault", "ready", "sequence", "urgent")
+    __slots__ = ("clock", "fault", "ready", "sequence", "timers", "urgent")
 
     def __init__(self, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
         """Create a scheduler; `fault` is called with the name and error of a failed task."""
         self.clock = clock
         self.fault = fault
-        self.ready: deque[Running] = deque()
-        self.urgent: deque[Running] = deque()
-        self.beats: list[tuple[float, int, Running, int]] = []
+        self.ready: deque[TaskHandle] = deque()
+        self.urgent: deque[TaskHandle] = deque()
+        self.timers: list[tuple[float, int, TaskHandle, int]] = []
         self.sequence = 0
 
     def now(self) -> float:
         """Return monotonic seconds."""
         return self.clock.now()
 
-    def spawn(self, name: str, generator: Step[None], urgent: bool = False) -> Running:
+    def spawn(self, name: str, generator: Step[None], urgent: bool = False) -> TaskHandle:
         """Start a task; the name stands in fault reports.
 
         An urgent task goes before all that are not: for the few whose delay under load would
         cost more than a request's, such as the renewal of a lease.
         """
-        running = Running(name, generator, urgent)
+        running = TaskHandle(name, generator, urgent)
         self.make_ready(running)
         return running
 
-    def make_ready(self, running: Running) -> None:
+    def make_ready(self, running: TaskHandle) -> None:
         """Queue a task to run, once; earlier timers of it become stale."""
         if not running.queued and not running.over:
             running.queued = True
@@ -158,7 +158,7 @@
 
         The bound in seconds lets the caller poll its connections while a crowd keeps tasks ready.
         """
-        self.ring()
+        self.fire_due_timers()
         until = self.now() + seconds
         while most > 0 and self.has_ready:
             most -= 1
@@ -170,18 +170,18 @@
                 break
         return self.has_ready
 
-    def ring(self) -> None:
+    def fire_due_timers(self) -> None:
         """Make the tasks ready whose timers are due."""
         now = self.now()
-        while self.beats and self.beats[0][0] <= now:
-            _, _, running, ticket = heapq.heappop(self.beats)
+        while self.timers and self.timers[0][0] <= now:
+            _, _, running, ticket = heapq.heappop(self.timers)
             if running.ticket == ticket and not running.over:
                 if running.mailbox is not None:
                     running.mailbox.waiting = None
                     running.mailbox = None
                 self.make_ready(running)
 
-    def resume(self, running: Running) -> None:
+    def resume(self, running: TaskHandle) -> None:
         """Run a task to its next wait and register what it waits for."""
         try:
             wait = next(running.generator)
@@ -203,13 +203,13 @@
             running.mailbox = wait.mailbox
         if wait.until is not None:
             self.sequence += 1
-            heapq.heappush(self.beats, (wait.until, self.sequence, running, running.ticket))
+            heapq.heappush(self.timers, (wait.until, self.sequence, running, running.ticket))
 
-    def next_beat(self) -> float | None:
+    def next_timer(self) -> float | None:
         """When the next beat rings; stale beats at the front are dropped."""
-        while self.beats:
-            when, _, running, ticket = self.beats[0]
+        while self.timers:
+            when, _, running, ticket = self.timers[0]
             if running.ticket == ticket and not running.over:
                 return when
-            heapq.heappop(self.beats)
+            heapq.heappop(self.timers)
         return None
--- a/packages/program/ryelock/program/running.py
+++ b/packages/program/ryelock/program/running.py
@@ -1,4 +1,4 @@
-"""Running one daemon or one operator's order on circuits."""
+"""Run one daemon or one operator's order on circuits."""
 
 import os
 import signal
--- a/packages/proving/ryelock/proving/answer_cases.py
+++ b/packages/proving/ryelock/proving/answer_cases.py
@@ -98,7 +98,7 @@
         self.certain = all(arrival.turned_away for arrival in arrivals[:-1])
         self.right = told.body == body_of(name, target.encode())
         self.injected = False
-        order = fleet.way().orders.kept.get(name)
+        order = fleet.handler().orders.kept.get(name)
         dispatches = order.dispatches if order is not None else []
         self.why = [str(record["fault"]) for record in dispatches if "fault" in record]
 
@@ -186,7 +186,7 @@
             name = f"{stem}-warm{turn}-{number}"
             fleet.outside.scheduler.spawn("warm", ignore(fleet, name))
         fleet.world.run(SETTLE_SECONDS)
-        if all(state.kept for state in fleet.way().servers.by_service[SERVICE]):
+        if all(state.kept for state in fleet.handler().servers.by_service[SERVICE]):
             return
     raise AssertionError(f"no connection is kept to some servers after {WARM_TURNS} turns")
 
@@ -307,7 +307,7 @@
     fleet.forget()
     fleet.world.run(10.0)
     for number in (0, 2):
-        fleet.way(number).gates[SERVICE].budget.room = 0.0
+        fleet.handler(number).gates[SERVICE].budget.room = 0.0
     fleet.world.freeze(fleet.edges[1], True)
     lost: list[str] = []
     for number in range(SILENT_ORDERS):
--- a/packages/proving/ryelock/proving/hollow.py
+++ b/packages/proving/ryelock/proving/hollow.py
@@ -17,7 +17,7 @@
 from ryelock.loop.reactor import Reactor
 from ryelock.proving.hollow_node import DEMAND, CountedLog, Counts, HollowHost, HollowNode
 from ryelock.proving.reactors import run_to_end
-from ryelock.wire import Door, Message, Reply
+from ryelock.wire import Message, MessageServer, Reply
 
 ROWS_SECONDS = 0.5
 
@@ -49,22 +49,22 @@
 
 
 class HollowProcess:
-    """Some hollow nodes on one scheduler, and the door where the runner asks about them."""
+    """Some hollow nodes on one scheduler, and the address where the runner asks about them."""
 
-    __slots__ = ("cadence", "counts", "door", "dropped", "host", "nodes", "places", "scheduler")
+    __slots__ = ("cadence", "counts", "dropped", "host", "listener", "nodes", "places", "scheduler")
 
     def __init__(self, settings: HollowSettings, scheduler: Scheduler, network: Network) -> None:
         """Create the process and listen for the runner; no node is started."""
         self.scheduler = scheduler
         self.counts = Counts()
         log = CountedLog("hollow", self.counts)
-        self.door = Door(scheduler, network, log, settings.wire_address, self.on_ask)
+        self.listener = MessageServer(scheduler, network, log, settings.wire_address, self.on_ask)
         self.host = HollowHost(
             scheduler,
             network,
             log,
             self.counts,
-            self.door.address,
+            self.listener.address,
             Random(),
             tuple(settings.seeds),
             settings.term_seconds,
@@ -209,7 +209,7 @@
 
     def work(reactor: Reactor) -> Step[None]:
         process = HollowProcess(settings, reactor.scheduler, reactor)
-        sys.stderr.write(f"hollow nodes wait at {process.door.address}\n")
+        sys.stderr.write(f"hollow nodes wait at {process.listener.address}\n")
         yield from reactor.signals.take()
 
     faults = run_to_end(work).faults
--- a/packages/proving/ryelock/proving/landlord.py
+++ b/packages/proving/ryelock/proving/landlord.py
@@ -15,7 +15,7 @@
 from urllib.parse import parse_qs
 
 from ryelock.events import Log
-from ryelock.exchange import Dialect, Exchange, Fields, HttpDoor, Limits, field
+from ryelock.exchange import Dialect, Exchange, Fields, HttpServer, Limits, field
 from ryelock.exchange.reading import Cut, Late
 from ryelock.loop import Link, Mailbox, Network, Scheduler, Step
 from ryelock.proving.standins import Objects, body_for
@@ -211,7 +211,7 @@
         self.status = 0
 
 
-class ServerDoor(HttpDoor):
+class StandInHttpServer(HttpServer):
     """Links above the most are reset, not answered."""
 
     __slots__ = ()
@@ -230,12 +230,12 @@
     __slots__ = (
         "address",
         "cold_until",
-        "door",
         "draining",
         "ended",
         "history",
         "identifier",
         "late",
+        "listener",
         "manner",
         "manners",
         "random",
@@ -281,7 +281,7 @@
         self.working = 0
         self.waiting: deque[Mailbox[bool]] = deque()
         self.late: dict[Link, bytes] = {}
-        self.door = ServerDoor(
+        self.listener = StandInHttpServer(
             scheduler,
             network,
             log,
@@ -298,8 +298,8 @@
     def close(self) -> None:
         """Gone at once: every link is reset where it is."""
         self.ended = True
-        self.door.stop_taking()
-        for link, running in list(self.door.links.items()):
+        self.listener.stop_taking()
+        for link, running in list(self.listener.links.items()):
             running.cancel()
             link.abort()
 
@@ -506,8 +506,8 @@
         "calls",
         "cut_pages",
         "declined",
-        "door",
         "lag",
+        "listener",
         "lives",
         "page_size",
         "rate",
@@ -555,8 +555,10 @@
         self.silent = False
         self.cut_pages: set[int] = set()
         self.raw: bytes | None = None
-        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000), self.serve)
-        self.address = self.door.address
+        self.listener = HttpServer(
+            scheduler, network, log, address, Limits(links_most=2000), self.serve
+        )
+        self.address = self.listener.address
 
     # What happens to servers; the list shows it later.
 
--- a/packages/proving/ryelock/proving/model/cluster.py
+++ b/packages/proving/ryelock/proving/model/cluster.py
@@ -175,7 +175,7 @@
             return False
         scheduler = self.scheduler
         if not scheduler.has_ready:
-            beat = scheduler.next_beat()
+            beat = scheduler.next_timer()
             if beat is None or beat > self.clock.now():
                 return False
         try:
@@ -188,7 +188,7 @@
         """When the process wants to run next, in the world's time."""
         if self.node is None or self.frozen or self.busy_until > self.world.time:
             return None
-        beat = self.scheduler.next_beat()
+        beat = self.scheduler.next_timer()
         return None if beat is None else self.clock.world_time(beat)
 
     # Life.
--- a/packages/proving/ryelock/proving/model/replay.py
+++ b/packages/proving/ryelock/proving/model/replay.py
@@ -1,4 +1,4 @@
-"""Running one written schedule alone."""
+"""Run one written schedule alone."""
 
 import sys
 from pathlib import Path
--- a/packages/proving/ryelock/proving/pieces.py
+++ b/packages/proving/ryelock/proving/pieces.py
@@ -107,7 +107,7 @@
         for number in range(nodes):
             node.roster.renew(session_of_node(number, zones))
         found = {**measure_renewals(node), **measure_roster(node)}
-        node.door.close()
+        node.listener.close()
         return found
 
 
--- a/packages/proving/ryelock/proving/scripted.py
+++ b/packages/proving/ryelock/proving/scripted.py
@@ -9,8 +9,8 @@
 
 from enum import Enum
 
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.process import TrafficNode
-from ryelock.edge.way import Way
 from ryelock.env import read_env
 from ryelock.exchange import (
     Dialect,
@@ -422,11 +422,11 @@
             raise AssertionError("edges are not ready")
         world.run(2.0)
 
-    def way(self, edge: int = 0) -> Way:
+    def handler(self, edge: int = 0) -> RequestHandler:
         """Return the request path of a running edge."""
-        way = self.world.nodes[self.edges[edge]].traffic.way
-        assert way is not None
-        return way
+        handler = self.world.nodes[self.edges[edge]].traffic.handler
+        assert handler is not None
+        return handler
 
     # Running.
 
@@ -448,12 +448,12 @@
     def forget(self) -> None:
         """Every edge as it was at first: no kept links, no servers set aside, repeats to spend."""
         for number in range(len(self.edges)):
-            way = self.way(number)
-            for state in way.servers.by_service.get(SERVICE, []):
-                way.servers.end_links(state)
+            handler = self.handler(number)
+            for state in handler.servers.by_service.get(SERVICE, []):
+                handler.servers.end_links(state)
                 state.failures, state.full_until, state.aside_for = 0, 0.0, 0.0
                 state.aside_until, state.trying, state.latency = 0.0, False, 0.0
-            budget = way.gates[SERVICE].budget
+            budget = handler.gates[SERVICE].budget
             budget.room = budget.allowance
         for server in self.servers:
             server.mute.clear()
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -19,7 +19,7 @@
 from ryelock.env import Env, read_env
 from ryelock.events import QuietLog
 from ryelock.journal import FolderError
-from ryelock.loop import Greeting, Link, NetworkError, Running, Scheduler, Step
+from ryelock.loop import Greeting, Link, NetworkError, Scheduler, Step, TaskHandle
 
 Found = TypeVar("Found")
 WALL_ZERO = 1_800_000_000.0
@@ -507,7 +507,7 @@
         times = [self.events[0][0]] if self.events else []
         for node in self.nodes.values():
             if node.alive and not node.frozen:
-                beat = node.scheduler.next_beat()
+                beat = node.scheduler.next_timer()
                 if beat is not None:
                     times.append(beat - node.clock.zero)
         if not times or min(times) > until:
@@ -538,7 +538,7 @@
         def whole() -> Step[None]:
             found.append((yield from work))
 
-        running: Running = node.scheduler.spawn("task", whole())
+        running: TaskHandle = node.scheduler.spawn("task", whole())
         if not self.run_until(lambda: running.over, seconds):
             raise AssertionError(f"a task did not end in {seconds} s at {self.time:.3f}")
         if not found:
--- a/packages/proving/ryelock/proving/standins.py
+++ b/packages/proving/ryelock/proving/standins.py
@@ -10,7 +10,7 @@
 import json
 
 from ryelock.events import Log
-from ryelock.exchange import Exchange, Fields, HttpDoor, Limits, field, http_date
+from ryelock.exchange import Exchange, Fields, HttpServer, Limits, field, http_date
 from ryelock.exchange.reading import Cut, Late
 from ryelock.loop import Network, Scheduler, Step
 
@@ -105,9 +105,9 @@
         "clock_error",
         "dated",
         "delay",
-        "door",
         "history",
         "lifetime",
+        "listener",
         "manner",
         "modified",
         "objects",
@@ -138,7 +138,7 @@
         self.tagged = True
         self.dated = True
         self.clock_error = 0.0
-        self.door = HttpDoor(
+        self.listener = HttpServer(
             scheduler,
             network,
             log,
@@ -146,12 +146,12 @@
             Limits(links_most=20_000, idle_seconds=60.0, order_seconds=60.0),
             self.serve,
         )
-        self.address = self.door.address
+        self.address = self.listener.address
 
     def close(self) -> None:
         """Gone at once: every link ends where it is."""
-        self.door.stop_taking()
-        for link, running in list(self.door.links.items()):
+        self.listener.stop_taking()
+        for link, running in list(self.listener.links.items()):
             running.cancel()
             link.abort()
 
@@ -240,7 +240,7 @@
 class PlatformStandIn:
     """Lists servers over HTTP, as docs/platform.md has it."""
 
-    __slots__ = ("address", "door", "scheduler", "servers", "shown_since", "silent")
+    __slots__ = ("address", "listener", "scheduler", "servers", "shown_since", "silent")
 
     def __init__(self, scheduler: Scheduler, network: Network, log: Log, address: str) -> None:
         """Start the list's listener at an address."""
@@ -248,8 +248,10 @@
         self.servers: dict[str, dict[str, object]] = {}
         self.shown_since: list[tuple[float, str, str, bool]] = []
         self.silent = False
-        self.door = HttpDoor(scheduler, network, log, address, Limits(links_most=2000), self.serve)
-        self.address = self.door.address
+        self.listener = HttpServer(
+            scheduler, network, log, address, Limits(links_most=2000), self.serve
+        )
+        self.address = self.listener.address
 
     def show(
         self, service: str, address: str, zone: str, incarnation: int, leaving: bool = False
--- a/packages/watch/ryelock/watch/prober.py
+++ b/packages/watch/ryelock/watch/prober.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from ryelock.exchange import Dialect
-from ryelock.loop import Mailbox, Network, Running, Scheduler, Step
+from ryelock.loop import Mailbox, Network, Scheduler, Step, TaskHandle
 from ryelock.register import Watch
 from ryelock.watch.probe import CROWDED, Dater, Probe, Row, watch_mark
 
@@ -125,7 +125,7 @@
         self.room: Mailbox[bool] = Mailbox(scheduler)
         self.sequence = 0
         self.turn = 0
-        self.tasks: list[Running] = []
+        self.tasks: list[TaskHandle] = []
 
     def start(self) -> None:
         """Start probing."""
--- a/packages/wire/ryelock/wire/__init__.py
+++ b/packages/wire/ryelock/wire/__init__.py
@@ -13,7 +13,7 @@
 from expression import Error, Ok, Result
 
 from ryelock.events import FRAME_DECLINED, Log
-from ryelock.loop import Link, Mailbox, Network, Running, Scheduler, Step
+from ryelock.loop import Link, Mailbox, Network, Scheduler, Step, TaskHandle
 
 PROTOCOL = "ryelock"
 VERSION = 1
@@ -110,7 +110,7 @@
 Answerer = Callable[[Message, Reply], None]
 
 
-class Door:
+class MessageServer:
     """The listening side: one task a link, each ask handed to the answerer."""
 
     __slots__ = ("address", "answerer", "links", "log", "network", "scheduler")
@@ -123,7 +123,7 @@
         self.network = network
         self.log = log
         self.answerer = answerer
-        self.links: dict[Link, Running] = {}
+        self.links: dict[Link, TaskHandle] = {}
         self.address = network.listen(address, self.greet)
 
     def greet(self, link: Link) -> None:
@@ -193,7 +193,7 @@
         self.log = log
         self.address = address
         self.link: Link | None = None
-        self.reader: Running | None = None
+        self.reader: TaskHandle | None = None
         self.sequence = 0
         self.heard = 0
         self.open_asks: dict[int, Mailbox[Message | None]] = {}
--- a/tests/premises.py
+++ b/tests/premises.py
@@ -332,7 +332,7 @@
                     node.scheduler,
                     node.network,
                     node.log,
-                    desk.desk,
+                    desk.control_api,
                     told,
                     told.text("listen_addresses.control"),
                 )
@@ -346,7 +346,7 @@
                     node.scheduler,
                     node.network,
                     node.log,
-                    core.desk,
+                    core.control_api,
                     told,
                     told.text("listen_addresses.control"),
                 )
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,10 +8,10 @@
 import testtools
 from answers_page import PAGE, played, with_tables
 
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.orders import Order
 from ryelock.edge.owner import OwnerAsk, Refusal
 from ryelock.edge.servers import Servers
-from ryelock.edge.way import Way
 from ryelock.proving.answer_cases import (
     RUNS_ONCE,
     Cell,
@@ -116,7 +116,7 @@
 
 
 def every_answer_is_mine() -> list[Patch]:
-    return [mock.patch.object(Way, "answers", lambda *_arguments: True)]
+    return [mock.patch.object(RequestHandler, "answers", lambda *_arguments: True)]
 
 
 def idle_bytes_are_read() -> list[Patch]:
@@ -131,14 +131,14 @@
 
 
 def sent_again_after_silence() -> list[Patch]:
-    plain = Way.find_route
+    plain = RequestHandler.find_route
 
-    def find_route(way: Way, order: Any) -> Any:
+    def find_route(way: RequestHandler, order: Any) -> Any:
         route = plain(way, order)
         order.klass = "repeatable"
         return route
 
-    return [mock.patch.object(Way, "find_route", find_route)]
+    return [mock.patch.object(RequestHandler, "find_route", find_route)]
 
 
 def owners_sends_are_not_counted() -> list[Patch]:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -217,8 +217,8 @@
     def test_a_platform_that_answers_byte_by_byte_is_given_up_on(self) -> None:
         scenario = Scenario(7)
         scenario.set_up()
-        scenario.platform.door.stop_taking()
-        for link in list(scenario.platform.door.links):
+        scenario.platform.listener.stop_taking()
+        for link in list(scenario.platform.listener.links):
             link.abort()
         self.speaks(scenario, scenario.platform.address, b"a", 0.2)
         scenario.world.run(4)
--- a/tests/test_checked.py
+++ b/tests/test_checked.py
@@ -34,7 +34,7 @@
     "verdict",
     "allowance",
     "cache",
-    "desk",
+    "control_api",
     "edge",
     "core",
     "operator",
@@ -349,7 +349,11 @@
                 self.assertIn(rest, CASES)
             elif kind == "final":
                 self.assertIn(rest, FINALS)
-            elif name not in ("simulate", "Way.serve", "python -m ryelock.proving finals"):
+            elif name not in (
+                "simulate",
+                "RequestHandler.serve",
+                "python -m ryelock.proving finals",
+            ):
                 self.assertTrue(name in ORDER or (ROOT / name).exists(), name)
 
 
--- a/tests/test_derived.py
+++ b/tests/test_derived.py
@@ -7,9 +7,9 @@
 
 import testtools
 
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.process import Probing, TrafficNode
 from ryelock.edge.servers import Servers
-from ryelock.edge.way import Way
 from ryelock.env import read_env
 from ryelock.events import WATCH_DERIVED, WATCH_ENDED
 from ryelock.exchange import Dialect, Exchange, Fields, field
@@ -176,7 +176,7 @@
             1, len({repr(node.inner.register.watches) for node in nodes if node.inner is not None})
         )
         for name in fleet.scenario.edges:
-            way = fleet.scenario.node(name).traffic.way
+            way = fleet.scenario.node(name).traffic.handler
             assert way is not None
             self.assertEqual([], way.lately_served())
         self.assertTrue(all(row.error == "" for _, row in fleet.rows()))
@@ -279,7 +279,9 @@
             with (
                 mock.patch.object(ServerStandIn, "serve", serve),
                 mock.patch.object(
-                    Way, "crowded", Way.crowded if tells else lambda *_arguments: False
+                    RequestHandler,
+                    "crowded",
+                    RequestHandler.crowded if tells else lambda *_arguments: False,
                 ),
             ):
                 fleet = Derived(8)
@@ -328,7 +330,7 @@
         target = fleet.register.derived["covers"].object
         fleet.scenario.world.run(8)
         self.assertNotEqual("stale", fleet.word("zone0"))
-        with mock.patch("ryelock.edge.way.may_use", never_ends):
+        with mock.patch("ryelock.edge.handler.may_use", never_ends):
             fleet.scenario.objects["pages"].change(target, fleet.scenario.world.time)
             self.assertTrue(fleet.until(lambda: fleet.word("zone0") == "stale", 30))
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,7 +9,7 @@
     AnswerHead,
     Exchange,
     FramingError,
-    HttpDoor,
+    HttpServer,
     Limits,
     OrderHead,
     Reader,
@@ -102,7 +102,7 @@
         self.server = self.world.add("server", "server", "10.0.0.1")
         self.client = self.world.add("client", "client", "10.0.0.2")
         self.taken: list[tuple[bytes, bytes]] = []
-        self.door = HttpDoor(
+        self.listener = HttpServer(
             self.server.scheduler,
             self.server.network,
             self.server.log,
@@ -163,7 +163,7 @@
         self.say(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc", seconds=0.5)
         self.world.run(10)
         self.assertEqual([], self.taken)
-        self.assertEqual({}, self.door.links)
+        self.assertEqual({}, self.listener.links)
 
     def test_an_order_that_takes_too_long_is_told(self) -> None:
         found = self.say(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc")
--- a/tests/test_finals.py
+++ b/tests/test_finals.py
@@ -8,8 +8,8 @@
 
 from ryelock.core.platform import PlatformReader
 from ryelock.core.process import ControlNode
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.process import TrafficNode
-from ryelock.edge.way import Way
 from ryelock.proving.finals import FINALS, order_once, run_final
 from ryelock.proving.scenario import Scenario
 from ryelock.roster import Listing
@@ -25,16 +25,16 @@
             self.assertIn("final", self.broken("listing-out-of-leaders-reach"))
 
     def test_an_edge_that_lost_its_term_must_not_say_ready(self) -> None:
-        plain = Way.decline
+        plain = RequestHandler.decline
 
-        def decline(way: Way, exchange: Any, order: Any, failure: Any) -> Any:
+        def decline(way: RequestHandler, exchange: Any, order: Any, failure: Any) -> Any:
             if failure.reason == "no term: cut off":
                 yield from way.scheduler.pause(20.0)
             yield from plain(way, exchange, order, failure)
 
         with (
             mock.patch.object(TrafficNode, "not_ready_for", property(lambda _node: "")),
-            mock.patch.object(Way, "decline", decline),
+            mock.patch.object(RequestHandler, "decline", decline),
         ):
             self.assertIn("final", self.broken("edge-cut-off"))
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -390,12 +390,12 @@
     def test_only_a_members_probe_is_one(self) -> None:
         scenario = standing(60)
         node = scenario.node(scenario.edges[0]).traffic
-        assert node.way is not None
+        assert node.handler is not None
         mark = scenario.node(scenario.probers[0]).traffic.session.mark
         name = scenario.probers[0].encode()
-        self.assertTrue(node.way.is_probe(name + b" " + mark.encode()))
+        self.assertTrue(node.handler.is_probe(name + b" " + mark.encode()))
         for said in (None, b"", b"x", name, name + b" ", name + b" 0123456789abcdef"):
-            self.assertFalse(node.way.is_probe(said))
+            self.assertFalse(node.handler.is_probe(said))
 
     def test_the_checker_finds_planted_downs(self) -> None:
         def rows(count: int, machines: int) -> list[Probed]:
--- a/tests/test_lapse.py
+++ b/tests/test_lapse.py
@@ -126,7 +126,7 @@
         back = scenario.world.run_until(
             lambda: all(
                 scenario.node(name).traffic.ready
-                and scenario.node(name).traffic.way is not None
+                and scenario.node(name).traffic.handler is not None
                 and scenario.node(name).traffic.holding().get("pages", 0.0) > 0
                 for name in scenario.edges
             ),
--- a/tests/test_owner_asks.py
+++ b/tests/test_owner_asks.py
@@ -27,7 +27,7 @@
 
 def kept_by(premises: Premises, asking: str, owner: str, number: int = 0) -> str:
     """An object that one edge keeps, as another edge finds it; each number names another."""
-    way = premises.node(asking).traffic.way
+    way = premises.node(asking).traffic.handler
     assert way is not None and way.peers is not None
     way.peers.follow(way.member.members)
     found = [
@@ -39,13 +39,13 @@
 
 
 def repeats_left(premises: Premises, edge: str) -> float:
-    way = premises.node(edge).traffic.way
+    way = premises.node(edge).traffic.handler
     assert way is not None
     return way.gates["pages"].budget.room
 
 
 def spend_all_repeats(premises: Premises, edge: str) -> None:
-    way = premises.node(edge).traffic.way
+    way = premises.node(edge).traffic.handler
     assert way is not None
     way.gates["pages"].budget.room = 0.0
 
@@ -217,7 +217,7 @@
     def test_an_owner_that_reached_one_server_in_vain_leaves_the_others(self) -> None:
         premises = one_zone(40, 3)
         asking, owner = premises.edges[0], premises.edges[1]
-        way = premises.node(owner).traffic.way
+        way = premises.node(owner).traffic.handler
         assert way is not None
         spend_all_repeats(premises, owner)
         lives = premises.of_service("pages")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,8 @@
 import testtools
 
 from ryelock.core.renewals import Renewals
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.peers import Peers, owner_of
-from ryelock.edge.way import Way
 from ryelock.exchange import call, field
 from ryelock.proving.checks import Findings
 from ryelock.proving.scenario import Scenario
@@ -18,7 +18,7 @@
 
 def owned_by(scenario: Scenario, asking: str, owner: str) -> str:
     """An object that one edge keeps, as another edge finds it."""
-    way = scenario.node(asking).traffic.way
+    way = scenario.node(asking).traffic.handler
     assert way is not None and way.peers is not None
     way.peers.follow(way.member.members)
     return next(
@@ -120,12 +120,12 @@
 
     def test_an_owner_behind_a_purge_is_not_believed(self) -> None:
         """Without the number of purges an edge takes back what it has just dropped."""
-        plain = Way.peer_of
+        plain = RequestHandler.peer_of
 
-        def believing(way: Way, said: bytes | None) -> tuple[bool, int, int]:
+        def believing(way: RequestHandler, said: bytes | None) -> tuple[bool, int, int]:
             return plain(way, said)[0], 0, 0
 
-        with mock.patch.object(Way, "peer_of", believing):
+        with mock.patch.object(RequestHandler, "peer_of", believing):
             found = [self.behind(seed) for seed in range(3)]
         self.assertTrue(all(found), "an owner that is behind gave an old copy")
         self.assertFalse(any(self.behind(seed) for seed in range(3)))
@@ -134,7 +134,7 @@
         """Whether an edge that knows a purge got the old object from an owner that does not."""
         scenario = shared(10 + seed, edges=2)
         scenario.world.spikes = 0.0
-        way = scenario.node(scenario.edges[0]).traffic.way
+        way = scenario.node(scenario.edges[0]).traffic.handler
         assert way is not None
         target = owned_by(scenario, scenario.edges[0], scenario.edges[1])
         self.assertEqual(200, fetch(scenario, scenario.edges[0], target)[0])
@@ -160,7 +160,7 @@
 class PeersTests(testtools.TestCase):
     def test_one_edge_alone_asks_nobody(self) -> None:
         scenario = shared(4, edges=1)
-        way = scenario.node(scenario.edges[0]).traffic.way
+        way = scenario.node(scenario.edges[0]).traffic.handler
         assert way is not None and isinstance(way.peers, Peers)
         way.peers.follow(way.member.members)
         self.assertIsNone(way.peers.owner(("", "/covers/1")))
--- a/tests/test_platform_listing.py
+++ b/tests/test_platform_listing.py
@@ -166,7 +166,7 @@
     """A fleet that follows the list."""
 
     def servers_known(self, premises: Premises, edge: str) -> dict[str, bool]:
-        way = premises.node(edge).traffic.way
+        way = premises.node(edge).traffic.handler
         assert way is not None
         return {
             state.server.incarnation: state.server.leaving
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -136,7 +136,7 @@
         for seed in range(8, 12):
             premises = one_server(seed)
             for life in premises.of_service("desks"):
-                life.door.limits.idle_seconds = 0.5
+                life.listener.limits.idle_seconds = 0.5
             for number in range(10):
                 note = self.post(premises, number, tries=4)
                 self.assertLessEqual(premises.runs(note), 1)
--- a/tests/test_platform_takeouts.py
+++ b/tests/test_platform_takeouts.py
@@ -8,9 +8,9 @@
 import testtools
 
 from premises import HOST, Premises
-from ryelock.allowance import Bucket, RepeatBudget
+from ryelock.allowance import RetryBudget, TokenBucket
 from ryelock.cache import Store
-from ryelock.edge.way import Way
+from ryelock.edge.handler import RequestHandler
 from ryelock.exchange import CallError
 from ryelock.proving.landlord import LOST, TWIN, UNSEALED, VAGUE, WHOLE
 from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE, over_budget, over_ceiling
@@ -105,32 +105,37 @@
     return error if error is None or isinstance(error, CallError) else None
 
 
-ROUTE_OF = Way.find_route
-UNFIT = Way.unfit
+ROUTE_OF = RequestHandler.find_route
+UNFIT = RequestHandler.unfit
 TAKEOUTS: dict[str, tuple[Run, Any, str, Any]] = {
     "answers_names": (
         broken_by(TWIN, SAFE, "GET", "/plain/"),
-        Way,
+        RequestHandler,
         "answers",
         lambda _self, _order, _head: True,
     ),
     "seals": (
         broken_by(UNSEALED, SAFE, "GET", "/plain/"),
-        Way,
+        RequestHandler,
         "sealed",
         lambda _self, _head: True,
     ),
     "lives": (handed_addresses, DIALECT, "expected", b"X-Nothing"),
-    "once": (broken_by(LOST, UNSAFE, "POST", "/orders/"), Way, "find_route", as_repeatable),
+    "once": (
+        broken_by(LOST, UNSAFE, "POST", "/orders/"),
+        RequestHandler,
+        "find_route",
+        as_repeatable,
+    ),
     "only_what_is_said_not_to_have_run": (
         broken_by(VAGUE, UNSAFE, "POST", "/orders/"),
-        Way,
+        RequestHandler,
         "unfit",
         any_503,
     ),
     "purges": (purged, Store, "take_purges", lambda _self, _purges, _number: None),
-    "budgets": (failing, RepeatBudget, "repeat", lambda _self: True),
-    "rates": (limited, Bucket, "allow", lambda _self, _now: True),
+    "budgets": (failing, RetryBudget, "repeat", lambda _self: True),
+    "rates": (limited, TokenBucket, "allow", lambda _self, _now: True),
 }
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,16 +8,16 @@
 import testtools
 from expression import Ok
 
-from ryelock.allowance import Divider, RepeatBudget
+from ryelock.allowance import Divider, RetryBudget
 from ryelock.cache import Store
 from ryelock.consensus import Consensus
 from ryelock.consensus.transfer import IncomingImage
 from ryelock.core.voters import VoterKeeper
+from ryelock.edge.handler import RequestHandler
 from ryelock.edge.member import Member
 from ryelock.edge.orders import Failed
 from ryelock.edge.servers import Servers
-from ryelock.edge.way import Way
-from ryelock.exchange.door import HttpDoor
+from ryelock.exchange.http_server import HttpServer
 from ryelock.exchange.reading import Body, Cut
 from ryelock.proving.cases import CASES
 from ryelock.proving.simulated import SimFolder
@@ -35,14 +35,14 @@
 
 
 def redispatched() -> list[Patch]:
-    plain = Way.find_route
+    plain = RequestHandler.find_route
 
-    def find_route(way: Way, order: Any) -> Any:
+    def find_route(way: RequestHandler, order: Any) -> Any:
         route = plain(way, order)
         order.klass = "repeatable"
         return route
 
-    return [mock.patch.object(Way, "find_route", find_route)]
+    return [mock.patch.object(RequestHandler, "find_route", find_route)]
 
 
 def cut_taken_for_whole() -> list[Patch]:
@@ -64,7 +64,7 @@
 
 def boundless_repeats() -> list[Patch]:
     return [
-        mock.patch.object(RepeatBudget, "repeat", always(True)),
+        mock.patch.object(RetryBudget, "repeat", always(True)),
         mock.patch("ryelock.allowance.divide.usable", lambda rate, _burst, _edges: rate),
     ]
 
@@ -96,7 +96,7 @@
 
 
 def no_lifetime() -> list[Patch]:
-    return [mock.patch("ryelock.edge.way.may_use", always(True))]
+    return [mock.patch("ryelock.edge.handler.may_use", always(True))]
 
 
 def no_sync() -> list[Patch]:
@@ -134,12 +134,12 @@
 
 
 def no_wait_for_answers() -> list[Patch]:
-    plain = HttpDoor.finish
+    plain = HttpServer.finish
 
-    def finish(door: HttpDoor, _seconds: float) -> Generator[Any, None, bool]:
+    def finish(door: HttpServer, _seconds: float) -> Generator[Any, None, bool]:
         return (yield from plain(door, 0.0))
 
-    return [mock.patch.object(HttpDoor, "finish", finish)]
+    return [mock.patch.object(HttpServer, "finish", finish)]
 
 
 def keys_known_to_nobody() -> list[Patch]:
@@ -163,7 +163,7 @@
 
 
 def keys_never_given_back() -> list[Patch]:
-    return [mock.patch.object(Way, "give_back", always(None))]
+    return [mock.patch.object(RequestHandler, "give_back", always(None))]
 
 
 def orders_granted_as_wanted() -> list[Patch]:
@@ -188,15 +188,15 @@
 
 
 def unsent_orders_earn_repeats() -> list[Patch]:
-    plain = Way.enter
+    plain = RequestHandler.enter
 
     def enter(
-        way: Way, exchange: Any, order: Any, route: Any, key: Any
+        way: RequestHandler, exchange: Any, order: Any, route: Any, key: Any
     ) -> Generator[Any, None, Any]:
         way.gates[order.service].budget.first()
         return (yield from plain(way, exchange, order, route, key))
 
-    return [mock.patch.object(Way, "enter", enter)]
+    return [mock.patch.object(RequestHandler, "enter", enter)]
 
 
 def no_spare_voter() -> list[Patch]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -89,9 +89,9 @@
 
 class AccountTests(testtools.TestCase):
     def test_bytes_between_two_sockets_are_counted_on_both(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as door:
-            near = socket.create_connection(door.getsockname())
-            far, _ = door.accept()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            near = socket.create_connection(listener.getsockname())
+            far, _ = listener.accept()
             with near, far:
                 before = Account(os.getpid(), read_traffic())
                 near.sendall(b"x" * 5000)
