A released member takes no further part in consensus; an older epoch releases nobody

The model judged a leaving node at the moment of its release only. Cause: the daemon stopped its consensus after the listeners, the model at once. Mending: the daemon stops it at once too, and a release counts only in the node's own epoch. Ruled out: having the release agreed as an entry (a round more for each stop, and the node's own silence does the same).

--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -340,21 +340,29 @@
         self.log.write(STOPPING)
         self.session.ready = False
         yield from self.hand_over_duties()
-        yield from self.leave_council(until)
+        yield from self.leave_consensus(until)
         self.control_api.listener.stop_taking()
         yield from self.control_api.listener.finish(
             max(FINISH_SECONDS, until - self.scheduler.now())
         )
-        self.consensus.stop()
         for running in self.running:
             running.cancel()
         self.log.write(STOPPED)
 
-    def leave_council(self, until: float) -> Step[None]:
+    def leave_consensus(self, until: float) -> Step[None]:
+        """Wait for the release, then take no part in consensus any more.
+
+        Open requests are answered for a while after that. A leader that was elected meanwhile
+        does not know of the release: an entry that it commits must not rest on this disk.
+        """
+        yield from self.wait_for_release(until)
+        self.consensus.stop()
+
+    def wait_for_release(self, until: float) -> Step[bool]:
         """Wait until no agreed entry rests on this disk, or no other node can take its place.
 
         A spare takes the voter's place where there is one; a node that only restarts comes back
-        as a spare. Without a leader that answers, the wait ends at `until`.
+        as a spare. Without a leader that answers, the wait ends at `until`, without a release.
         """
         self.consensus.leaving = True
         self.log.write(LEAVING, voter=self.consensus.disk in self.consensus.voters)
@@ -364,13 +372,22 @@
             if leader == "here":
                 successor = self.consensus.best_successor(self.keeper.voters.leaving)
                 if not successor:
-                    return
+                    return False
                 yield from self.consensus.hand_over(successor)
             elif leader:
                 found = yield from self.lines.ask(leader, message, LEAVE_ASK_SECONDS)
-                if found.is_ok() and found.ok.get("may_end") is True:
-                    return
+                if found.is_ok() and self.is_released(found.ok):
+                    return True
             yield from self.scheduler.pause(LEAVE_PAUSE_SECONDS)
+        return False
+
+    def is_released(self, answer: Message) -> bool:
+        """Whether an answer to `council.leave` releases this node.
+
+        One of an older epoch does not: this node may have stored entries for a newer leader.
+        """
+        epoch = answer.get("epoch", self.consensus.epoch)
+        return answer.get("may_end") is True and epoch == self.consensus.epoch
 
     def hand_over_duties(self) -> Step[None]:
         """The holder names its successor; the leader has it agreed."""
--- a/packages/core/ryelock/core/voters.py
+++ b/packages/core/ryelock/core/voters.py
@@ -150,7 +150,7 @@
         may_end = self.may_end(disk)
         if may_end:
             self.consensus.release(disk)
-        return {"ok": True, "may_end": may_end}
+        return {"ok": True, "may_end": may_end, "epoch": self.consensus.epoch}
 
     def may_end(self, disk: str) -> bool:
         """Whether nothing rests on a disk, or no spare could take its place anyway."""
--- a/packages/proving/ryelock/proving/model/adapter.py
+++ b/packages/proving/ryelock/proving/model/adapter.py
@@ -15,7 +15,7 @@
 from ryelock.consensus.entries import VOTERS, Entry, Stored, voters_of
 from ryelock.consensus.log import RETAINED_BYTES
 from ryelock.core.identity import open_disk, read_identity
-from ryelock.core.process import LEAVE_SECONDS_MOST, ControlNode
+from ryelock.core.process import FINISH_SECONDS, LEAVE_SECONDS_MOST, ControlNode
 from ryelock.core.voters import LEAVE, VoterKeeper
 from ryelock.edge.promises import Promise, are_enough, promise_of
 from ryelock.events import Event, Log
@@ -76,7 +76,7 @@
 
 
 class Observer(Protocol):
-    """Who is told what a node's state machine does."""
+    """Who is told what a node and its state machine do."""
 
     def applied(self, disk: str, index: int, data: bytes, state: object) -> None:
         """A word was applied."""
@@ -87,6 +87,12 @@
     def restored(self, disk: str, index: int, data: bytes) -> None:
         """An image was restored."""
 
+    def started(self, disk: str) -> None:
+        """A process runs on a disk."""
+
+    def release(self, disk: str) -> None:
+        """The process on a disk was told that it may end."""
+
 
 class RecordedRegister(Register):
     """The register, telling an observer all that happens to it."""
@@ -188,7 +194,7 @@
 class ProductNode:
     """One control node without its daemon: consensus, register and keeper on a disk."""
 
-    __slots__ = ("consensus", "lines", "register", "scheduler", "voter_keeper")
+    __slots__ = ("consensus", "lines", "observer", "register", "scheduler", "voter_keeper")
 
     def __init__(
         self,
@@ -211,6 +217,7 @@
             raise DiskUnusable(found.error.reason)
         disk, journal = found.ok
         self.scheduler = scheduler
+        self.observer = observer
         self.register = RecordedRegister(disk, observer)
         pace = Pace(
             beat=BEAT_SECONDS,
@@ -237,6 +244,7 @@
 
     def start(self) -> None:
         """Start the consensus group and the care for its voters."""
+        self.observer.started(self.disk)
         self.consensus.start()
         self.scheduler.spawn("voters", self.voter_keeper.work())
 
@@ -312,10 +320,10 @@
         yield from self.consensus.change_voters(voters)
 
     def leave(self) -> Step[None]:
-        """A planned stop, as the daemon leaves."""
+        """A planned stop, as the daemon leaves: open requests get a while before it ends."""
         until = self.scheduler.now() + LEAVE_SECONDS_MOST
-        yield from ControlNode.leave_council(cast(ControlNode, LeavingNode(self)), until)
-        self.consensus.stop()
+        yield from ControlNode.leave_consensus(cast(ControlNode, LeavingNode(self)), until)
+        yield from self.scheduler.pause(FINISH_SECONDS)
 
     def hand_over(self) -> Step[None]:
         """Hand leadership to the best successor."""
@@ -325,7 +333,7 @@
 
 
 class LeavingNode:
-    """What `ControlNode.leave_council` needs of its node."""
+    """What `ControlNode.leave_consensus` needs of its node."""
 
     def __init__(self, node: ProductNode) -> None:
         """Stand in for the daemon of a node."""
@@ -342,6 +350,17 @@
             return "here"
         return self.consensus.leader_address if self.consensus.knows_leader() else ""
 
+    def is_released(self, answer: Message) -> bool:
+        """Judge a leader's answer as the daemon does."""
+        return ControlNode.is_released(cast(ControlNode, self), answer)
+
+    def wait_for_release(self, until: float) -> Step[bool]:
+        """Wait as the daemon does; the history is told when the node may end."""
+        released = yield from ControlNode.wait_for_release(cast(ControlNode, self), until)
+        if released:
+            self.node.observer.release(self.consensus.disk)
+        return released
+
 
 class LeavingKeeper:
     """The keeper of a node that leaves."""
--- a/packages/proving/ryelock/proving/model/invariants.py
+++ b/packages/proving/ryelock/proving/model/invariants.py
@@ -50,6 +50,11 @@
         self.last = last
 
 
+def is_majority_of_any(disks: set[str], configurations: list[set[str]]) -> bool:
+    """Whether some disks are a majority of one of several sets of voters."""
+    return any(len(disks & voters) > len(voters) // 2 for voters in configurations)
+
+
 class History:
     """All observations of one schedule; raises Violation as soon as one breaks an invariant."""
 
@@ -71,6 +76,7 @@
         self.refused: set[bytes] = set()
         self.windows: list[PromiseWindow] = []
         self.disks: dict[str, DiskLog] = {}
+        self.released: set[str] = set()
         self.new_leaders: list[tuple[int, str]] = []
         self.found: Violation | None = None
 
@@ -212,21 +218,26 @@
             return
         self.acknowledged_epochs[index] = leader.epoch
         found = []
-        for _, voters in leader.configurations()[-2:]:
-            holding = [
-                voter
-                for voter in voters
-                if voter in self.disks and self.disks[voter].holds(index, data)
-            ]
-            if len(holding) > len(voters) // 2:
-                break
-            found.append(f"{sorted(holding)} of {sorted(voters)}")
-        else:
+        configurations = [set(voters) for _, voters in leader.configurations()[-2:]]
+        holding = {name for name, log in self.disks.items() if log.holds(index, data)}
+        found = [f"{sorted(holding & voters)} of {sorted(voters)}" for voters in configurations]
+        if not is_majority_of_any(holding, configurations):
             self.fail(DURABILITY, f"entry {index} acknowledged by {disk} on {found}")
+        elif not is_majority_of_any(holding - self.released, configurations):
+            left = sorted(holding & self.released)
+            self.fail(LEAVING, f"entry {index} acknowledged by {disk} rests on {left}: {found}")
         for epoch, later in self.leaders.items():
             if epoch > leader.epoch:
                 self.check_complete(epoch, later)
 
+    def release(self, disk: str) -> None:
+        """A node was told that it may end: nothing may come to rest on its disk from now on."""
+        self.released.add(disk)
+
+    def started(self, disk: str) -> None:
+        """A process runs on a disk, perhaps again after it had left."""
+        self.released.discard(disk)
+
     def check_left(self, disk: str) -> None:
         """A node was let go: what was acknowledged stands on a majority without its disk."""
         logs = [log for log in self.disks.values() if log.configurations()]
@@ -236,7 +247,7 @@
         configurations = [set(voters) for _, voters in newest.configurations()[-2:]]
         for index, data in self.acknowledged.items():
             holding = {log.disk for log in logs if log.disk != disk and log.holds(index, data)}
-            if not any(len(holding & voters) > len(voters) // 2 for voters in configurations):
+            if not is_majority_of_any(holding, configurations):
                 self.fail(LEAVING, f"{disk} left, entry {index} stands on {sorted(holding)}")
 
     # Disks.
--- a/tests/consensus_takeouts.py
+++ b/tests/consensus_takeouts.py
@@ -9,6 +9,7 @@
 from ryelock.consensus.entries import Image
 from ryelock.consensus.log import ReplicatedLog
 from ryelock.consensus.types import ConsensusError, Peer
+from ryelock.core.process import ControlNode
 from ryelock.core.voters import VoterKeeper
 from ryelock.journal import Journal, open_journal
 from ryelock.loop import Step
@@ -261,6 +262,15 @@
     return mock.patch.object(VoterKeeper, "may_end", lambda _keeper, _disk: True)
 
 
+def released_members_go_on() -> AbstractContextManager[object]:
+    """A member that was let go takes part until its process ends."""
+
+    def leave_consensus(node: ControlNode, until: float) -> Step[None]:
+        yield from node.wait_for_release(until)
+
+    return mock.patch.object(ControlNode, "leave_consensus", leave_consensus)
+
+
 TAKE_OUTS: dict[str, TakeOut] = {
     "vote not synced": lambda: unsynced("save_vote"),
     "entries not synced": lambda: unsynced("store"),
@@ -282,4 +292,5 @@
     "failed write refuses": failed_write_refuses,
     "few promises": few_promises,
     "leaves at once": leaves_at_once,
+    "released members go on": released_members_go_on,
 }
--- a/tests/test_consensus_model.py
+++ b/tests/test_consensus_model.py
@@ -44,6 +44,7 @@
     "half is enough": ("", 1),
     "image drops tail": ("a disk fails while entries come", 233),
     "leaves at once": ("a voter leaves and another is lost", 2),
+    "released members go on": ("a voter leaves and another is lost", 328),
     "older epochs counted": ("an old entry counted late", 469),
     "outcomes forgotten": ("", 6),
     "promises forgotten": ("promises and a restart", 1),
--- /dev/null
+++ b/tests/test_release.py
@@ -0,0 +1,61 @@
+"""A control node that was let go takes no further part in consensus before its process ends."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest import mock
+
+import testtools
+
+from ryelock.core.process import ControlNode
+from ryelock.loop import Step
+from ryelock.proving.loss_cases import LOSS_SETTINGS
+from ryelock.proving.scenario import Scenario
+from ryelock.wire import Message
+
+
+class ReleaseTests(testtools.TestCase):
+    def last_index_after_a_change(self) -> tuple[int, int]:
+        """Last log index of a released follower: when it was let go, and after a later change."""
+        scenario = Scenario(5, cores=3, edges=1, probers=0, settings=LOSS_SETTINGS)
+        scenario.set_up()
+        scenario.world.run(4)
+        leader = scenario.leader()
+        name = next(core for core in scenario.cores if core != leader)
+        node = scenario.node(name)
+        released: list[float] = []
+
+        def leave() -> Step[None]:
+            yield from node.core.leave_consensus(node.scheduler.now() + 3)
+            released.append(scenario.world.time)
+
+        node.scheduler.spawn("stop", leave())
+        self.assertTrue(scenario.world.run_until(lambda: bool(released), 3))
+        before = node.core.consensus.last_index
+        changed = scenario.world.task(scenario.operators, scenario.add_route("later", 1, leader), 5)
+        self.assertEqual(200, changed.status)
+        return before, node.core.consensus.last_index
+
+    def test_a_released_node_stores_no_further_entry(self) -> None:
+        before, after = self.last_index_after_a_change()
+        self.assertEqual(before, after)
+
+    def test_without_the_end_of_its_part_it_would(self) -> None:
+        def leave_consensus(node: ControlNode, until: float) -> Step[None]:
+            yield from node.wait_for_release(until)
+
+        with mock.patch.object(ControlNode, "leave_consensus", leave_consensus):
+            before, after = self.last_index_after_a_change()
+        self.assertGreater(after, before)
+
+    def test_a_release_by_an_older_leader_does_not_count(self) -> None:
+        """Between the answer and its arrival this node may have stored a newer leader's entries."""
+        node = cast(Any, SimpleNamespace(consensus=SimpleNamespace(epoch=7)))
+        cases: tuple[tuple[Message, bool], ...] = (
+            ({"may_end": True, "epoch": 7}, True),
+            ({"may_end": True, "epoch": 6}, False),
+            ({"may_end": False, "epoch": 7}, False),
+            ({"may_end": True}, True),
+            ({}, False),
+        )
+        for answer, wanted in cases:
+            self.assertEqual(wanted, ControlNode.is_released(node, answer), str(answer))
