--- a/packages/proving/ryelock/proving/model/cluster.py
+++ b/packages/proving/ryelock/proving/model/cluster.py
@@ -546,12 +546,12 @@
     def finish(self) -> None:
         """Heal, wait for a leader and for all to catch up, then read, change and send again."""
         self.heal()
-        self.world.run_until(self.all_left, LEAVE_SECONDS)
+        self.world.run_until_about(self.all_left, LEAVE_SECONDS)
         self.heal()
         self.check()
         if not self.majority_exists():
             return
-        if not self.world.run_until(self.caught_up, HEAL_SECONDS):
+        if not self.world.run_until_about(self.caught_up, HEAL_SECONDS):
             self.check()
             if not self.majority_exists():
                 return
@@ -621,7 +621,7 @@
         if operation is None:
             self.world.run(0.1)
             return False
-        return self.world.run_until(lambda: operation.ended > 0, seconds)
+        return self.world.run_until_about(lambda: operation.ended > 0, seconds)
 
     def standing(self) -> str:
         """What each process says of itself, for a finding."""
--- a/packages/proving/ryelock/proving/model/network.py
+++ b/packages/proving/ryelock/proving/model/network.py
@@ -4,12 +4,11 @@
 overtaken as the current `Weather` says; a cut drops what crosses it, in one direction.
 """
 
-import heapq
 from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
-Act = Callable[[], None]
+from ryelock.proving.simulated_time import Act, SimulatedTime
 
 
 class Weather:
@@ -55,26 +54,21 @@
         ...
 
 
-class World:
+class World(SimulatedTime):
     """The event queue, the cuts and the weather."""
 
-    __slots__ = ("cuts", "events", "processes", "random", "sequence", "time", "weather")
+    __slots__ = ("cuts", "processes", "random", "weather")
+
+    step_past_seconds = 1e-7
 
     def __init__(self, random: Random) -> None:
         """A world at time 0; losses and delays are drawn from `random`."""
+        super().__init__()
         self.random = random
-        self.time = 0.0
-        self.sequence = 0
-        self.events: list[tuple[float, int, Act]] = []
         self.processes: list[Process] = []
         self.cuts: set[tuple[str, str]] = set()
         self.weather = CALM
 
-    def at(self, when: float, act: Act) -> None:
-        """Run an act at a time."""
-        self.sequence += 1
-        heapq.heappush(self.events, (when, self.sequence, act))
-
     def send(self, source: str, target: str, leaves: float, act: Act) -> None:
         """Carry one message that leaves at a time: `act` is run once a copy arrives."""
         weather, random = self.weather, self.random
@@ -96,41 +90,22 @@
 
         return arrive
 
-    def step(self, until: float) -> bool:
-        """Run all that is due now, then move to the next moment; False at the end."""
+    def run_processes(self) -> None:
+        """Run all processes until none has anything to do now."""
         busy = True
         while busy:
             busy = False
             for process in self.processes:
                 busy = process.run() or busy
-        following = self.events[0][0] if self.events else until + 1.0
-        for process in self.processes:
-            wanted = process.next_time()
-            if wanted is not None and wanted < following:
-                following = wanted
-        if following > until:
-            self.time = max(self.time, until)
-            return False
-        self.time = max(self.time, following + 1e-7)
-        while self.events and self.events[0][0] <= self.time:
-            heapq.heappop(self.events)[2]()
-        return True
-
-    def run(self, seconds: float) -> None:
-        """Run for so many seconds."""
-        until = self.time + seconds
-        while self.step(until):
-            pass
 
-    def run_until_exactly(self, done: Callable[[], bool], seconds: float) -> bool:
-        """Run until `done`, looked at at every moment; False when the time is over."""
-        until = self.time + seconds
-        while not done():
-            if not self.step(until):
-                return done()
-        return True
+    def next_process_time(self) -> float | None:
+        """When the next process wants to run."""
+        times = [process.next_time() for process in self.processes]
+        return min((time for time in times if time is not None), default=None)
 
-    def run_until(self, done: Callable[[], bool], seconds: float, every: float = 0.05) -> bool:
+    def run_until_about(
+        self, done: Callable[[], bool], seconds: float, every: float = 0.05
+    ) -> bool:
         """Run until `done`, looked at every so many seconds; False when the time is over."""
         until = self.time + seconds
         while not done():
--- a/packages/proving/ryelock/proving/model/schedule.py
+++ b/packages/proving/ryelock/proving/model/schedule.py
@@ -473,7 +473,7 @@
     def election(self, *_: int) -> None:
         """Run until another leader stands, and stop at that moment."""
         before = self.cluster.leading()
-        self.cluster.world.run_until_exactly(
+        self.cluster.world.run_until(
             lambda: bool(self.cluster.leading() - before), ELECTION_SECONDS_MOST
         )
 
--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -8,7 +8,6 @@
 """
 
 import hashlib
-import heapq
 from collections.abc import Callable
 from random import Random
 from typing import TypeVar
@@ -20,6 +19,7 @@
 from ryelock.events import QuietLog
 from ryelock.journal import FolderError
 from ryelock.loop import Greeting, Link, NetworkError, Scheduler, Step, TaskHandle
+from ryelock.proving.simulated_time import SimulatedTime
 
 Found = TypeVar("Found")
 WALL_ZERO = 1_800_000_000.0
@@ -253,16 +253,14 @@
         return self.inner
 
 
-Act = Callable[[], None]
 Build = Callable[[], ControlNode | TrafficNode]
 
 
-class World:
+class World(SimulatedTime):
     """Time, the network between all nodes, and the points at which faults are fired."""
 
     __slots__ = (
         "cuts",
-        "events",
         "faults",
         "fire",
         "listeners",
@@ -272,19 +270,15 @@
         "random",
         "reset_drops_held_bytes",
         "seed",
-        "sequence",
         "spikes",
-        "time",
         "trace",
     )
 
     def __init__(self, seed: int) -> None:
+        super().__init__()
         self.seed = seed
         self.random = Random(f"world {seed}")
-        self.time = 0.0
-        self.sequence = 0
         self.ports = 0
-        self.events: list[tuple[float, int, Act]] = []
         self.nodes: dict[str, SimNode] = {}
         self.listeners: dict[str, tuple[SimNode, Greeting]] = {}
         self.cuts: set[tuple[str, str]] = set()
@@ -391,13 +385,6 @@
     def blocked(self, source: SimNode, target: SimNode) -> bool:
         return (source.machine, target.machine) in self.cuts
 
-    def at(self, when: float, act: Act) -> None:
-        self.sequence += 1
-        heapq.heappush(self.events, (when, self.sequence, act))
-
-    def later(self, seconds: float, act: Act) -> None:
-        self.at(self.time + seconds, act)
-
     def try_open(self, link: SimLink, address: str) -> None:
         """A link that is asked for stands after a round trip, is declined, or hangs."""
 
@@ -487,7 +474,7 @@
     def note(self, text: str) -> None:
         self.trace.update(f"{self.time:.6f} {text}\n".encode())
 
-    def run_nodes(self) -> None:
+    def run_processes(self) -> None:
         busy = True
         while busy:
             busy = False
@@ -501,35 +488,14 @@
                     continue
                 busy = busy or node.scheduler.has_ready
 
-    def step(self, until: float) -> bool:
-        """Run what is due, then move to the next moment; False at the end."""
-        self.run_nodes()
-        times = [self.events[0][0]] if self.events else []
+    def next_process_time(self) -> float | None:
+        times: list[float] = []
         for node in self.nodes.values():
             if node.alive and not node.frozen:
-                beat = node.scheduler.next_timer()
-                if beat is not None:
-                    times.append(beat - node.clock.zero)
-        if not times or min(times) > until:
-            self.time = max(self.time, until)
-            return False
-        following = min(times)
-        self.time = max(self.time, following + 1e-9)
-        while self.events and self.events[0][0] <= self.time:
-            heapq.heappop(self.events)[2]()
-        return True
-
-    def run(self, seconds: float) -> None:
-        until = self.time + seconds
-        while self.step(until):
-            pass
-
-    def run_until(self, done: Callable[[], bool], seconds: float) -> bool:
-        until = self.time + seconds
-        while not done():
-            if not self.step(until):
-                return done()
-        return True
+                timer = node.scheduler.next_timer()
+                if timer is not None:
+                    times.append(timer - node.clock.zero)
+        return min(times, default=None)
 
     def task(self, node: SimNode, work: Step[Found], seconds: float) -> Found:
         """Run one task on a node to its end."""
