--- a/packages/proving/ryelock/proving/landlord.py
+++ b/packages/proving/ryelock/proving/hosting_platform.py
@@ -498,7 +498,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-class Landlord:
+class HostingPlatform:
     """The platform's list: pages, a rate for all who call together, and a lag."""
 
     __slots__ = (
--- a/packages/proving/ryelock/proving/tenants.py
+++ b/packages/proving/ryelock/proving/platform_clients.py
@@ -14,7 +14,7 @@
 from ryelock.exchange.heads import FramingError
 from ryelock.exchange.reading import Cut, Late
 from ryelock.loop import Link, Network, Scheduler, Step
-from ryelock.proving.landlord import Arrival, ServiceStandIn, Words
+from ryelock.proving.hosting_platform import Arrival, ServiceStandIn, Words
 
 SAFE, UNSAFE, CACHEABLE = "safe", "unsafe", "cacheable"
 PROMISES = (408, 421, 429, 503)
--- a/tests/premises.py
+++ b/tests/deployment.py
@@ -19,15 +19,14 @@
 from ryelock.edge.process import TrafficNode  # noqa: E402
 from ryelock.exchange import Dialect, Fields  # noqa: E402
 from ryelock.loop import Step  # noqa: E402
-from ryelock.proving.landlord import (  # noqa: E402
+from ryelock.proving.hosting_platform import (  # noqa: E402
     Arrival,
-    Landlord,
+    HostingPlatform,
     ServerLife,
     ServiceStandIn,
     Words,
 )
-from ryelock.proving.simulated import SimNode, World  # noqa: E402
-from ryelock.proving.tenants import (  # noqa: E402
+from ryelock.proving.platform_clients import (  # noqa: E402
     CACHEABLE,
     SAFE,
     UNSAFE,
@@ -37,6 +36,7 @@
     OperatorCaller,
     broken,
 )
+from ryelock.proving.simulated import SimNode, World  # noqa: E402
 from servers import Instances  # noqa: E402
 from words import DIALECT  # noqa: E402
 
@@ -182,7 +182,7 @@
     }
 
 
-class Premises:
+class Deployment:
     """One deployment: machines by zone, cores on the first of each, servers, callers, operators."""
 
     __slots__ = (
@@ -196,13 +196,13 @@
         "first",
         "fronts",
         "history",
-        "landlord",
         "lines",
         "machines",
         "notes",
         "operator",
         "operator_node",
         "outside",
+        "platform",
         "platform_node",
         "rate_known",
         "seed",
@@ -240,7 +240,7 @@
         self.operator_node = self.world.add("operator", "operator", "10.9.0.2")
         self.platform_node = self.world.add("platform", "platform", "10.200.0.4")
         self.entrance_node = self.world.add("entrance", "entrance", "10.9.0.4")
-        self.landlord = Landlord(
+        self.platform = HostingPlatform(
             self.platform_node.scheduler,
             self.platform_node.network,
             self.platform_node.log,
@@ -309,7 +309,7 @@
             self.history,
         )
         self.servers[identifier] = life
-        self.landlord.show(life)
+        self.platform.show(life)
         return life
 
     def of_service(self, service: str) -> list[ServerLife]:
@@ -369,7 +369,7 @@
         self.world.kill(name, power)
         self.lines[name.rpartition(".")[0]]["first_start"] = "false"
 
-    def set_up(self) -> "Premises":
+    def set_up(self) -> "Deployment":
         """Everything started, the first configuration taken, and callers let in."""
         for name in self.cores + self.edges:
             self.start(name)
--- a/tests/test_owner_asks.py
+++ b/tests/test_owner_asks.py
@@ -5,29 +5,29 @@
 
 import testtools
 
-from premises import HOST, Premises, route
+from deployment import HOST, Deployment, route
 from ryelock.edge.peers import owner_of
 from ryelock.loop import Step
-from ryelock.proving.landlord import CUT, FAILING, FULL, HANGING, LOST, WRONG
-from ryelock.proving.tenants import CACHEABLE, Note, over_budget
+from ryelock.proving.hosting_platform import CUT, FAILING, FULL, HANGING, LOST, WRONG
+from ryelock.proving.platform_clients import CACHEABLE, Note, over_budget
 
 ONE_ZONE = {"a": "north"}
 MANNERS = (FAILING, LOST, WRONG, CUT, FULL)
 
 
-def one_zone(seed: int, limit: int = 3) -> Premises:
+def one_zone(seed: int, limit: int = 3) -> Deployment:
     """Three edges that share copies, four servers of each service, no spikes of delay."""
-    premises = Premises(seed, ONE_ZONE, edges=3, servers=4)
-    routes: Any = premises.configuration["routes"]
+    deployment = Deployment(seed, ONE_ZONE, edges=3, servers=4)
+    routes: Any = deployment.configuration["routes"]
     routes[1] = route("covers", "/covers/", CACHEABLE, attempt_limit=limit)
-    premises.set_up()
-    premises.world.spikes = 0.0
-    return premises
+    deployment.set_up()
+    deployment.world.spikes = 0.0
+    return deployment
 
 
-def kept_by(premises: Premises, asking: str, owner: str, number: int = 0) -> str:
+def kept_by(deployment: Deployment, asking: str, owner: str, number: int = 0) -> str:
     """An object that one edge keeps, as another edge finds it; each number names another."""
-    way = premises.node(asking).traffic.handler
+    way = deployment.node(asking).traffic.handler
     assert way is not None and way.peers is not None
     way.peers.follow(way.member.members)
     found = [
@@ -38,20 +38,20 @@
     return found[number]
 
 
-def repeats_left(premises: Premises, edge: str) -> float:
-    way = premises.node(edge).traffic.handler
+def repeats_left(deployment: Deployment, edge: str) -> float:
+    way = deployment.node(edge).traffic.handler
     assert way is not None
     return way.gates["pages"].budget.room
 
 
-def spend_all_repeats(premises: Premises, edge: str) -> None:
-    way = premises.node(edge).traffic.handler
+def spend_all_repeats(deployment: Deployment, edge: str) -> None:
+    way = deployment.node(edge).traffic.handler
     assert way is not None
     way.gates["pages"].budget.room = 0.0
 
 
-def get(premises: Premises, target: str, edge: str, **more: Any) -> Note:
-    return premises.ask(CACHEABLE, "GET", target, edge=edge, **more)
+def get(deployment: Deployment, target: str, edge: str, **more: Any) -> Note:
+    return deployment.ask(CACHEABLE, "GET", target, edge=edge, **more)
 
 
 def ask_one(client: Any, edge: str, target: str) -> Step[None]:
@@ -62,24 +62,24 @@
     """What the silence of an object's owner costs the edge that asked it."""
 
     def test_an_ask_that_a_frozen_owner_swallowed_is_no_repeat(self) -> None:
-        premises = one_zone(1)
-        asking, owner = premises.edges[0], premises.edges[1]
-        target = kept_by(premises, asking, owner)
-        premises.world.freeze(owner, True)
-        spend_all_repeats(premises, asking)
-        note = get(premises, target, asking, deadline=0.8)
+        deployment = one_zone(1)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        target = kept_by(deployment, asking, owner)
+        deployment.world.freeze(owner, True)
+        spend_all_repeats(deployment, asking)
+        note = get(deployment, target, asking, deadline=0.8)
         self.assertTrue(note.served, f"{note.status}")
-        self.assertEqual(1, len(premises.arrivals(note)))
-        premises.world.freeze(owner, False)
-        premises.world.run(2)
-        self.assertEqual(1, len(premises.arrivals(note)), "the owner sent it once it thawed")
+        self.assertEqual(1, len(deployment.arrivals(note)))
+        deployment.world.freeze(owner, False)
+        deployment.world.run(2)
+        self.assertEqual(1, len(deployment.arrivals(note)), "the owner sent it once it thawed")
 
     def test_a_frozen_owner_is_waited_for_a_bounded_time_and_then_passed_by(self) -> None:
-        premises = one_zone(2)
-        asking, owner = premises.edges[0], premises.edges[1]
-        premises.world.freeze(owner, True)
+        deployment = one_zone(2)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        deployment.world.freeze(owner, True)
         notes = [
-            get(premises, kept_by(premises, asking, owner, number), asking, deadline=0.8)
+            get(deployment, kept_by(deployment, asking, owner, number), asking, deadline=0.8)
             for number in range(6)
         ]
         self.assertTrue(all(note.served for note in notes))
@@ -88,140 +88,141 @@
 
     def test_an_owner_that_is_slow_is_waited_for_where_no_repeat_is_left(self) -> None:
         """Its fetch is under way at a server; from here nothing may be sent."""
-        premises = one_zone(3)
-        asking, owner = premises.edges[0], premises.edges[1]
-        premises.services["pages"].work_seconds = 0.4
-        spend_all_repeats(premises, asking)
-        note = get(premises, kept_by(premises, asking, owner), asking, deadline=1.0)
+        deployment = one_zone(3)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        deployment.services["pages"].work_seconds = 0.4
+        spend_all_repeats(deployment, asking)
+        note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=1.0)
         self.assertTrue(note.served, f"{note.status}")
-        self.assertEqual(1, len(premises.arrivals(note)))
+        self.assertEqual(1, len(deployment.arrivals(note)))
 
     def test_a_slow_fill_at_the_owner_is_not_fetched_by_every_edge_that_asked(self) -> None:
         """They wait for it; a fetch of their own would be a repeat, and none is left here."""
-        premises = one_zone(7)
-        asking, owner, other = premises.edges
-        premises.services["pages"].work_seconds = 0.4
-        target = kept_by(premises, asking, owner)
+        deployment = one_zone(7)
+        asking, owner, other = deployment.edges
+        deployment.services["pages"].work_seconds = 0.4
+        target = kept_by(deployment, asking, owner)
         for edge in (asking, other):
-            spend_all_repeats(premises, edge)
+            spend_all_repeats(deployment, edge)
         for number, edge in enumerate((owner, asking, other)):
-            client = premises.client(f"slow{number}")
-            premises.outside.scheduler.spawn(
+            client = deployment.client(f"slow{number}")
+            deployment.outside.scheduler.spawn(
                 "slow",
                 ask_one(client, edge, target),
             )
-            premises.world.run(0.01)
-        premises.world.run(2)
-        self.assertEqual([True] * 3, [note.served for note in premises.notes[-3:]])
-        sent = [len(premises.arrivals(note)) for note in premises.notes[-3:]]
+            deployment.world.run(0.01)
+        deployment.world.run(2)
+        self.assertEqual([True] * 3, [note.served for note in deployment.notes[-3:]])
+        sent = [len(deployment.arrivals(note)) for note in deployment.notes[-3:]]
         self.assertEqual([0, 0, 1], sorted(sent))
 
     def test_a_fetch_that_an_owner_swallowed_is_charged_as_a_repeat(self) -> None:
-        premises = one_zone(4)
-        asking, owner = premises.edges[0], premises.edges[1]
-        for life in premises.of_service("pages"):
+        deployment = one_zone(4)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        for life in deployment.of_service("pages"):
             life.manner = HANGING
         for number in range(10):
-            get(premises, f"/covers/{300 + number}", premises.edges[2], deadline=0.05)
-        before = repeats_left(premises, asking)
+            get(deployment, f"/covers/{300 + number}", deployment.edges[2], deadline=0.05)
+        before = repeats_left(deployment, asking)
         self.assertGreaterEqual(before, 1.0)
-        note = get(premises, kept_by(premises, asking, owner), asking, deadline=0.8)
+        note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.8)
         self.assertFalse(note.served)
         self.assertNotIn(note.status, (408, 421, 429, 503))
-        self.assertEqual(2, len(premises.arrivals(note)))
-        self.assertAlmostEqual(before - 1.0, repeats_left(premises, asking))
+        self.assertEqual(2, len(deployment.arrivals(note)))
+        self.assertAlmostEqual(before - 1.0, repeats_left(deployment, asking))
 
     def test_where_the_owner_may_have_sent_it_and_nothing_is_left_it_is_told_when_to_come(
         self,
     ) -> None:
         """503 promises nothing of a repeatable request, which may well have run."""
-        premises = one_zone(6)
-        asking, owner = premises.edges[0], premises.edges[1]
-        for life in premises.of_service("pages"):
+        deployment = one_zone(6)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        for life in deployment.of_service("pages"):
             life.manner = LOST
-        spend_all_repeats(premises, asking)
-        note = get(premises, kept_by(premises, asking, owner), asking, deadline=0.8)
-        self.assertGreater(premises.runs(note), 0)
+        spend_all_repeats(deployment, asking)
+        note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.8)
+        self.assertGreater(deployment.runs(note), 0)
         self.assertEqual(503, note.status)
         self.assertIn(b"retry-after", {name.lower() for name, _ in note.fields})
 
     def test_frozen_owners_take_no_repeats_from_a_crowd(self) -> None:
-        premises = one_zone(5)
-        premises.crowd(12, 10.0, lambda number: (CACHEABLE, "GET", f"/covers/{number % 4000}"))
-        premises.world.run(2)
-        premises.world.freeze(premises.edges[1], True)
-        premises.world.run(1.5)
-        premises.world.freeze(premises.edges[1], False)
-        premises.world.run(3)
-        premises.callers_on = False
-        premises.world.run(2)
+        deployment = one_zone(5)
+        deployment.crowd(12, 10.0, lambda number: (CACHEABLE, "GET", f"/covers/{number % 4000}"))
+        deployment.world.run(2)
+        deployment.world.freeze(deployment.edges[1], True)
+        deployment.world.run(1.5)
+        deployment.world.freeze(deployment.edges[1], False)
+        deployment.world.run(3)
+        deployment.callers_on = False
+        deployment.world.run(2)
         self.assertEqual(
-            [], over_budget(premises.notes, premises.history, "pages", premises.allowed, 0.2, 8)
+            [],
+            over_budget(deployment.notes, deployment.history, "pages", deployment.allowed, 0.2, 8),
         )
-        asked = [note for note in premises.notes if note.edge != premises.edges[1]]
+        asked = [note for note in deployment.notes if note.edge != deployment.edges[1]]
         self.assertGreater(len(asked), 300)
         refused = [note for note in asked if note.whole and not note.served]
         self.assertEqual([], [(note.at, note.status) for note in refused])
-        self.assertEqual([], premises.broken())
+        self.assertEqual([], deployment.broken())
 
 
 class ServersReachedTests(testtools.TestCase):
     """One try reaches no more servers than its route's limit, however many edges handle it."""
 
-    def reached(self, premises: Premises, note: Note) -> int:
-        return len(premises.arrivals(note))
+    def reached(self, deployment: Deployment, note: Note) -> int:
+        return len(deployment.arrivals(note))
 
     def test_over_an_ask_to_the_owner(self) -> None:
         for limit in (1, 2, 3):
             for manner in MANNERS:
-                premises = one_zone(10 + limit, limit)
-                for life in premises.of_service("pages"):
+                deployment = one_zone(10 + limit, limit)
+                for life in deployment.of_service("pages"):
                     life.manner = manner
-                for edge in premises.edges:
+                for edge in deployment.edges:
                     for number in range(6):
-                        note = get(premises, f"/covers/{number}", edge, deadline=0.9)
+                        note = get(deployment, f"/covers/{number}", edge, deadline=0.9)
                         self.assertFalse(note.served)
                         self.assertLessEqual(
-                            self.reached(premises, note), limit, f"{manner}, limit {limit}"
+                            self.reached(deployment, note), limit, f"{manner}, limit {limit}"
                         )
-                self.assertEqual([], premises.broken())
+                self.assertEqual([], deployment.broken())
 
     def test_over_an_owner_that_falls_silent_within_its_fetch(self) -> None:
         for limit in (1, 2, 3):
-            premises = one_zone(20 + limit, limit)
-            asking, owner = premises.edges[0], premises.edges[1]
-            for life in premises.of_service("pages"):
+            deployment = one_zone(20 + limit, limit)
+            asking, owner = deployment.edges[0], deployment.edges[1]
+            for life in deployment.of_service("pages"):
                 life.manner = HANGING
-            note = get(premises, kept_by(premises, asking, owner), asking, deadline=0.9)
-            premises.world.run(3)
+            note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.9)
+            deployment.world.run(3)
             self.assertFalse(note.served)
-            self.assertTrue(1 <= self.reached(premises, note) <= limit, f"limit {limit}")
+            self.assertTrue(1 <= self.reached(deployment, note) <= limit, f"limit {limit}")
 
     def test_over_several_fills_and_joined_waiters(self) -> None:
         for limit in (1, 2, 3):
-            premises = one_zone(30 + limit, limit)
-            premises.services["pages"].work_seconds = 0.05
-            for life in premises.of_service("pages"):
+            deployment = one_zone(30 + limit, limit)
+            deployment.services["pages"].work_seconds = 0.05
+            for life in deployment.of_service("pages"):
                 life.manner = FAILING
-            clients = [premises.client(f"joined{number}") for number in range(12)]
+            clients = [deployment.client(f"joined{number}") for number in range(12)]
             for number, client in enumerate(clients):
-                premises.outside.scheduler.spawn(
-                    "joined", ask_one(client, premises.edges[number % 3], "/covers/7")
+                deployment.outside.scheduler.spawn(
+                    "joined", ask_one(client, deployment.edges[number % 3], "/covers/7")
                 )
-            premises.world.run(3)
-            self.assertEqual(12, len(premises.notes))
-            for note in premises.notes:
-                self.assertLessEqual(self.reached(premises, note), limit, f"limit {limit}")
-            self.assertEqual([], premises.broken())
+            deployment.world.run(3)
+            self.assertEqual(12, len(deployment.notes))
+            for note in deployment.notes:
+                self.assertLessEqual(self.reached(deployment, note), limit, f"limit {limit}")
+            self.assertEqual([], deployment.broken())
 
     def test_an_owner_that_reached_one_server_in_vain_leaves_the_others(self) -> None:
-        premises = one_zone(40, 3)
-        asking, owner = premises.edges[0], premises.edges[1]
-        way = premises.node(owner).traffic.handler
+        deployment = one_zone(40, 3)
+        asking, owner = deployment.edges[0], deployment.edges[1]
+        way = deployment.node(owner).traffic.handler
         assert way is not None
-        spend_all_repeats(premises, owner)
-        lives = premises.of_service("pages")
+        spend_all_repeats(deployment, owner)
+        lives = deployment.of_service("pages")
         for life in lives:
             life.manners.append(LOST)
-        note = get(premises, kept_by(premises, asking, owner), asking, deadline=0.9)
-        self.assertEqual(2, len(premises.arrivals(note)))
+        note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.9)
+        self.assertEqual(2, len(deployment.arrivals(note)))
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -11,9 +11,9 @@
 
 import testtools
 
-from premises import HOST, LIMITS, Premises, first_configuration, route, service_item
+from deployment import HOST, LIMITS, Deployment, first_configuration, route, service_item
 from ryelock.loop import Step
-from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE
+from ryelock.proving.platform_clients import CACHEABLE, SAFE, UNSAFE
 
 
 def whole(version: Any, **more: Any) -> dict[str, Any]:
@@ -102,22 +102,24 @@
 class ConfigurationTests(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.premises = Premises(11, edges=1).set_up()
+        self.deployment = Deployment(11, edges=1).set_up()
 
     def assert_read(self, expected: object) -> None:
         """What is read is what was sent: the same numbers, in the same order, written alike."""
-        self.assertEqual(json.dumps(expected, indent=1), json.dumps(self.premises.read(), indent=1))
+        self.assertEqual(
+            json.dumps(expected, indent=1), json.dumps(self.deployment.read(), indent=1)
+        )
 
     def served(self, target: str, kind: str = SAFE) -> int:
-        return self.premises.ask(kind, "GET", target).status
+        return self.deployment.ask(kind, "GET", target).status
 
     def test_the_first_configuration_is_read_back_as_sent_from_every_node(self) -> None:
-        sent = self.premises.configuration
-        nodes = list(self.premises.operator.nodes)
+        sent = self.deployment.configuration
+        nodes = list(self.deployment.operator.nodes)
         self.assertEqual(3, len(nodes))
         for node in nodes:
-            self.premises.operator.nodes = [node]
-            found = self.premises.read()
+            self.deployment.operator.nodes = [node]
+            found = self.deployment.read()
             self.assertEqual(sent, found)
 
     def test_numbers_orders_and_unknown_fields_come_back_as_sent(self) -> None:
@@ -143,16 +145,16 @@
             ],
             "version": "r1000007",
         }
-        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
-        found = self.premises.read()
+        self.assertEqual(200, self.deployment.replace(sent, "r5")[0])
+        found = self.deployment.read()
         self.assertEqual(sent, found)
         for part in ("routes", "services", "limits", "later"):
             self.assertEqual(json.dumps(sent[part]), json.dumps(found[part]), part)
 
     def test_whole_and_broken_numbers_are_told_apart_when_read(self) -> None:
         sent = with_route("r6", timeout_ms=800, target_ms=100.0)
-        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
-        found: Any = self.premises.read()
+        self.assertEqual(200, self.deployment.replace(sent, "r5")[0])
+        found: Any = self.deployment.read()
         self.assertEqual(
             "[800, 100.0]",
             json.dumps([found["routes"][0]["timeout_ms"], found["routes"][0]["target_ms"]]),
@@ -163,7 +165,7 @@
         changed = route("plain", "/plain/", CACHEABLE, "desks", cache_lifetime_s=3)
         self.assertEqual(
             200,
-            self.premises.amend(
+            self.deployment.amend(
                 {
                     "version": "r40",
                     "upsert": {
@@ -175,10 +177,10 @@
                 "r5",
             )[0],
         )
-        found: Any = self.premises.read()
+        found: Any = self.deployment.read()
         self.assertEqual("r40", found["version"])
         self.assertEqual(LIMITS, found["limits"])
-        before: Any = self.premises.configuration
+        before: Any = self.deployment.configuration
         kept = {item["name"]: item for item in before["routes"]}
         expected = {"plain": changed, "orders": kept["orders"], "new": added}
         self.assertEqual(expected, {item["name"]: item for item in found["routes"]})
@@ -189,92 +191,96 @@
     def test_a_removed_route_and_its_service_go_in_one_amendment(self) -> None:
         self.assertEqual(
             200,
-            self.premises.amend(
+            self.deployment.amend(
                 {"version": "r6", "remove": {"routes": ["orders"], "services": ["desks"]}}, "r5"
             )[0],
         )
-        self.premises.world.run(1)
-        self.assertEqual(404, self.premises.ask(UNSAFE, "POST", "/orders/1").status)
+        self.deployment.world.run(1)
+        self.assertEqual(404, self.deployment.ask(UNSAFE, "POST", "/orders/1").status)
         self.assertEqual(200, self.served("/plain/1"))
 
     def test_an_amendment_that_leaves_a_route_without_service_is_invalid(self) -> None:
-        status, _ = self.premises.amend({"version": "r6", "remove": {"services": ["pages"]}}, "r5")
+        status, _ = self.deployment.amend(
+            {"version": "r6", "remove": {"services": ["pages"]}}, "r5"
+        )
         self.assertEqual(400, status)
-        self.assert_read(self.premises.configuration)
+        self.assert_read(self.deployment.configuration)
 
     def test_an_amendment_of_limits_is_read_back(self) -> None:
         limits = {**LIMITS, "idle_timeout_ms": 9000, "later": 1}
         self.assertEqual(
-            200, self.premises.amend({"version": "r6", "upsert": {"limits": limits}}, "r5")[0]
+            200, self.deployment.amend({"version": "r6", "upsert": {"limits": limits}}, "r5")[0]
         )
-        self.assertEqual(limits, self.premises.read()["limits"])
+        self.assertEqual(limits, self.deployment.read()["limits"])
 
     def test_versions_rise_with_gaps(self) -> None:
         base = "r5"
         for version in ("r6", "r9", "r1000", "r1000000000001"):
-            self.assertEqual(200, self.premises.replace(whole(version), base)[0], version)
-            self.assertEqual(version, self.premises.read()["version"])
+            self.assertEqual(200, self.deployment.replace(whole(version), base)[0], version)
+            self.assertEqual(version, self.deployment.read()["version"])
             base = version
 
     def test_another_base_is_told_412_and_moves_nothing(self) -> None:
         for base in ("0", "r0", "r4", "r6", "r100"):
-            status, _ = self.premises.replace(whole("r200", later=base), base)
+            status, _ = self.deployment.replace(whole("r200", later=base), base)
             self.assertEqual(412, status, base)
-            status, _ = self.premises.amend(
+            status, _ = self.deployment.amend(
                 {"version": "r201", "remove": {"routes": ["plain"]}}, base
             )
             self.assertEqual(412, status, base)
-        self.assert_read(self.premises.configuration)
+        self.assert_read(self.deployment.configuration)
 
     def test_the_same_bytes_again_are_told_200_from_any_node_also_later(self) -> None:
         first, second = whole("r7"), {"version": "r9", "remove": {"routes": ["covers"]}}
-        self.assertEqual(200, self.premises.replace(first, "r5")[0])
-        for node in self.premises.operator.nodes:
+        self.assertEqual(200, self.deployment.replace(first, "r5")[0])
+        for node in self.deployment.operator.nodes:
             body = json.dumps(first).encode()
             fields = [(b"Based-On-Version", b"r5")]
-            found = self.premises.world.task(
-                self.premises.operator_node,
-                self.premises.operator.once(node, b"POST", b"/configuration/replace", fields, body),
+            found = self.deployment.world.task(
+                self.deployment.operator_node,
+                self.deployment.operator.once(
+                    node, b"POST", b"/configuration/replace", fields, body
+                ),
                 30,
             )
             self.assertEqual(200, found[0], node)
-        self.assertEqual(200, self.premises.amend(second, "r7")[0])
-        self.assertEqual(200, self.premises.replace(first, "r5")[0])
-        self.assertEqual(200, self.premises.amend(second, "r7")[0])
-        self.assertEqual("r9", self.premises.read()["version"])
+        self.assertEqual(200, self.deployment.amend(second, "r7")[0])
+        self.assertEqual(200, self.deployment.replace(first, "r5")[0])
+        self.assertEqual(200, self.deployment.amend(second, "r7")[0])
+        self.assertEqual("r9", self.deployment.read()["version"])
 
     def test_the_same_number_with_other_bytes_is_not_taken_for_the_same(self) -> None:
-        self.assertEqual(200, self.premises.replace(whole("r7"), "r5")[0])
-        status, _ = self.premises.replace(whole("r7", later=1), "r5")
+        self.assertEqual(200, self.deployment.replace(whole("r7"), "r5")[0])
+        status, _ = self.deployment.replace(whole("r7", later=1), "r5")
         self.assertIn(status, (400, 412))
-        self.assertEqual(whole("r7"), self.premises.read())
+        self.assertEqual(whole("r7"), self.deployment.read())
 
     def test_a_taken_change_outlives_all_processes(self) -> None:
         sent = with_route("r8", timeout_ms=777)
-        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
-        for name in self.premises.cores + self.premises.edges:
-            self.premises.kill(name, True)
-        self.premises.world.run(1)
-        for name in self.premises.cores + self.premises.edges:
-            self.premises.start(name)
-        self.premises.world.run(6)
-        self.assertEqual(sent, self.premises.read())
-        self.assertEqual(200, self.premises.replace(sent, "r5")[0])
-        self.assertEqual(412, self.premises.replace(whole("r9"), "r5")[0])
+        self.assertEqual(200, self.deployment.replace(sent, "r5")[0])
+        for name in self.deployment.cores + self.deployment.edges:
+            self.deployment.kill(name, True)
+        self.deployment.world.run(1)
+        for name in self.deployment.cores + self.deployment.edges:
+            self.deployment.start(name)
+        self.deployment.world.run(6)
+        self.assertEqual(sent, self.deployment.read())
+        self.assertEqual(200, self.deployment.replace(sent, "r5")[0])
+        self.assertEqual(412, self.deployment.replace(whole("r9"), "r5")[0])
         self.assertEqual(200, self.served("/plain/1"))
 
     def test_a_missing_base_is_declined(self) -> None:
         for base in ("", "r", "x5", "5.0", "-5", "r5 r5"):
-            status, _ = self.premises.replace(whole("r9"), base)
+            status, _ = self.deployment.replace(whole("r9"), base)
             self.assertEqual(400, status, base)
-        self.assert_read(self.premises.configuration)
+        self.assert_read(self.deployment.configuration)
 
     def test_a_base_of_raised_digits_is_declined(self) -> None:
         fields = [(b"Based-On-Version", b"\xb2")]
-        found = self.premises.world.task(
-            self.premises.operator_node,
-            self.premises.operator.once(
-                self.premises.operator.nodes[0],
+        found = self.deployment.world.task(
+            self.deployment.operator_node,
+            self.deployment.operator.once(
+                self.deployment.operator.nodes[0],
                 b"POST",
                 b"/configuration/replace",
                 fields,
@@ -283,7 +289,7 @@
             30,
         )
         self.assertEqual(400, found[0])
-        self.assertEqual([], self.premises.world.faults)
+        self.assertEqual([], self.deployment.world.faults)
 
     def test_purges_that_name_nothing_are_declined(self) -> None:
         for body in (
@@ -297,7 +303,7 @@
             b'{"host":"a","path":"b"}',
             b'{"host":3,"path":"/b"}',
         ):
-            status, _ = self.premises.operate(b"POST", b"/purges", [], body)
+            status, _ = self.deployment.operate(b"POST", b"/purges", [], body)
             self.assertEqual(400, status, str(body))
 
     def test_what_is_no_place_is_404(self) -> None:
@@ -307,10 +313,10 @@
             (b"GET", b"/purges"),
             (b"POST", b"/"),
         ):
-            found = self.premises.world.task(
-                self.premises.operator_node,
-                self.premises.operator.once(
-                    self.premises.operator.nodes[0], method, place, [], b""
+            found = self.deployment.world.task(
+                self.deployment.operator_node,
+                self.deployment.operator.once(
+                    self.deployment.operator.nodes[0], method, place, [], b""
                 ),
                 30,
             )
@@ -319,7 +325,7 @@
     def test_a_change_is_in_force_at_every_edge_once_it_is_acknowledged(self) -> None:
         self.assertEqual(
             200,
-            self.premises.amend(
+            self.deployment.amend(
                 {
                     "version": "r6",
                     "upsert": {"routes": [route("new", "/new/")]},
@@ -328,11 +334,11 @@
                 "r5",
             )[0],
         )
-        self.premises.configuration = self.premises.read()
-        for edge in self.premises.edges:
-            self.assertEqual(200, self.premises.ask(SAFE, "GET", "/new/1", edge=edge).status)
-            self.assertEqual(404, self.premises.ask(SAFE, "GET", "/plain/1", edge=edge).status)
-        self.assertEqual([], self.premises.broken())
+        self.deployment.configuration = self.deployment.read()
+        for edge in self.deployment.edges:
+            self.assertEqual(200, self.deployment.ask(SAFE, "GET", "/new/1", edge=edge).status)
+            self.assertEqual(404, self.deployment.ask(SAFE, "GET", "/plain/1", edge=edge).status)
+        self.assertEqual([], self.deployment.broken())
 
 
 class InvalidTests(testtools.TestCase):
@@ -341,13 +347,13 @@
 
 def declined(name: str, sent: object) -> Callable[[InvalidTests], None]:
     def test(case: InvalidTests) -> None:
-        premises = Premises(12, edges=1, servers=1).set_up()
-        status, _ = premises.replace(sent, "r5", 6.0)
+        deployment = Deployment(12, edges=1, servers=1).set_up()
+        status, _ = deployment.replace(sent, "r5", 6.0)
         case.assertEqual(400, status)
-        case.assertEqual(premises.configuration, premises.read())
-        case.assertEqual(200, premises.ask(SAFE, "GET", "/plain/1").status)
-        case.assertEqual([], premises.world.faults)
-        case.assertEqual(200, premises.replace(whole("r9"), "r5")[0])
+        case.assertEqual(deployment.configuration, deployment.read())
+        case.assertEqual(200, deployment.ask(SAFE, "GET", "/plain/1").status)
+        case.assertEqual([], deployment.world.faults)
+        case.assertEqual(200, deployment.replace(whole("r9"), "r5")[0])
 
     return test
 
@@ -357,29 +363,29 @@
 
 
 class RaceTests(testtools.TestCase):
-    def race(self, seed: int, place: bytes, bodies: tuple[bytes, bytes]) -> tuple[int, Premises]:
+    def race(self, seed: int, place: bytes, bodies: tuple[bytes, bytes]) -> tuple[int, Deployment]:
         """Two operators at once on one base; the one that was told 200."""
-        premises = Premises(seed, edges=1, servers=1).set_up()
+        deployment = Deployment(seed, edges=1, servers=1).set_up()
         told: list[int] = [0, 0]
 
         def send(number: int) -> Step[None]:
-            told[number], _ = yield from premises.operator.send(
+            told[number], _ = yield from deployment.operator.send(
                 b"POST", place, [(b"Based-On-Version", b"r5")], bodies[number]
             )
 
         for number in (0, 1):
-            premises.operator_node.scheduler.spawn("operator", send(number))
-        premises.world.run(12)
+            deployment.operator_node.scheduler.spawn("operator", send(number))
+        deployment.world.run(12)
         self.assertEqual([200, 412], sorted(told), f"seed {seed}")
-        return told.index(200), premises
+        return told.index(200), deployment
 
     def test_of_two_replacements_on_one_base_exactly_one_is_taken(self) -> None:
         plains = (whole("r8", later=0), with_route("r7", path_prefix="/other/"))
         bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
         for seed in range(21, 25):
-            winner, premises = self.race(seed, b"/configuration/replace", bodies)
-            self.assertEqual(plains[winner], premises.read())
-            status = premises.ask(SAFE, "GET", "/other/1").status
+            winner, deployment = self.race(seed, b"/configuration/replace", bodies)
+            self.assertEqual(plains[winner], deployment.read())
+            status = deployment.ask(SAFE, "GET", "/other/1").status
             self.assertEqual(200 if winner else 404, status)
 
     def test_of_two_amendments_on_one_base_exactly_one_is_taken(self) -> None:
@@ -392,8 +398,8 @@
         )
         bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
         for seed in range(31, 35):
-            winner, premises = self.race(seed, b"/configuration/amend", bodies)
-            found: Any = premises.read()
+            winner, deployment = self.race(seed, b"/configuration/amend", bodies)
+            found: Any = deployment.read()
             self.assertEqual(f"r{8 + winner}", found["version"])
             names = {item["name"] for item in found["routes"]}
             self.assertEqual({f"new{winner}"}, names & {"new0", "new1"})
@@ -401,81 +407,81 @@
     def test_of_two_with_one_number_exactly_one_is_taken(self) -> None:
         plains = (whole("r8", later=0), whole("r8", later=1))
         bodies = (json.dumps(plains[0]).encode(), json.dumps(plains[1]).encode())
-        winner, premises = self.race(41, b"/configuration/replace", bodies)
-        self.assertEqual(plains[winner], premises.read())
+        winner, deployment = self.race(41, b"/configuration/replace", bodies)
+        self.assertEqual(plains[winner], deployment.read())
 
     def test_while_the_first_processes_are_killed_what_was_told_200_stays(self) -> None:
         for seed in (51, 52, 53):
-            premises = Premises(seed, edges=1, servers=1).set_up()
+            deployment = Deployment(seed, edges=1, servers=1).set_up()
             sent = whole("r8", later=seed)
             told: list[int] = []
 
             def send(
-                premises: Premises = premises,
+                deployment: Deployment = deployment,
                 body: bytes = json.dumps(sent).encode(),
                 told: list[int] = told,
             ) -> Step[None]:
-                status, _ = yield from premises.operator.send(
+                status, _ = yield from deployment.operator.send(
                     b"POST", b"/configuration/replace", [(b"Based-On-Version", b"r5")], body, 30
                 )
                 told.append(status)
 
-            premises.operator_node.scheduler.spawn("operator", send())
-            premises.world.run(0.01 * (seed - 50))
+            deployment.operator_node.scheduler.spawn("operator", send())
+            deployment.world.run(0.01 * (seed - 50))
             leader = next(
-                name for name in premises.cores if premises.node(name).core.consensus.settled
+                name for name in deployment.cores if deployment.node(name).core.consensus.settled
             )
-            premises.kill(leader)
-            premises.world.run(1)
-            premises.start(leader)
-            premises.world.run(20)
+            deployment.kill(leader)
+            deployment.world.run(1)
+            deployment.start(leader)
+            deployment.world.run(20)
             self.assertEqual([200], told, f"seed {seed}")
-            self.assertEqual(sent, premises.read())
+            self.assertEqual(sent, deployment.read())
 
 
 class SpeedTests(testtools.TestCase):
     """How soon a proper word is acknowledged, and how large it may be."""
 
-    def told_in(self, premises: Premises, version: str, base: str) -> float:
-        before = premises.world.time
-        status, _ = premises.amend(
+    def told_in(self, deployment: Deployment, version: str, base: str) -> float:
+        before = deployment.world.time
+        status, _ = deployment.amend(
             {"version": version, "upsert": {"routes": [route(version, f"/{version}/")]}}, base
         )
         self.assertEqual(200, status)
-        between = premises.world.time
-        self.assertEqual(200, premises.purge(host=HOST, path="/covers/1"))
-        return max(between - before, premises.world.time - between)
+        between = deployment.world.time
+        self.assertEqual(200, deployment.purge(host=HOST, path="/covers/1"))
+        return max(between - before, deployment.world.time - between)
 
     def test_in_calm_times_it_is_acknowledged_at_once(self) -> None:
-        premises = Premises(61, edges=4).set_up()
+        deployment = Deployment(61, edges=4).set_up()
         base = "r5"
         for number in range(6, 12):
-            self.assertLess(self.told_in(premises, f"r{number}", base), 1.5)
+            self.assertLess(self.told_in(deployment, f"r{number}", base), 1.5)
             base = f"r{number}"
 
     def test_with_one_machine_gone_it_is_acknowledged_in_time(self) -> None:
         for seed, trouble in enumerate(("frozen", "killed", "without power", "cut", "core"), 62):
-            premises = Premises(seed).set_up()
-            edge = next(name for name in premises.edges if name.endswith("-1.edge"))
+            deployment = Deployment(seed).set_up()
+            edge = next(name for name in deployment.edges if name.endswith("-1.edge"))
             if trouble == "frozen":
-                premises.world.freeze(edge, True)
+                deployment.world.freeze(edge, True)
             elif trouble == "killed":
-                premises.kill(edge)
+                deployment.kill(edge)
             elif trouble == "without power":
-                premises.kill(edge, True)
+                deployment.kill(edge, True)
             elif trouble == "cut":
-                premises.world.isolate(edge.rpartition(".")[0])
-                premises.world.cuts = {
-                    pair for pair in premises.world.cuts if "operator" not in pair
+                deployment.world.isolate(edge.rpartition(".")[0])
+                deployment.world.cuts = {
+                    pair for pair in deployment.world.cuts if "operator" not in pair
                 }
             else:
-                premises.kill(premises.cores[0])
-                premises.operator.nodes.pop(0)
-            self.assertLess(self.told_in(premises, "r6", "r5"), 5.0, trouble)
-            self.assertLess(self.told_in(premises, "r7", "r6"), 5.0, trouble)
+                deployment.kill(deployment.cores[0])
+                deployment.operator.nodes.pop(0)
+            self.assertLess(self.told_in(deployment, "r6", "r5"), 5.0, trouble)
+            self.assertLess(self.told_in(deployment, "r7", "r6"), 5.0, trouble)
 
     def test_a_configuration_of_many_routes_and_services_is_taken_and_read_back(self) -> None:
-        premises = Premises(71, edges=1, servers=1).set_up()
+        deployment = Deployment(71, edges=1, servers=1).set_up()
         names = [f"service{number}" for number in range(60)]
         sent = whole(
             "r6",
@@ -486,29 +492,29 @@
             ],
         )
         self.assertGreater(len(json.dumps(sent)), 500_000)
-        self.assertEqual(200, premises.replace(sent, "r5")[0])
-        premises.configuration = sent
-        for edge in premises.edges:
-            self.assertTrue(premises.ask(SAFE, "GET", "/many/2999/x", edge=edge).served)
-        self.assertEqual(sent, premises.read())
-        self.assertEqual([], premises.broken())
-        for name in premises.cores:
-            premises.kill(name, True)
-        premises.world.run(1)
-        for name in premises.cores:
-            premises.start(name)
-        premises.world.run(8)
-        self.assertEqual(sent, premises.read())
+        self.assertEqual(200, deployment.replace(sent, "r5")[0])
+        deployment.configuration = sent
+        for edge in deployment.edges:
+            self.assertTrue(deployment.ask(SAFE, "GET", "/many/2999/x", edge=edge).served)
+        self.assertEqual(sent, deployment.read())
+        self.assertEqual([], deployment.broken())
+        for name in deployment.cores:
+            deployment.kill(name, True)
+        deployment.world.run(1)
+        for name in deployment.cores:
+            deployment.start(name)
+        deployment.world.run(8)
+        self.assertEqual(sent, deployment.read())
 
     def test_callers_are_held_to_the_limits(self) -> None:
-        premises = Premises(72, edges=1, servers=1).set_up()
+        deployment = Deployment(72, edges=1, servers=1).set_up()
         limits = {**LIMITS, "header_bytes": 2000, "body_bytes": 5000}
-        self.assertEqual(200, premises.replace(whole("r6", limits=limits), "r5")[0])
-        fine = premises.ask(UNSAFE, "POST", "/orders/1", bytes(5000))
+        self.assertEqual(200, deployment.replace(whole("r6", limits=limits), "r5")[0])
+        fine = deployment.ask(UNSAFE, "POST", "/orders/1", bytes(5000))
         self.assertEqual(200, fine.status)
-        self.assertEqual(413, premises.ask(UNSAFE, "POST", "/orders/2", bytes(5001)).status)
-        wide = premises.ask(SAFE, "GET", "/plain/1", fields=[(b"X-Wide", b"a" * 2100)])
+        self.assertEqual(413, deployment.ask(UNSAFE, "POST", "/orders/2", bytes(5001)).status)
+        wide = deployment.ask(SAFE, "GET", "/plain/1", fields=[(b"X-Wide", b"a" * 2100)])
         self.assertEqual(431, wide.status)
         self.assertEqual(
-            1, len([arrival for arrival in premises.history if arrival.service == "desks"])
+            1, len([arrival for arrival in deployment.history if arrival.service == "desks"])
         )
--- a/tests/test_platform_listing.py
+++ b/tests/test_platform_listing.py
@@ -5,9 +5,9 @@
 
 import testtools
 
-from premises import Premises
+from deployment import Deployment
 from ryelock.core.platform import Listed
-from ryelock.proving.tenants import SAFE, UNSAFE
+from ryelock.proving.platform_clients import SAFE, UNSAFE
 from servers import Instances
 
 
@@ -38,25 +38,25 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.premises = Premises(1, page_size=3)
-        self.premises.world.run(2)
+        self.deployment = Deployment(1, page_size=3)
+        self.deployment.world.run(2)
 
     def read(self, raw: bytes | None = None) -> Listed:
-        premises = self.premises
-        premises.landlord.raw = raw
-        node = premises.operator_node
-        return premises.world.task(
-            node, Instances(node.scheduler, node.network, premises.landlord.address).read(), 60
+        deployment = self.deployment
+        deployment.platform.raw = raw
+        node = deployment.operator_node
+        return deployment.world.task(
+            node, Instances(node.scheduler, node.network, deployment.platform.address).read(), 60
         )
 
     def test_all_pages_make_one_listing(self) -> None:
         found = self.read().ok
         self.assertEqual(12, len(found))
-        self.assertEqual(4, self.premises.landlord.calls)
+        self.assertEqual(4, self.deployment.platform.calls)
         self.assertEqual(
             sorted(
                 (life.service.name, life.address, life.zone, name)
-                for name, life in self.premises.servers.items()
+                for name, life in self.deployment.servers.items()
             ),
             sorted(
                 (server.service, server.address, server.zone, server.incarnation)
@@ -66,12 +66,12 @@
         self.assertEqual({8}, {server.slots for server in found})
 
     def test_leaving_and_cold_servers_are_told(self) -> None:
-        lives = list(self.premises.servers.values())
-        self.premises.landlord.drain(lives[0])
-        lives[1].cold_until = self.premises.world.time + 10
-        self.premises.world.run(0.5)
+        lives = list(self.deployment.servers.values())
+        self.deployment.platform.drain(lives[0])
+        lives[1].cold_until = self.deployment.world.time + 10
+        self.deployment.world.run(0.5)
         self.assertFalse(any(server.leaving for server in self.read().ok))
-        self.premises.world.run(0.5)
+        self.deployment.world.run(0.5)
         found = {server.incarnation: server for server in self.read().ok}
         self.assertTrue(found[lives[0].identifier].leaving)
         self.assertTrue(found[lives[1].identifier].cold)
@@ -79,28 +79,28 @@
         self.assertEqual(1, sum(server.cold for server in found.values()))
 
     def test_over_the_rate_nothing_is_learnt(self) -> None:
-        self.premises.landlord.rate = 2
+        self.deployment.platform.rate = 2
         found = self.read()
         self.assertTrue(found.is_error())
         self.assertTrue(found.error.missed)
 
     def test_a_page_that_fails_fails_the_whole(self) -> None:
         for number in range(4):
-            self.premises.landlord.cut_pages = {number}
+            self.deployment.platform.cut_pages = {number}
             found = self.read()
             self.assertTrue(found.is_error(), number)
             self.assertTrue(found.error.missed)
-        self.premises.landlord.cut_pages = {4}
+        self.deployment.platform.cut_pages = {4}
         self.assertTrue(self.read().is_ok())
 
     def test_a_list_that_says_nothing_is_given_up_on(self) -> None:
-        self.premises.landlord.silent = True
-        before = self.premises.world.time
+        self.deployment.platform.silent = True
+        before = self.deployment.world.time
         self.assertTrue(self.read().is_error())
-        self.assertLess(self.premises.world.time - before, 3)
+        self.assertLess(self.deployment.world.time - before, 3)
 
     def test_pages_without_an_end_are_given_up_on(self) -> None:
-        self.premises.landlord.rate = 1e9
+        self.deployment.platform.rate = 1e9
         self.assertTrue(self.read(page({}, "p-0")).is_error())
 
     def test_an_empty_table_is_a_listing_without_servers(self) -> None:
@@ -165,8 +165,8 @@
 class FollowingTests(testtools.TestCase):
     """A fleet that follows the list."""
 
-    def servers_known(self, premises: Premises, edge: str) -> dict[str, bool]:
-        way = premises.node(edge).traffic.handler
+    def servers_known(self, deployment: Deployment, edge: str) -> dict[str, bool]:
+        way = deployment.node(edge).traffic.handler
         assert way is not None
         return {
             state.server.incarnation: state.server.leaving
@@ -175,74 +175,76 @@
         }
 
     def test_all_nodes_together_keep_far_below_the_lists_rate(self) -> None:
-        premises = Premises(2, page_size=5).set_up()
-        before = premises.landlord.calls
-        premises.world.run(20)
-        calls = (premises.landlord.calls - before) / 20
+        deployment = Deployment(2, page_size=5).set_up()
+        before = deployment.platform.calls
+        deployment.world.run(20)
+        calls = (deployment.platform.calls - before) / 20
         self.assertGreater(calls, 1)
         self.assertLess(calls, 15)
-        self.assertEqual(0, premises.landlord.declined)
+        self.assertEqual(0, deployment.platform.declined)
 
     def test_a_new_server_is_known_at_every_edge(self) -> None:
-        premises = Premises(3).set_up()
-        life = premises.add_server("pages", "b")
-        premises.world.run(premises.landlord.lag + 2.0)
-        for edge in premises.edges:
-            self.assertIn(life.identifier, self.servers_known(premises, edge))
+        deployment = Deployment(3).set_up()
+        life = deployment.add_server("pages", "b")
+        deployment.world.run(deployment.platform.lag + 2.0)
+        for edge in deployment.edges:
+            self.assertIn(life.identifier, self.servers_known(deployment, edge))
 
     def test_a_draining_server_gets_nothing_soon_after_the_list_shows_it(self) -> None:
-        premises = Premises(4).set_up()
-        premises.crowd(12, 8.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
-        premises.world.run(3)
-        life = premises.of_service("pages")[0]
-        self.assertTrue(any(arrival.identifier == life.identifier for arrival in premises.history))
-        premises.landlord.drain(life)
-        shown = premises.world.time + premises.landlord.lag
-        premises.world.run(8)
+        deployment = Deployment(4).set_up()
+        deployment.crowd(12, 8.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
+        deployment.world.run(3)
+        life = deployment.of_service("pages")[0]
+        self.assertTrue(
+            any(arrival.identifier == life.identifier for arrival in deployment.history)
+        )
+        deployment.platform.drain(life)
+        shown = deployment.world.time + deployment.platform.lag
+        deployment.world.run(8)
         late = [
             arrival
-            for arrival in premises.history
+            for arrival in deployment.history
             if arrival.identifier == life.identifier and arrival.at > shown + 2.5
         ]
         self.assertEqual(0, len(late))
-        self.assertEqual([], premises.broken())
+        self.assertEqual([], deployment.broken())
 
     def test_a_list_that_is_silent_or_over_its_rate_costs_nobody_an_answer(self) -> None:
-        premises = Premises(5).set_up()
+        deployment = Deployment(5).set_up()
         for rate, silent in ((0.0, False), (52.0, True)):
-            premises.landlord.rate, premises.landlord.silent = rate, silent
-            premises.world.run(10)
-            for edge in premises.edges:
-                self.assertEqual(200, premises.ask(SAFE, "GET", "/plain/1", edge=edge).status)
-        self.assertEqual([], premises.broken())
+            deployment.platform.rate, deployment.platform.silent = rate, silent
+            deployment.world.run(10)
+            for edge in deployment.edges:
+                self.assertEqual(200, deployment.ask(SAFE, "GET", "/plain/1", edge=edge).status)
+        self.assertEqual([], deployment.broken())
 
     def test_a_broken_list_changes_nothing(self) -> None:
-        premises = Premises(6).set_up()
-        known = self.servers_known(premises, premises.edges[0])
-        premises.landlord.raw = page({"i-1": entry(), "i-2": entry(address="nowhere")})
-        premises.world.run(6)
-        for edge in premises.edges:
-            self.assertEqual(known, self.servers_known(premises, edge))
-        self.assertEqual([], premises.world.faults)
+        deployment = Deployment(6).set_up()
+        known = self.servers_known(deployment, deployment.edges[0])
+        deployment.platform.raw = page({"i-1": entry(), "i-2": entry(address="nowhere")})
+        deployment.world.run(6)
+        for edge in deployment.edges:
+            self.assertEqual(known, self.servers_known(deployment, edge))
+        self.assertEqual([], deployment.world.faults)
 
     def test_when_the_reader_dies_another_reads(self) -> None:
-        premises = Premises(7).set_up()
-        for name in list(premises.cores):
-            premises.kill(name)
-            before = premises.landlord.calls
-            premises.world.run(6)
-            self.assertGreater(premises.landlord.calls - before, 2, name)
-            premises.start(name)
-            premises.world.run(6)
-        life = premises.add_server("pages", "a")
-        premises.world.run(4)
-        for edge in premises.edges:
-            self.assertIn(life.identifier, self.servers_known(premises, edge))
+        deployment = Deployment(7).set_up()
+        for name in list(deployment.cores):
+            deployment.kill(name)
+            before = deployment.platform.calls
+            deployment.world.run(6)
+            self.assertGreater(deployment.platform.calls - before, 2, name)
+            deployment.start(name)
+            deployment.world.run(6)
+        life = deployment.add_server("pages", "a")
+        deployment.world.run(4)
+        for edge in deployment.edges:
+            self.assertIn(life.identifier, self.servers_known(deployment, edge))
 
     def test_an_address_that_gets_another_service_is_never_sent_the_first_ones_orders(self) -> None:
         for seed in (8, 9, 10):
-            premises = Premises(seed, servers=1).set_up()
-            premises.crowd(
+            deployment = Deployment(seed, servers=1).set_up()
+            deployment.crowd(
                 12,
                 10.0,
                 lambda number: (
@@ -251,28 +253,28 @@
                     else (UNSAFE, "POST", f"/orders/{number}")
                 ),
             )
-            premises.world.run(2)
-            life = premises.of_service("pages")[0]
-            other = premises.of_service("desks")[0]
+            deployment.world.run(2)
+            life = deployment.of_service("pages")[0]
+            other = deployment.of_service("desks")[0]
             for gone in (life, other):
-                premises.landlord.crash(gone)
-            premises.world.run(0.3)
-            premises.add_server("desks", "a", life.address)
-            premises.add_server("pages", "a", other.address)
-            premises.world.run(6)
-            premises.callers_on = False
-            premises.world.run(3)
-            self.assertTrue(any(arrival.status == 421 for arrival in premises.history))
-            self.assertEqual([], premises.broken())
-            last = {note.order: note for note in premises.notes}
+                deployment.platform.crash(gone)
+            deployment.world.run(0.3)
+            deployment.add_server("desks", "a", life.address)
+            deployment.add_server("pages", "a", other.address)
+            deployment.world.run(6)
+            deployment.callers_on = False
+            deployment.world.run(3)
+            self.assertTrue(any(arrival.status == 421 for arrival in deployment.history))
+            self.assertEqual([], deployment.broken())
+            last = {note.order: note for note in deployment.notes}
             served = sum(note.served for note in last.values()) / len(last)
             self.assertGreater(served, 0.95, f"seed {seed}")
 
     def test_several_hundred_servers_are_known_at_every_edge(self) -> None:
-        premises = Premises(11, edges=1, servers=70)
-        self.assertEqual(420, len(premises.servers))
-        premises.set_up()
-        premises.world.run(3)
-        for edge in premises.edges:
-            self.assertEqual(set(premises.servers), set(self.servers_known(premises, edge)))
-        self.assertEqual(0, premises.landlord.declined)
+        deployment = Deployment(11, edges=1, servers=70)
+        self.assertEqual(420, len(deployment.servers))
+        deployment.set_up()
+        deployment.world.run(3)
+        for edge in deployment.edges:
+            self.assertEqual(set(deployment.servers), set(self.servers_known(deployment, edge)))
+        self.assertEqual(0, deployment.platform.declined)
--- a/tests/test_platform_schedules.py
+++ b/tests/test_platform_schedules.py
@@ -12,10 +12,10 @@
 
 import testtools
 
-from premises import HOST, Premises, route, service_item
+from deployment import HOST, Deployment, route, service_item
 from ryelock.loop import Step
-from ryelock.proving.landlord import MANNERS, WHOLE, ServerLife
-from ryelock.proving.tenants import (
+from ryelock.proving.hosting_platform import MANNERS, WHOLE, ServerLife
+from ryelock.proving.platform_clients import (
     CACHEABLE,
     SAFE,
     UNSAFE,
@@ -42,7 +42,16 @@
 class Schedule:
     """One run: its deployment, what happens to it, and what operators were told."""
 
-    __slots__ = ("acknowledged", "base", "ever", "happened", "number", "premises", "random", "told")
+    __slots__ = (
+        "acknowledged",
+        "base",
+        "deployment",
+        "ever",
+        "happened",
+        "number",
+        "random",
+        "told",
+    )
 
     def __init__(self, seed: int) -> None:
         self.random = Random(f"schedule {seed}")
@@ -53,12 +62,14 @@
                 {"a": "north", "b": "north", "c": "south", "d": "south", "e": "west"},
             )
         )
-        premises = self.premises = Premises(seed, zones, page_size=self.random.choice((5, 50)))
-        plain: Any = premises.configuration
+        deployment = self.deployment = Deployment(
+            seed, zones, page_size=self.random.choice((5, 50))
+        )
+        plain: Any = deployment.configuration
         plain["routes"].append(route("lookups", "/lookups/", SAFE, "desks"))
         plain["services"][1] = service_item("desks", rate_per_s=RATE)
-        premises.services["desks"].rate = RATE
-        premises.set_up()
+        deployment.services["desks"].rate = RATE
+        deployment.set_up()
         self.happened: list[str] = []
         self.base = "r5"
         self.number = 5
@@ -71,16 +82,16 @@
     def allowed(self, note: Note) -> set[str]:
         found: set[str] = set()
         for plain in self.ever:
-            self.premises.configuration = plain
-            found |= self.premises.allowed(note)
+            self.deployment.configuration = plain
+            found |= self.deployment.allowed(note)
         return found
 
     # Operators.
 
     def operate(self) -> Step[None]:
         """Changes one after another, each on what was last acknowledged."""
-        premises = self.premises
-        scheduler = premises.operator_node.scheduler
+        deployment = self.deployment
+        scheduler = deployment.operator_node.scheduler
         while True:
             yield from scheduler.pause(0.5 + 1.5 * self.random.random())
             self.number += self.random.randrange(1, 4)
@@ -103,7 +114,7 @@
             if self.random.random() < 0.5:
                 place = b"/configuration/amend"
                 body = {"version": plain["version"], "upsert": {"routes": [plain["routes"][0]]}}
-            status, _ = yield from premises.operator.send(
+            status, _ = yield from deployment.operator.send(
                 b"POST",
                 place,
                 [(b"Based-On-Version", self.base.encode())],
@@ -114,8 +125,8 @@
             if status == 200:
                 self.acknowledged, self.base = plain, plain["version"]
             target = f"/covers/{self.random.randrange(30)}"
-            premises.services["pages"].objects.change(target, premises.world.time)
-            yield from premises.operator.send(
+            deployment.services["pages"].objects.change(target, deployment.world.time)
+            yield from deployment.operator.send(
                 b"POST", b"/purges", [], json.dumps({"host": HOST, "path": target}).encode(), 10.0
             )
 
@@ -123,32 +134,34 @@
 
     def live(self) -> list[ServerLife]:
         return [
-            life for life in self.premises.servers.values() if not life.ended and not life.draining
+            life
+            for life in self.deployment.servers.values()
+            if not life.ended and not life.draining
         ]
 
     def crash_server(self) -> None:
         life = self.random.choice(self.live())
-        self.premises.landlord.crash(life)
-        self.premises.add_server(life.service.name, life.zone)
+        self.deployment.platform.crash(life)
+        self.deployment.add_server(life.service.name, life.zone)
 
     def hand_address(self) -> None:
         """Two servers are gone, and each one's address is the other service's."""
         lives = [
             self.random.choice([life for life in self.live() if life.service.name == name])
-            for name in self.premises.services
+            for name in self.deployment.services
         ]
         for life in lives:
-            self.premises.landlord.crash(life)
-        self.premises.world.run(2)
+            self.deployment.platform.crash(life)
+        self.deployment.world.run(2)
         for life, other in zip(lives, reversed(lives), strict=True):
-            self.premises.add_server(life.service.name, life.zone, other.address)
+            self.deployment.add_server(life.service.name, life.zone, other.address)
 
     def drain_server(self) -> None:
         life = self.random.choice(self.live())
-        self.premises.landlord.drain(life)
-        self.premises.add_server(life.service.name, life.zone)
-        self.premises.world.at(
-            self.premises.world.time + 4.0, lambda: self.premises.landlord.end(life)
+        self.deployment.platform.drain(life)
+        self.deployment.add_server(life.service.name, life.zone)
+        self.deployment.world.at(
+            self.deployment.world.time + 4.0, lambda: self.deployment.platform.end(life)
         )
 
     def misbehave(self) -> None:
@@ -156,66 +169,66 @@
         life.manner = self.random.choice(MANNERS)
 
     def misbehave_all(self) -> None:
-        name = self.random.choice(list(self.premises.services))
+        name = self.random.choice(list(self.deployment.services))
         manner = self.random.choice(MANNERS)
         self.happened.append(f"  {name}: {manner}")
-        for life in self.premises.of_service(name):
+        for life in self.deployment.of_service(name):
             life.manner = manner
-        self.premises.world.run(3)
+        self.deployment.world.run(3)
         self.behave()
 
     def behave(self) -> None:
-        for life in self.premises.servers.values():
+        for life in self.deployment.servers.values():
             life.manner = WHOLE
 
     def silent_list(self) -> None:
-        self.premises.landlord.silent = not self.premises.landlord.silent
+        self.deployment.platform.silent = not self.deployment.platform.silent
 
     def list_over_rate(self) -> None:
-        self.premises.landlord.rate = 0.0 if self.premises.landlord.rate else 52.0
+        self.deployment.platform.rate = 0.0 if self.deployment.platform.rate else 52.0
 
     def kill_process(self, power: bool = False) -> None:
-        name = self.random.choice(self.premises.cores + self.premises.edges)
-        self.premises.kill(name, power)
-        self.premises.world.run(0.5 + self.random.random())
-        self.premises.start(name)
+        name = self.random.choice(self.deployment.cores + self.deployment.edges)
+        self.deployment.kill(name, power)
+        self.deployment.world.run(0.5 + self.random.random())
+        self.deployment.start(name)
 
     def lose_power(self) -> None:
         self.kill_process(True)
 
     def kill_all_cores(self) -> None:
-        for name in self.premises.cores:
-            self.premises.kill(name)
-        self.premises.world.run(0.8)
-        for name in self.premises.cores:
-            self.premises.start(name)
+        for name in self.deployment.cores:
+            self.deployment.kill(name)
+        self.deployment.world.run(0.8)
+        for name in self.deployment.cores:
+            self.deployment.start(name)
 
     def cut_machine(self) -> None:
-        machine = self.random.choice(self.premises.edges).rpartition(".")[0]
-        self.premises.world.isolate(machine)
-        self.premises.world.run(1 + 3 * self.random.random())
-        self.premises.world.heal()
+        machine = self.random.choice(self.deployment.edges).rpartition(".")[0]
+        self.deployment.world.isolate(machine)
+        self.deployment.world.run(1 + 3 * self.random.random())
+        self.deployment.world.heal()
 
     def cut_zones(self) -> None:
-        one, other = self.random.sample(sorted(self.premises.zones), 2)
-        machines = sorted(self.premises.lines)
+        one, other = self.random.sample(sorted(self.deployment.zones), 2)
+        machines = sorted(self.deployment.lines)
         for first in machines:
             for second in machines:
                 if first.startswith(f"edge-{one}-") and second.startswith(f"edge-{other}-"):
-                    self.premises.world.cut(first, second)
-        self.premises.world.run(1 + 3 * self.random.random())
-        self.premises.world.heal()
+                    self.deployment.world.cut(first, second)
+        self.deployment.world.run(1 + 3 * self.random.random())
+        self.deployment.world.heal()
 
     def freeze(self) -> None:
-        name = self.random.choice(self.premises.edges)
-        self.premises.world.freeze(name, True)
-        self.premises.world.run(1 + 2 * self.random.random())
-        self.premises.world.freeze(name, False)
+        name = self.random.choice(self.deployment.edges)
+        self.deployment.world.freeze(name, True)
+        self.deployment.world.run(1 + 2 * self.random.random())
+        self.deployment.world.freeze(name, False)
 
     def run(self) -> None:
-        premises = self.premises
-        premises.crowd(15, 4.0, mix)
-        premises.operator_node.scheduler.spawn("operates", self.operate())
+        deployment = self.deployment
+        deployment.crowd(15, 4.0, mix)
+        deployment.operator_node.scheduler.spawn("operates", self.operate())
         faults: list[Callable[[], None]] = [
             self.crash_server,
             self.hand_address,
@@ -234,34 +247,34 @@
         ]
         for _ in range(FAULTS):
             fault = self.random.choice(faults)
-            self.happened.append(f"{premises.world.time:.2f} {fault.__name__}")
+            self.happened.append(f"{deployment.world.time:.2f} {fault.__name__}")
             fault()
-            premises.world.run(0.3 + 2 * self.random.random())
-        premises.landlord.silent, premises.landlord.rate = False, 52.0
+            deployment.world.run(0.3 + 2 * self.random.random())
+        deployment.platform.silent, deployment.platform.rate = False, 52.0
         self.behave()
-        premises.world.run(15)
+        deployment.world.run(15)
 
 
 class ScheduleTests(testtools.TestCase):
     def hold(self, seed: int) -> None:
         schedule = Schedule(seed)
         schedule.run()
-        premises = schedule.premises
-        since = premises.world.time
-        premises.world.run(4)
-        premises.callers_on = False
-        premises.world.run(3)
+        deployment = schedule.deployment
+        since = deployment.world.time
+        deployment.world.run(4)
+        deployment.callers_on = False
+        deployment.world.run(3)
         told = f"seed {seed}: {schedule.happened}"
-        last = {note.order: note for note in premises.notes if since < note.at < since + 4}
-        self.assertEqual([], premises.broken(schedule.allowed), told)
-        for name in premises.services:
+        last = {note.order: note for note in deployment.notes if since < note.at < since + 4}
+        self.assertEqual([], deployment.broken(schedule.allowed), told)
+        for name in deployment.services:
             self.assertEqual(
-                [], over_budget(premises.notes, premises.history, name, schedule.allowed), told
+                [], over_budget(deployment.notes, deployment.history, name, schedule.allowed), told
             )
-        self.assertEqual([], over_ceiling(premises.history, "desks", RATE), told)
+        self.assertEqual([], over_ceiling(deployment.history, "desks", RATE), told)
         self.assertNotIn(412, [status for _, status in schedule.told], told)
         self.assertNotIn(400, [status for _, status in schedule.told], told)
-        found: Any = premises.read()
+        found: Any = deployment.read()
         self.assertGreaterEqual(int(found["version"][1:]), int(schedule.base[1:]), told)
         sent = {plain["version"]: plain for plain in schedule.ever}
         expected = sent[found["version"]]
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-import premises
+import deployment
 import settings
 from ryelock.env import Env, EnvError
 
@@ -17,7 +17,7 @@
     zones: dict[str, str] | None = None, seeds: list[str] | None = None, **changed: str
 ) -> dict[str, str]:
     zones = zones or THREE
-    found = premises.lines_for(
+    found = deployment.lines_for(
         "edge-a-0", "10.1.0.1", next(iter(zones)), zones, seeds or SEEDS, "edge,control_plane"
     )
     return {**found, **{key.replace("__", "."): value for key, value in changed.items()}}
@@ -78,7 +78,7 @@
     def test_every_fault_is_told_at_once(self) -> None:
         plain = lines(
             internal_port_range="7660",
-            bounds=premises.BOUNDS.replace("contact_ms=4000", "contact_ms=soon").replace(
+            bounds=deployment.BOUNDS.replace("contact_ms=4000", "contact_ms=soon").replace(
                 ",drain_limit_ms=2500", ""
             ),
         )
@@ -102,7 +102,7 @@
         for part, names in settings.NEEDED_BOUNDS.items():
             for name in names:
                 bounds = ",".join(
-                    pair for pair in premises.BOUNDS.split(",") if not pair.startswith(f"{name}=")
+                    pair for pair in deployment.BOUNDS.split(",") if not pair.startswith(f"{name}=")
                 )
                 for role in ("core", "edge"):
                     found = self.faults(role, lines(bounds=bounds, contract_parts=part))
@@ -121,7 +121,7 @@
     def test_what_is_not_known_is_passed_over(self) -> None:
         plain = lines(
             moon__phase="full",
-            bounds=premises.BOUNDS + ",moon_s=4,tide=true",
+            bounds=deployment.BOUNDS + ",moon_s=4,tide=true",
             contract_parts="base,tides",
         )
         for role in ("core", "edge"):
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -8,10 +8,10 @@
 
 import testtools
 
-from premises import HOST, WORDS, Premises
+from deployment import HOST, WORDS, Deployment
 from ryelock.exchange import Fields
 from ryelock.loop import Step
-from ryelock.proving.landlord import (
+from ryelock.proving.hosting_platform import (
     BEHIND,
     CLOSING,
     CUT,
@@ -24,22 +24,22 @@
     Arrival,
     ServerLife,
 )
-from ryelock.proving.tenants import SAFE, UNSAFE, Client, Note, over_budget, over_ceiling
+from ryelock.proving.platform_clients import SAFE, UNSAFE, Client, Note, over_budget, over_ceiling
 
 
 class Direct(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.premises = Premises(1, {"a": "north"}, servers=1)
-        self.life = self.premises.of_service("pages")[0]
-        self.premises.entrance.fronts["direct"] = self.life.address
-        self.client = self.premises.client("direct")
-        self.premises.outside.scheduler.spawn("tick", self.tick())
+        self.deployment = Deployment(1, {"a": "north"}, servers=1)
+        self.life = self.deployment.of_service("pages")[0]
+        self.deployment.entrance.fronts["direct"] = self.life.address
+        self.client = self.deployment.client("direct")
+        self.deployment.outside.scheduler.spawn("tick", self.tick())
 
     def tick(self) -> Step[None]:
         """Time moves in small steps, though nothing else goes on here."""
         while True:
-            yield from self.premises.outside.scheduler.pause(0.005)
+            yield from self.deployment.outside.scheduler.pause(0.005)
 
     def ask(
         self,
@@ -49,7 +49,7 @@
         deadline: float = 1.0,
         client: Client | None = None,
     ) -> Note:
-        return self.premises.ask(
+        return self.deployment.ask(
             SAFE if method == "GET" else UNSAFE,
             method,
             target,
@@ -61,12 +61,12 @@
 
     def many(self, count: int, deadline: float = 1.0) -> list[Note]:
         """So many callers at once, each over a link of its own."""
-        before = len(self.premises.notes)
+        before = len(self.deployment.notes)
         for number in range(count):
-            client = self.premises.client(f"many{before}-{number}")
-            self.premises.outside.scheduler.spawn("many", self.one(client, deadline))
-        self.premises.world.run(deadline + 1)
-        return self.premises.notes[before:]
+            client = self.deployment.client(f"many{before}-{number}")
+            self.deployment.outside.scheduler.spawn("many", self.one(client, deadline))
+        self.deployment.world.run(deadline + 1)
+        return self.deployment.notes[before:]
 
     def one(self, client: Client, deadline: float) -> Step[None]:
         yield from client.order(SAFE, "GET", HOST, "/plain/1", b"", deadline, None, 1, "direct")
@@ -80,14 +80,14 @@
         self.assertEqual(self.life.service.seal("/plain/1", 0), note.field(b"Server-Seal"))
         self.assertEqual(b'"r0"', note.field(b"ETag"))
         self.assertEqual(b"shelf-plain own-plain-1", note.field(b"Object-Labels"))
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
 
     def test_another_lifes_order_is_told_421_and_not_run(self) -> None:
         note = self.ask(fields=[(b"Expected-Instance", b"i-other")])
         self.assertEqual(421, note.status)
         self.assertIsNotNone(note.field(b"Not-Executed"))
         self.assertEqual(self.life.identifier.encode(), note.field(b"Instance-Id"))
-        self.assertEqual(0, self.premises.runs(note))
+        self.assertEqual(0, self.deployment.runs(note))
         self.assertTrue(
             self.ask(fields=[(b"Expected-Instance", self.life.identifier.encode())]).served
         )
@@ -106,14 +106,14 @@
         service = self.life.service
         service.slots, service.queue, service.work_seconds = 1, 3, 1.0
         self.many(2, 3.0)
-        self.premises.history.clear()
+        self.deployment.history.clear()
         for deadline, client in ((0.9, "first"), (0.3, "second")):
-            self.premises.outside.scheduler.spawn(
-                client, self.one(self.premises.client(client), deadline)
+            self.deployment.outside.scheduler.spawn(
+                client, self.one(self.deployment.client(client), deadline)
             )
-            self.premises.world.run(0.05)
-        self.premises.world.run(3)
-        statuses = {arrival.status: arrival.ran for arrival in self.premises.history}
+            self.deployment.world.run(0.05)
+        self.deployment.world.run(3)
+        statuses = {arrival.status: arrival.ran for arrival in self.deployment.history}
         self.assertIn((503, False), statuses.items())
 
     def test_a_full_server_of_a_hanging_service_says_nothing(self) -> None:
@@ -154,7 +154,7 @@
         first = self.ask()
         second = self.ask("/plain/2")
         self.assertEqual(first.identity.encode(), second.field(b"Attempt-Id"))
-        self.assertIn("answer of another order", " ".join(self.premises.broken()))
+        self.assertIn("answer of another order", " ".join(self.deployment.broken()))
 
     def test_bytes_behind_an_answer_spoil_the_next_for_who_takes_them(self) -> None:
         self.life.manners.append(BEHIND)
@@ -171,14 +171,14 @@
         self.assertEqual(304, self.ask(fields=[(b"If-None-Match", b'"r0"')]).status)
         self.life.service.objects.change("/plain/1", 0.0)
         self.assertTrue(self.ask(fields=[(b"If-None-Match", b'"r0"')]).served)
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
 
     def test_its_fitness_is_told_until_it_leaves(self) -> None:
         note = self.ask("/health")
         self.assertEqual(
             (200, self.life.identifier.encode()), (note.status, note.field(b"Instance-Id"))
         )
-        self.premises.landlord.drain(self.life)
+        self.deployment.platform.drain(self.life)
         self.assertEqual(503, self.ask("/health").status)
 
 
@@ -188,14 +188,14 @@
     def note(self, identity: str, kind: str = UNSAFE, status: int = 200) -> Note:
         note = Note(0.0, "edge", kind, "POST", HOST, "/orders/1", identity, b"body", 1.0)
         note.status = status
-        self.premises.notes.append(note)
+        self.deployment.notes.append(note)
         return note
 
     def arrive(
         self, note: Note, ran: bool = True, at: float = 0.1, service: str = "desks", **changed: Any
     ) -> Arrival:
         arrival = Arrival.__new__(Arrival)
-        life: ServerLife = self.premises.of_service(service)[0]
+        life: ServerLife = self.deployment.of_service(service)[0]
         plain = {
             "at": at,
             "service": service,
@@ -214,21 +214,21 @@
         }
         for name, value in plain.items():
             setattr(arrival, name, value)
-        self.premises.history.append(arrival)
+        self.deployment.history.append(arrival)
         return arrival
 
     def found(self, word: str) -> None:
         self.assertTrue(
-            any(line.startswith(word) for line in self.premises.broken()),
-            f"{word}: {self.premises.broken()}",
+            any(line.startswith(word) for line in self.deployment.broken()),
+            f"{word}: {self.deployment.broken()}",
         )
 
     def test_a_second_run_is_found(self) -> None:
         note = self.note("x-1", status=502)
         self.arrive(note)
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
         self.arrive(note, ran=False)
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
         self.arrive(note)
         self.found("twice")
 
@@ -250,25 +250,25 @@
     def test_a_run_that_nobody_asked_for_is_found(self) -> None:
         own = Note(0.0, "", SAFE, "GET", HOST, "/covers/1", "nobody", b"", 1.0)
         self.arrive(own, service="pages")
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
         for method, target in (
             ("POST", "/orders/1"),
             ("GET", "/plain/1"),
             ("POST", "/covers/1"),
             ("GET", "/none/1"),
         ):
-            self.premises.history.clear()
+            self.deployment.history.clear()
             self.arrive(Note(0.0, "", UNSAFE, method, HOST, target, "nobody", b"", 1.0))
             self.found("unasked")
 
     def test_a_success_that_is_not_whole_or_not_marked_is_found(self) -> None:
         dialect = WORDS.dialect
-        service = self.premises.services["desks"]
+        service = self.deployment.services["desks"]
         good: Fields = [(dialect.identity, b"x-1"), (dialect.seal, service.seal("/orders/1", 0))]
         body = service.body("/orders/1", 0)
         note = self.note("x-1")
         note.whole, note.fields, note.said = True, good, body
-        self.assertEqual([], self.premises.broken())
+        self.assertEqual([], self.deployment.broken())
         for fields, said in (
             (good, body[:-1]),
             (good[:1], body),
@@ -284,9 +284,9 @@
     def test_too_many_orders_are_found(self) -> None:
         for number in range(60):
             self.arrive(self.note(f"x{number}-1", status=502), at=number * 0.08)
-        self.assertEqual([], over_ceiling(self.premises.history, "desks", 12.0))
-        self.assertEqual([], over_ceiling(self.premises.history, "pages", 0.0))
-        self.assertNotEqual([], over_ceiling(self.premises.history, "desks", 9.0))
+        self.assertEqual([], over_ceiling(self.deployment.history, "desks", 12.0))
+        self.assertEqual([], over_ceiling(self.deployment.history, "pages", 0.0))
+        self.assertNotEqual([], over_ceiling(self.deployment.history, "desks", 9.0))
 
     def test_too_many_repeats_are_found(self) -> None:
         for number in range(100):
@@ -294,8 +294,8 @@
             self.arrive(note, at=0.01 * number)
             if number < 88:
                 self.arrive(note, at=0.01 * number + 0.005)
-        args = (self.premises.notes, self.premises.history, "desks", self.premises.allowed)
+        args = (self.deployment.notes, self.deployment.history, "desks", self.deployment.allowed)
         self.assertEqual([], over_budget(*args))
-        note = self.premises.notes[0]
+        note = self.deployment.notes[0]
         self.arrive(note, at=1.0)
         self.assertNotEqual([], over_budget(*args))
--- a/tests/test_platform_takeouts.py
+++ b/tests/test_platform_takeouts.py
@@ -7,13 +7,13 @@
 
 import testtools
 
-from premises import HOST, Premises
+from deployment import HOST, Deployment
 from ryelock.allowance import RetryBudget, TokenBucket
 from ryelock.cache import Store
 from ryelock.edge.handler import RequestHandler
 from ryelock.exchange import CallError
-from ryelock.proving.landlord import LOST, TWIN, UNSEALED, VAGUE, WHOLE
-from ryelock.proving.tenants import CACHEABLE, SAFE, UNSAFE, over_budget, over_ceiling
+from ryelock.proving.hosting_platform import LOST, TWIN, UNSEALED, VAGUE, WHOLE
+from ryelock.proving.platform_clients import CACHEABLE, SAFE, UNSAFE, over_budget, over_ceiling
 from words import DIALECT
 
 Run = Callable[[], list[str]]
@@ -24,23 +24,23 @@
     """Orders at servers of one manner, whatever rule that breaks."""
 
     def run() -> list[str]:
-        premises = Premises(1, ONE_ZONE, edges=3, cores=3).set_up()
+        deployment = Deployment(1, ONE_ZONE, edges=3, cores=3).set_up()
         for number in range(8):
-            for life in premises.servers.values():
+            for life in deployment.servers.values():
                 life.manner = manner
-            premises.ask(
+            deployment.ask(
                 kind, method, f"{target}{number}", b"body" if method == "POST" else b"", tries=1
             )
-            premises.ask(kind, method, f"{target}more-{number}", tries=1)
-        premises.world.run(2)
-        return premises.broken()
+            deployment.ask(kind, method, f"{target}more-{number}", tries=1)
+        deployment.world.run(2)
+        return deployment.broken()
 
     return run
 
 
 def handed_addresses() -> list[str]:
-    premises = Premises(8, servers=1).set_up()
-    premises.crowd(
+    deployment = Deployment(8, servers=1).set_up()
+    deployment.crowd(
         12,
         10.0,
         lambda number: (
@@ -49,47 +49,47 @@
             else (UNSAFE, "POST", f"/orders/{number}")
         ),
     )
-    premises.world.run(2)
-    lives = [premises.of_service(name)[0] for name in ("pages", "desks")]
+    deployment.world.run(2)
+    lives = [deployment.of_service(name)[0] for name in ("pages", "desks")]
     for life in lives:
-        premises.landlord.crash(life)
-    premises.world.run(0.3)
-    premises.add_server("desks", "a", lives[0].address)
-    premises.add_server("pages", "a", lives[1].address)
-    premises.world.run(6)
-    return premises.broken()
+        deployment.platform.crash(life)
+    deployment.world.run(0.3)
+    deployment.add_server("desks", "a", lives[0].address)
+    deployment.add_server("pages", "a", lives[1].address)
+    deployment.world.run(6)
+    return deployment.broken()
 
 
 def purged() -> list[str]:
-    premises = Premises(2).set_up()
-    premises.ask(CACHEABLE, "GET", "/covers/1")
-    premises.services["pages"].objects.change("/covers/1", 0.0)
-    premises.purge(host=HOST, path="/covers/1")
-    premises.world.run(2)
-    note = premises.ask(CACHEABLE, "GET", "/covers/1")
+    deployment = Deployment(2).set_up()
+    deployment.ask(CACHEABLE, "GET", "/covers/1")
+    deployment.services["pages"].objects.change("/covers/1", 0.0)
+    deployment.purge(host=HOST, path="/covers/1")
+    deployment.world.run(2)
+    note = deployment.ask(CACHEABLE, "GET", "/covers/1")
     seal = note.field(b"Server-Seal") or b""
-    return [*premises.broken(), *(["stale"] if seal.startswith(b"0.") else [])]
+    return [*deployment.broken(), *(["stale"] if seal.startswith(b"0.") else [])]
 
 
 def failing() -> list[str]:
-    premises = Premises(84).set_up()
-    premises.crowd(24, 10.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
-    premises.world.run(3)
+    deployment = Deployment(84).set_up()
+    deployment.crowd(24, 10.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
+    deployment.world.run(3)
     every_second = deque((LOST, WHOLE) * 2500)
-    for life in premises.of_service("pages"):
+    for life in deployment.of_service("pages"):
         life.manners = every_second
-    premises.world.run(8)
-    return over_budget(premises.notes, premises.history, "pages", premises.allowed)
+    deployment.world.run(8)
+    return over_budget(deployment.notes, deployment.history, "pages", deployment.allowed)
 
 
 def limited() -> list[str]:
-    premises = Premises(81)
-    services: Any = premises.configuration["services"]
+    deployment = Deployment(81)
+    services: Any = deployment.configuration["services"]
     services[1] = {**services[1], "rate_per_s": 40.0}
-    premises.set_up()
-    premises.crowd(24, 10.0, lambda number: (UNSAFE, "POST", f"/orders/{number}"))
-    premises.world.run(8)
-    return over_ceiling(premises.history, "desks", 40.0)
+    deployment.set_up()
+    deployment.crowd(24, 10.0, lambda number: (UNSAFE, "POST", f"/orders/{number}"))
+    deployment.world.run(8)
+    return over_ceiling(deployment.history, "desks", 40.0)
 
 
 def as_repeatable(self: Any, order: Any) -> Any:
