A stopping server ends idle connections though other answers are open

Idle connections were kept as long as any answer was open; now 0.5 s. The first test of tests/test_http_server_stop.py fails without close_idle. Ruled out: pacing (fast link; old loop).

--- a/packages/exchange/ryelock/exchange/http_server.py
+++ b/packages/exchange/ryelock/exchange/http_server.py
@@ -25,7 +25,8 @@
 from ryelock.loop import Link, Network, Scheduler, Step, TaskHandle
 
 UNSENT_MOST = 262_144
-IDLE_GRACE = 1.0
+IDLE_GRACE_SECONDS = 0.5
+"""After a stop began, a connection without a request stays open for so long."""
 
 
 class Limits:
@@ -172,6 +173,7 @@
         "busy",
         "closing",
         "closing_links",
+        "idle",
         "leaving",
         "limits",
         "links",
@@ -199,6 +201,7 @@
         self.serve = serve
         self.links: dict[Link, TaskHandle] = {}
         self.closing_links: list[Link] = []
+        self.idle: set[Link] = set()
         self.busy = 0
         self.closing = False
         self.leaving = False
@@ -223,7 +226,7 @@
             while not self.closing:
                 exchange = None
                 if not reader.buffer:
-                    yield from reader.more(self.scheduler.now() + self.limits.idle_seconds)
+                    yield from self.wait_for_request(link, reader)
                 until = self.scheduler.now() + self.limits.order_seconds
                 while reader.buffer[:2] == b"\r\n":
                     del reader.buffer[:2]
@@ -254,6 +257,19 @@
             else:
                 self.close(link)
 
+    def wait_for_request(self, link: Link, reader: Reader) -> Step[None]:
+        """Wait for the first bytes of the next request; raises Late after the idle time."""
+        self.idle.add(link)
+        try:
+            yield from reader.more(self.scheduler.now() + self.limits.idle_seconds)
+        finally:
+            self.idle.discard(link)
+
+    def close_idle(self) -> None:
+        """End the connections on which no byte of a request has come."""
+        for link in [link for link in self.idle if not len(link.inbox)]:
+            self.links[link].cancel()
+
     def close(self, link: Link) -> None:
         """End a connection; one with unsent bytes is remembered until they are sent."""
         self.closing_links = [other for other in self.closing_links if other.unsent]
@@ -291,15 +307,17 @@
     def finish(self, seconds: float) -> Step[bool]:
         """Wait for open answers, at most so long.
 
-        An idle link is kept a little: an order may be on its way on it, and gets an answer
-        that says the link closes.
+        An idle connection is kept a little: a request may be on its way on it, and gets an answer
+        that says the connection closes. Then it ends, however long other answers take: what came
+        on it later could not be answered in time.
         """
         started = self.scheduler.now()
+        idle_until = started + IDLE_GRACE_SECONDS
         while self.scheduler.now() < started + seconds and (
-            self.busy
-            or self.has_unsent
-            or (self.links and self.scheduler.now() < started + IDLE_GRACE)
+            self.busy or self.has_unsent or (self.links and self.scheduler.now() < idle_until)
         ):
+            if self.scheduler.now() >= idle_until:
+                self.close_idle()
             yield from self.scheduler.pause(0.02)
         done = self.busy == 0 and not self.has_unsent
         for link, running in list(self.links.items()):
--- /dev/null
+++ b/tests/test_http_server_stop.py
@@ -0,0 +1,89 @@
+"""A server that stops takes no request that it could not answer before its process ends."""
+
+import testtools
+
+from ryelock.events import QuietLog
+from ryelock.exchange import Exchange, HttpServer, Limits
+from ryelock.exchange.http_server import IDLE_GRACE_SECONDS
+from ryelock.loop import Link, Step
+from ryelock.proving.simulated import World
+
+SLOW_SECONDS = 3.0
+STOP_SECONDS = 4.0
+
+
+class StopTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = World(1)
+        self.world.spikes = 0.0
+        self.node = self.world.add("server", "server", "10.0.0.1")
+        self.client = self.world.add("client", "client", "10.0.0.2")
+        self.taken: list[bytes] = []
+        self.server = HttpServer(
+            self.node.scheduler,
+            self.node.network,
+            QuietLog("server"),
+            "10.0.0.1:80",
+            Limits(),
+            self.serve,
+        )
+
+    def serve(self, exchange: Exchange) -> Step[None]:
+        self.taken.append(exchange.head.target)
+        if exchange.head.target == b"/slow":
+            yield from self.node.scheduler.pause(SLOW_SECONDS)
+        yield from exchange.answer(200, [], b"answer")
+
+    def connection(self) -> Link:
+        link = self.client.network.connect("10.0.0.1:80")
+        self.assertTrue(self.world.run_until(lambda: link.opened, 1))
+        return link
+
+    def send(self, link: Link, target: bytes) -> None:
+        link.write(b"GET " + target + b" HTTP/1.1\r\nHost: here\r\n\r\n")
+
+    def begin_stop(self) -> list[bool]:
+        done: list[bool] = []
+
+        def stop() -> Step[None]:
+            self.server.stop_taking()
+            done.append((yield from self.server.finish(STOP_SECONDS)))
+
+        self.node.scheduler.spawn("stop", stop())
+        return done
+
+    def received(self, link: Link) -> bytes:
+        return b"".join(link.inbox.items)
+
+    def test_an_idle_connection_ends_though_another_request_is_open(self) -> None:
+        busy, idle = self.connection(), self.connection()
+        self.send(busy, b"/slow")
+        self.world.run(0.1)
+        done = self.begin_stop()
+        self.world.run(IDLE_GRACE_SECONDS + 0.5)
+        self.assertTrue(idle.ended)
+        self.send(idle, b"/late")
+        self.world.run(SLOW_SECONDS)
+        self.assertEqual([b"/slow"], self.taken)
+        self.assertIn(b"answer", self.received(busy))
+        self.assertEqual([True], done)
+
+    def test_a_request_on_its_way_is_still_answered(self) -> None:
+        busy, idle = self.connection(), self.connection()
+        self.send(busy, b"/slow")
+        self.world.run(0.1)
+        self.begin_stop()
+        self.world.run(IDLE_GRACE_SECONDS / 2)
+        self.send(idle, b"/soon")
+        self.world.run(0.2)
+        self.assertEqual([b"/slow", b"/soon"], self.taken)
+        self.assertIn(b"Connection: close", self.received(idle))
+        self.assertIn(b"answer", self.received(idle))
+
+    def test_an_idle_server_ends_after_the_grace(self) -> None:
+        idle = self.connection()
+        done = self.begin_stop()
+        self.world.run(IDLE_GRACE_SECONDS + 0.1)
+        self.assertEqual([True], done)
+        self.assertTrue(idle.ended)
