--- /dev/null
+++ b/packages/core/ryelock/core/metrics.py
@@ -0,0 +1,48 @@
+"""The figures that a control node tells: whether it leads, and how it divides the rates."""
+
+from ryelock.consensus import Consensus
+from ryelock.core.renewals import Renewals
+from ryelock.metrics import Labels, Metrics
+from ryelock.register import Register
+
+
+class ControlMetrics:
+    """Gauges of a control node; those of the rates are the leader's view."""
+
+    __slots__ = ("all", "consensus", "register", "renewals")
+
+    def __init__(self, consensus: Consensus, register: Register, renewals: Renewals) -> None:
+        """Create the figures of a node; they are read when somebody asks."""
+        self.consensus = consensus
+        self.register = register
+        self.renewals = renewals
+        self.all = Metrics()
+        self.all.gauge("leads", "1 where this node leads.", self.leads)
+        self.all.gauge("epoch", "The epoch of consensus.", lambda: {(): consensus.epoch})
+        self.all.gauge("version", "Version of the configuration.", lambda: {(): register.version})
+        self.all.gauge("edges", "Edges that are members.", lambda: {(): len(renewals.edges())})
+        self.all.gauge("rate", "Requests a second a service may get.", self.rates, "service")
+        self.all.gauge("rate_given", "Sum of the shares given.", self.given, "service")
+        self.all.gauge("demand", "Sum of the edges' demands.", self.demands, "service")
+
+    def leads(self) -> dict[Labels, float]:
+        """Return 1 where this node leads, else 0."""
+        return {(): float(self.consensus.role == "leader")}
+
+    def rates(self) -> dict[Labels, float]:
+        """Return the rate of each service that has one, in requests per second."""
+        services = self.register.configuration.services
+        return {(name,): service.rate for name, service in services.items() if service.limited}
+
+    def given(self) -> dict[Labels, float]:
+        """Return what is given of each service's rate, in requests per second."""
+        now = self.renewals.scheduler.now()
+        return {
+            (name,): sum(given.largest(now) for given in shares.values())
+            for name, shares in self.renewals.divider.given.items()
+        }
+
+    def demands(self) -> dict[Labels, float]:
+        """Return what all edges together ask of each service, in requests per second."""
+        demands = self.renewals.divider.demands
+        return {(name,): sum(amounts.values()) for name, amounts in demands.items()}
--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -8,6 +8,7 @@
 from ryelock.core.aggregator import Aggregator
 from ryelock.core.keeper import Keeper
 from ryelock.core.leading import Leading
+from ryelock.core.metrics import ControlMetrics
 from ryelock.core.platform import DUTY as READER
 from ryelock.core.platform import PlatformReader
 from ryelock.core.renewals import Renewals
@@ -17,6 +18,7 @@
 from ryelock.events import DUTY_FENCED, LEAVING, STARTED, STOPPED, STOPPING, Log
 from ryelock.journal import Journal
 from ryelock.loop import Network, Scheduler, Step, TaskHandle
+from ryelock.metrics import MetricsServer
 from ryelock.register import Register
 from ryelock.roster import Roster, Session
 from ryelock.wire import Lines, Message, MessageServer, Reply
@@ -111,6 +113,9 @@
         self.leading = Leading(
             scheduler, log, self.consensus, self.register, self.roster, self.renewals
         )
+        if env.metrics_address:
+            figures = ControlMetrics(self.consensus, self.register, self.renewals).all
+            MetricsServer(scheduler, network, log, env.metrics_address, figures)
         duties = ("aggregator", READER) if env.reader_duty else ("aggregator",)
         self.keeper = Keeper(
             scheduler,
--- a/packages/edge/ryelock/edge/admission.py
+++ b/packages/edge/ryelock/edge/admission.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from ryelock.edge.context import Failure
+from ryelock.edge.failures import Failure, FailureKind
 from ryelock.edge.gate import Gate, come_back
 from ryelock.edge.orders import Caller, Order
 from ryelock.edge.replies import NO_SHARE, Replies
@@ -30,7 +30,7 @@
         """Room at the service: at once, after a short wait, or not at all."""
         gate = self.gates.get(order.service)
         if gate is None:
-            return Failure(503, "the service is not known here yet")
+            return Failure(FailureKind.SERVICE_UNKNOWN, 503, "the service is not known here yet")
         fields = exchange.head.fields
         if not self.dialect.own:
             return (yield from self.pass_gate(exchange, order, route, gate))
@@ -41,7 +41,12 @@
         order.repeat = order.repeat or self.failed.repeats(caller, self.scheduler.now())
         if order.repeat and gate.budget.room < 1.0:
             order.allowance = "over the budget of repeats"
-            return Failure(429, "too many repeats of orders to this service", back=2.0)
+            return Failure(
+                FailureKind.RETRY_BUDGET,
+                429,
+                "too many repeats of orders to this service",
+                back=2.0,
+            )
         return (yield from self.pass_gate(exchange, order, route, gate))
 
     def pass_gate(
@@ -61,6 +66,7 @@
             bare = gate.bucket.holding(self.scheduler.now()) <= 0 and not gate.bucket.counted
             order.allowance = NO_SHARE if bare else "declined: over the service's rate or queue"
             return Failure(
+                FailureKind.NO_SHARE if bare else FailureKind.OVER_RATE,
                 503,
                 "the service is at its rate; the order was not sent",
                 back=come_back(wait),
@@ -69,10 +75,12 @@
         order.allowance = "allowed"
         if exchange.left:
             gate.leave(order.route_name)
-            return Failure(499, "the caller left before the order was sent")
+            return Failure(
+                FailureKind.CALLER_LEFT, 499, "the caller left before the order was sent"
+            )
         if not self.member.serving:
             gate.leave(order.route_name)
-            return Failure(503, "no term: cut off")
+            return Failure(FailureKind.NO_LEASE, 503, "no term: cut off")
         return None
 
     def claim(
@@ -89,12 +97,17 @@
             return None
         if found == "known":
             return Failure(
+                FailureKind.KEY_IN_USE,
                 409,
                 "an order with this Idempotency-Key was sent before; it is not sent again",
                 True,
             )
         self.give_back(exchange, order, key)
-        return Failure(503, "the Idempotency-Key could not be noted; the order was not sent")
+        return Failure(
+            FailureKind.KEY_NOT_CLAIMED,
+            503,
+            "the Idempotency-Key could not be noted; the order was not sent",
+        )
 
     def give_back(self, exchange: Exchange, order: Order, key: bytes) -> None:
         self.scheduler.spawn(
--- a/packages/edge/ryelock/edge/answers.py
+++ b/packages/edge/ryelock/edge/answers.py
@@ -1,6 +1,7 @@
 """Which of a server's answers is believed, and what a failed dispatch tells of the server."""
 
 from ryelock.edge.admission import Admission
+from ryelock.edge.failures import Withdrawn
 from ryelock.edge.orders import Order
 from ryelock.edge.servers import ServerState
 from ryelock.exchange import (
@@ -11,7 +12,6 @@
 )
 from ryelock.loop import Step
 
-UNBLAMED = ("the caller left", "the term or the route changed", "the server is leaving or gone")
 HELD_ANSWER = 65_536
 HASTY_SECONDS = 0.25
 HASTY_TIMES = 3.0
@@ -113,7 +113,7 @@
 
         Nor where nothing was sent for reasons of the caller, the route or the listing.
         """
-        if error.reason in UNBLAMED:
+        if isinstance(error, Withdrawn):
             return False
         hasty = taken < max(HASTY_SECONDS, HASTY_TIMES * state.latency)
         return not (
--- a/packages/edge/ryelock/edge/context.py
+++ b/packages/edge/ryelock/edge/context.py
@@ -1,10 +1,11 @@
-"""What all steps of a request's path share: the edge's parts, and how a dispatch can end."""
+"""What all steps of a request's path share: the edge's parts, and a server's answer."""
 
 from random import Random
 
 from ryelock.cache import Store
 from ryelock.edge.gate import Gate
 from ryelock.edge.member import Member
+from ryelock.edge.metrics import EdgeMetrics
 from ryelock.edge.orders import Failed, Keys, Orders
 from ryelock.edge.peers import Peers
 from ryelock.edge.plan import Plan
@@ -22,36 +23,6 @@
 REPEAT_SECONDS = 30.0
 
 
-class Failure:
-    """Why an order has no server's answer, and whether it may have run."""
-
-    __slots__ = ("back", "reason", "room_in", "status", "unknown")
-
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        unknown: bool = False,
-        back: float = 1.0,
-        room_in: float = 0.0,
-    ) -> None:
-        """Create a failure.
-
-        Args:
-            status: HTTP status for the caller.
-            reason: why, for the caller and the record of the request.
-            unknown: whether a server may have run the request.
-            back: seconds after which the caller should come back.
-            room_in: seconds until the service's rate is expected to have room; 0 where the
-                rate is not the reason, infinite where that is not known.
-        """
-        self.status = status
-        self.reason = reason
-        self.unknown = unknown
-        self.back = back
-        self.room_in = room_in
-
-
 class UpstreamAnswer:
     """A server's answer: its head, what was read of its body, and the rest to come."""
 
@@ -90,6 +61,7 @@
         "lately",
         "log",
         "member",
+        "metrics",
         "name",
         "network",
         "orders",
@@ -125,6 +97,7 @@
         self.servers = Servers(scheduler, log, env, random)
         self.store = Store(env.cache_bytes, dialect.labels)
         self.gates: dict[str, Gate] = {}
+        self.metrics = EdgeMetrics(self.gates, scheduler)
         self.orders = Orders(env.explain_orders)
         self.keys = Keys()
         self.peers = Peers(scheduler, env.name, env.zone) if env.share_copies else None
--- a/packages/edge/ryelock/edge/dispatch.py
+++ b/packages/edge/ryelock/edge/dispatch.py
@@ -4,8 +4,9 @@
 
 from ryelock.cache import Copy
 from ryelock.edge.answers import Answers
-from ryelock.edge.context import Failure, UpstreamAnswer
+from ryelock.edge.context import UpstreamAnswer
 from ryelock.edge.copies import CONDITIONS
+from ryelock.edge.failures import Failure, FailureKind, Withdrawn
 from ryelock.edge.gate import Gate
 from ryelock.edge.orders import Order
 from ryelock.edge.owner import (
@@ -50,14 +51,18 @@
         """Send an order to servers in turn until one answers or it must be given up."""
         until = self.deadline(exchange, route)
         used: set[tuple[str, str, str]] = set()
-        failure = Failure(503, f"no live server of service {order.service}")
+        failure = Failure(FailureKind.NO_SERVER, 503, f"no live server of service {order.service}")
         answered: UpstreamAnswer | None = None
         servers_left = order.servers_left
         for number in range(servers_left):
             if not self.may_still_go(order):
-                return Error(Failure(503, "the term or the route changed; not sent"))
+                return Error(
+                    Failure(
+                        FailureKind.ROUTE_CHANGED, 503, "the term or the route changed; not sent"
+                    )
+                )
             if exchange.left:
-                return Error(Failure(499, "the caller left"))
+                return Error(Failure(FailureKind.CALLER_LEFT, 499, "the caller left"))
             if any(record["sent"] for record in order.dispatches):
                 patience = until - self.scheduler.now()
                 if not (yield from gate.again(patience)):
@@ -110,13 +115,22 @@
             if error.declined:
                 record["declined"] = error.declined
                 self.servers.declined(state, error.declined, FULL_SECONDS)
-                failure = Failure(503, error.reason, back=self.soon(route))
+                failure = Failure(
+                    FailureKind.SERVER_REJECTED, 503, error.reason, back=self.soon(route)
+                )
                 if error.declined == 429:
                     return Error(failure)
                 continue
-            if error.reason == "over the budget of repeats":
+            if isinstance(error, Withdrawn) and error.kind is FailureKind.RETRY_BUDGET:
                 state.trying = False
-                return Error(Failure(429, "too many repeats of orders to this service", back=2.0))
+                return Error(
+                    Failure(
+                        FailureKind.RETRY_BUDGET,
+                        429,
+                        "too many repeats of orders to this service",
+                        back=2.0,
+                    )
+                )
             if self.blames(error, state, taken):
                 self.servers.fared(state, False, taken)
             else:
@@ -124,10 +138,15 @@
             if error.sent and order.klass == "once":
                 late = error.reason == "no answer in time"
                 return Error(
-                    Failure(504 if late else 502, f"outcome unknown: {error.reason}", True)
+                    Failure(
+                        kind_of(error, late),
+                        504 if late else 502,
+                        f"outcome unknown: {error.reason}",
+                        True,
+                    )
                 )
             late = self.scheduler.now() >= until
-            failure = Failure(504 if late else 502, error.reason)
+            failure = Failure(kind_of(error, late), 504 if late else 502, error.reason)
             if late:
                 return Error(failure)
         return self.last_of(answered, failure)
@@ -163,16 +182,17 @@
             if not link.opened and not (yield from link.open(max(0.0, left))):
                 return Error(CallError("no link to the server", False))
             if not self.servers.is_live(state, order.service, self.scheduler.now()):
-                return Error(CallError("the server is leaving or gone", False))
+                return Error(Withdrawn(FailureKind.SERVER_LEAVING, "the server is leaving or gone"))
             if exchange.left:
-                return Error(CallError("the caller left", False))
+                return Error(Withdrawn(FailureKind.CALLER_LEFT, "the caller left"))
             if not self.may_still_go(order):
-                return Error(CallError("the term or the route changed", False))
+                return Error(Withdrawn(FailureKind.ROUTE_CHANGED, "the term or the route changed"))
             if reader.buffer or link.inbox.items:
                 return Error(CallError("bytes came before the request was sent", False))
             if not self.account(exchange, order):
-                return Error(CallError("over the budget of repeats", False))
+                return Error(Withdrawn(FailureKind.RETRY_BUDGET, "over the budget of repeats"))
             record["sent"] = True
+            self.metrics.attempts.add(order.service)
             sent = self.scheduler.now()
             self.send(exchange, order, state, link, fill, known)
             answer_until = min(until, sent + self.service_seconds(order))
@@ -267,3 +287,10 @@
     def service_seconds(self, order: Order) -> float:
         gate = self.gates.get(order.service)
         return gate.service.answer_seconds if gate is not None else self.env.order_seconds
+
+
+def kind_of(error: CallError, late: bool) -> FailureKind:
+    """Tell the kind of a request's failure by the error of its last attempt."""
+    if isinstance(error, Withdrawn):
+        return error.kind
+    return FailureKind.SERVER_SILENT if late else FailureKind.SERVER_FAILED
--- a/packages/edge/ryelock/edge/handler.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -11,8 +11,9 @@
 
 from ryelock.cache import Copy, Fill, copy_of, may_use
 from ryelock.edge.admission import caller_of
-from ryelock.edge.context import Failure, UpstreamAnswer
+from ryelock.edge.context import UpstreamAnswer
 from ryelock.edge.copies import Filling, refreshed
+from ryelock.edge.failures import Failure, FailureKind
 from ryelock.edge.foresee import Foresee
 from ryelock.edge.orders import Order
 from ryelock.edge.owner import (
@@ -40,14 +41,20 @@
         order = self.open_order(exchange)
         try:
             if not self.member.serving:
-                yield from self.decline(exchange, order, Failure(503, "no term: cut off"))
+                yield from self.decline(
+                    exchange, order, Failure(FailureKind.NO_LEASE, 503, "no term: cut off")
+                )
                 return
             route = self.find_route(order)
             if route is None:
-                yield from self.decline(exchange, order, Failure(404, "no route"))
+                yield from self.decline(
+                    exchange, order, Failure(FailureKind.NO_ROUTE, 404, "no route")
+                )
                 return
             if order.probe and not route.cached and not self.dialect.own:
-                yield from self.decline(exchange, order, Failure(404, "not an object to probe"))
+                yield from self.decline(
+                    exchange, order, Failure(FailureKind.NO_ROUTE, 404, "not an object to probe")
+                )
                 return
             self.served += not (order.probe or order.peer)
             order.body = yield from exchange.whole_body()
@@ -66,6 +73,8 @@
                 and any(record["sent"] for record in order.dispatches)
             ):
                 self.failed.tell(caller_of(exchange, order), self.scheduler.now())
+            if order.cache:
+                self.metrics.cache.add(order.service, order.asked_by, order.cache)
             if not order.outcome:
                 order.outcome = "caller left" if exchange.left else "ended"
             self.orders.keep(order)
@@ -75,7 +84,11 @@
         key = field(exchange.head.fields, b"idempotency-key")
         if key is not None and self.keys.under_way(order.service, key):
             yield from self.decline(
-                exchange, order, Failure(409, "an order with this Idempotency-Key is under way")
+                exchange,
+                order,
+                Failure(
+                    FailureKind.KEY_IN_USE, 409, "an order with this Idempotency-Key is under way"
+                ),
             )
             return
         yield from self.serve_plain(exchange, order, route, key)
@@ -117,7 +130,11 @@
         key = (order.route_name, order.host, order.target)
         head = exchange.head
         if order.peer and order.known > self.plan.version:
-            yield from self.decline(exchange, order, Failure(503, "the version is not here yet"))
+            yield from self.decline(
+                exchange,
+                order,
+                Failure(FailureKind.OLD_VERSION, 503, "the version is not here yet"),
+            )
             return
         behind = order.peer and order.purged > self.store.purged
         copy = None if behind else self.store.find(key, head.fields)
@@ -126,7 +143,9 @@
             yield from self.answer_copy(exchange, order, copy)
             return
         if "only-if-cached" in (field(head.fields, b"cache-control") or b"").decode("latin-1"):
-            yield from self.decline(exchange, order, Failure(504, "not in the cache"))
+            yield from self.decline(
+                exchange, order, Failure(FailureKind.NOT_CACHED, 504, "not in the cache")
+            )
             return
         shared = (
             head.method == b"GET"
@@ -136,7 +155,9 @@
         )
         fill = self.store.fills.get(key) if shared and not order.probe else None
         if order.peer and order.servers_left == LOOKUP:
-            yield from self.decline(exchange, order, Failure(504, "not in the cache"))
+            yield from self.decline(
+                exchange, order, Failure(FailureKind.NOT_CACHED, 504, "not in the cache")
+            )
             return
         if fill is not None:
             order.cache = "waited for a fill"
@@ -187,7 +208,10 @@
         failure = yield from self.enter(exchange, order, route, None)
         if failure is not None or gate is None:
             yield from self.decline(
-                exchange, order, failure or Failure(503, "the service is not known here yet")
+                exchange,
+                order,
+                failure
+                or Failure(FailureKind.SERVICE_UNKNOWN, 503, "the service is not known here yet"),
             )
             return
         try:
--- a/packages/edge/ryelock/edge/orders.py
+++ b/packages/edge/ryelock/edge/orders.py
@@ -99,6 +99,11 @@
         """Whether it reached a server that did not say for certain that it did not run it."""
         return any(record["sent"] and "declined" not in record for record in self.dispatches)
 
+    @property
+    def asked_by(self) -> str:
+        """Who sent it: a client, another edge or a prober."""
+        return "prober" if self.probe else "edge" if self.peer else "client"
+
     def plain(self) -> dict[str, object]:
         return {
             "order": self.identity,
--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -4,7 +4,8 @@
 import math
 
 from ryelock.cache import Copy, answer_from
-from ryelock.edge.context import Failure, UpstreamAnswer
+from ryelock.edge.context import UpstreamAnswer
+from ryelock.edge.failures import Failure
 from ryelock.edge.orders import Order
 from ryelock.edge.owner import (
     AGE_FIELD,
@@ -182,7 +183,8 @@
         """
         comes_back = failure.status in (429, 503)
         if comes_back and order.may_have_run and order.klass == "once":
-            failure = Failure(502, failure.reason, failure.unknown, failure.back)
+            failure = Failure(failure.kind, 502, failure.reason, failure.unknown, failure.back)
+        self.metrics.refusals.add(order.service, order.asked_by, failure.kind)
         order.status = failure.status
         order.reason = failure.reason
         order.outcome = "unknown" if failure.unknown else "not run"
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -178,6 +178,9 @@
     wire_address = Setting("", address, "where this process takes links from other processes")
     control_address = Setting("", address, "where operators and the platform reach this process")
     order_address = Setting("", optional_address, "where an edge takes orders from callers")
+    metrics_address = Setting(
+        "", optional_address, "where the figures of this process are read; empty: nowhere"
+    )
     data_folder = Setting("", text, "the one folder a core writes to")
     platform_address = Setting("", optional_address, "where the platform lists servers")
     probe = Setting(False, flag, "whether an edge also probes the edges of its zone")
--- /dev/null
+++ b/packages/metrics/ryelock/metrics/__init__.py
@@ -0,0 +1,114 @@
+"""Figures of one process: counters and gauges, served as text in the Prometheus format.
+
+A counter costs a dictionary entry where it is counted; everything else happens when somebody
+asks. The library that writes the format is loaded at the first such request: it is larger than
+what most nodes need, and a node that nobody looks at never pays for it.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Mapping
+from typing import TYPE_CHECKING
+
+from ryelock.events import Log
+from ryelock.exchange import Exchange, HttpServer, Limits
+from ryelock.loop import Network, Scheduler, Step
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
+Labels = tuple[str, ...]
+Read = Callable[[], Mapping[Labels, float]]
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class Counter:
+    """A sum that only grows, one for each combination of its labels' values."""
+
+    __slots__ = ("labels", "name", "note", "values")
+
+    def __init__(self, name: str, note: str, labels: Labels) -> None:
+        """Create a counter at zero; `labels` are the labels' names, `note` its line of help."""
+        self.name = name
+        self.note = note
+        self.labels = labels
+        self.values: defaultdict[Labels, float] = defaultdict(float)
+
+    def add(self, *values: str, amount: float = 1.0) -> None:
+        """Add to the sum of these label values, given in the order of the labels' names."""
+        self.values[values] += amount
+
+
+class Gauge:
+    """A figure that is read when it is asked for, by its labels' values."""
+
+    __slots__ = ("labels", "name", "note", "read")
+
+    def __init__(self, name: str, note: str, labels: Labels, read: Read) -> None:
+        """Create a gauge; see Counter."""
+        self.name = name
+        self.note = note
+        self.labels = labels
+        self.read = read
+
+
+class Metrics:
+    """All figures of one process."""
+
+    __slots__ = ("counters", "gauges")
+
+    def __init__(self) -> None:
+        """Create a collection without figures."""
+        self.counters: list[Counter] = []
+        self.gauges: list[Gauge] = []
+
+    def counter(self, name: str, note: str, *labels: str) -> Counter:
+        """Add a counter; its name is shown with `ryelock_` before and `_total` behind."""
+        counter = Counter(f"ryelock_{name}", note, labels)
+        self.counters.append(counter)
+        return counter
+
+    def gauge(self, name: str, note: str, read: Read, *labels: str) -> None:
+        """Add a gauge; its name is shown with `ryelock_` before."""
+        self.gauges.append(Gauge(f"ryelock_{name}", note, labels, read))
+
+    def collect(self) -> "Iterator[Metric]":
+        """Yield the figures as they are now; prometheus_client calls this."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        for counter in self.counters:
+            sums = CounterMetricFamily(counter.name, counter.note, labels=counter.labels)
+            for values, amount in sorted(counter.values.items()):
+                sums.add_metric(values, amount)
+            yield sums
+        for gauge in self.gauges:
+            figures = GaugeMetricFamily(gauge.name, gauge.note, labels=gauge.labels)
+            for values, amount in sorted(gauge.read().items()):
+                figures.add_metric(values, amount)
+            yield figures
+
+    def exposition(self) -> bytes:
+        """Return all figures in the Prometheus text format."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+
+class MetricsServer:
+    """Serves the figures of a process over HTTP, whatever the path."""
+
+    __slots__ = ("listener", "metrics")
+
+    def __init__(
+        self, scheduler: Scheduler, network: Network, log: Log, address: str, metrics: Metrics
+    ) -> None:
+        """Listen at host:port; raises NetworkError where that cannot be had."""
+        self.metrics = metrics
+        self.listener = HttpServer(scheduler, network, log, address, Limits(), self.serve)
+
+    def serve(self, exchange: Exchange) -> Step[None]:
+        """Answer one request with all figures."""
+        yield from exchange.whole_body()
+        fields = [(b"Content-Type", CONTENT_TYPE), (b"Cache-Control", b"no-store")]
+        yield from exchange.answer(200, fields, self.metrics.exposition())
--- a/tests/test_checked.py
+++ b/tests/test_checked.py
@@ -25,6 +25,7 @@
     "events",
     "wire",
     "exchange",
+    "metrics",
     "journal",
     "consensus",
     "duty",
