--- a/packages/core/ryelock/core/process.py
+++ b/packages/core/ryelock/core/process.py
@@ -18,7 +18,7 @@
 from ryelock.events import DUTY_FENCED, LEAVING, STARTED, STOPPED, STOPPING, Log
 from ryelock.journal import Journal
 from ryelock.loop import Network, Scheduler, Step, TaskHandle
-from ryelock.metrics import MetricsServer
+from ryelock.metrics import show_metrics
 from ryelock.register import Register
 from ryelock.roster import Roster, Session
 from ryelock.wire import Lines, Message, MessageServer, Reply
@@ -113,9 +113,8 @@
         self.leading = Leading(
             scheduler, log, self.consensus, self.register, self.roster, self.renewals
         )
-        if env.metrics_address:
-            figures = ControlMetrics(self.consensus, self.register, self.renewals).all
-            MetricsServer(scheduler, network, log, env.metrics_address, figures)
+        figures = ControlMetrics(self.consensus, self.register, self.renewals).all
+        show_metrics(scheduler, network, log, figures, env.metrics_address, env.metrics_log_seconds)
         duties = ("aggregator", READER) if env.reader_duty else ("aggregator",)
         self.keeper = Keeper(
             scheduler,
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -17,7 +17,7 @@
 from ryelock.events import STARTED, STOPPED, STOPPING, Log
 from ryelock.exchange import Dialect, HttpServer, Limits
 from ryelock.loop import Network, Scheduler, Step, TaskHandle
-from ryelock.metrics import Metrics, MetricsServer
+from ryelock.metrics import Metrics, show_metrics
 from ryelock.register import CallerLimits, Register, Watch
 from ryelock.roster import Listing, Session
 from ryelock.watch import Prober, Target
@@ -129,9 +129,8 @@
                 scheduler, network, log, env.order_address, limits, self.handler.serve, bulk=True
             )
             self.session.order = self.request_server.address
-        if env.metrics_address:
-            figures = self.handler.metrics.all if self.handler is not None else Metrics()
-            MetricsServer(scheduler, network, log, env.metrics_address, figures)
+        figures = self.handler.metrics.all if self.handler is not None else Metrics()
+        show_metrics(scheduler, network, log, figures, env.metrics_address, env.metrics_log_seconds)
         self.prober: Prober | None = None
         self.told = 0
         self.told_epoch = -1
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -181,6 +181,9 @@
     metrics_address = Setting(
         "", optional_address, "where the figures of this process are read; empty: nowhere"
     )
+    metrics_log_seconds = Setting(
+        0.0, number(0, 3600), "how often these figures are written to the log; 0: never"
+    )
     data_folder = Setting("", text, "the one folder a core writes to")
     platform_address = Setting("", optional_address, "where the platform lists servers")
     probe = Setting(False, flag, "whether an edge also probes the edges of its zone")
--- a/packages/events/ryelock/events/__init__.py
+++ b/packages/events/ryelock/events/__init__.py
@@ -42,6 +42,7 @@
     "the settings file changed and has faults",
     "mend the file; the process goes on with what it had",
 )
+FIGURES = Event(1007, INFO, "the figures of this process", "nothing")
 FRAME_DECLINED = Event(
     1101,
     WARNING,
--- a/packages/metrics/ryelock/metrics/__init__.py
+++ b/packages/metrics/ryelock/metrics/__init__.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
-from ryelock.events import Log
+from ryelock.events import FIGURES, Log
 from ryelock.exchange import Exchange, HttpServer, Limits
 from ryelock.loop import Network, Scheduler, Step
 
@@ -86,6 +86,17 @@
                 figures.add_metric(values, amount)
             yield figures
 
+    def plain(self) -> dict[str, float]:
+        """Return all figures by name and label values, as one line of the log has them."""
+        found: dict[str, float] = {}
+        for counter in self.counters:
+            for values, amount in sorted(counter.values.items()):
+                found["/".join((counter.name, *values))] = amount
+        for gauge in self.gauges:
+            for values, amount in sorted(gauge.read().items()):
+                found["/".join((gauge.name, *values))] = round(amount, 4)
+        return found
+
     def exposition(self) -> bytes:
         """Return all figures in the Prometheus text format."""
         from prometheus_client import CollectorRegistry, generate_latest
@@ -112,3 +123,20 @@
         yield from exchange.whole_body()
         fields = [(b"Content-Type", CONTENT_TYPE), (b"Cache-Control", b"no-store")]
         yield from exchange.answer(200, fields, self.metrics.exposition())
+
+
+def log_figures(scheduler: Scheduler, log: Log, metrics: Metrics, seconds: float) -> Step[None]:
+    """Write all figures to the log again and again, once in so many seconds."""
+    while True:
+        yield from scheduler.pause(seconds)
+        log.write(FIGURES, figures=metrics.plain())
+
+
+def show_metrics(
+    scheduler: Scheduler, network: Network, log: Log, metrics: Metrics, address: str, seconds: float
+) -> None:
+    """Serve figures at an address unless that is empty, log them unless `seconds` is 0."""
+    if address:
+        MetricsServer(scheduler, network, log, address, metrics)
+    if seconds:
+        scheduler.spawn("figures", log_figures(scheduler, log, metrics, seconds))
