A caller that leaves ends its repeatable request at the server; aborts reset

Cause: Exchange.left was looked at before a request was sent and never again. Besides, Link.abort closed in order (FIN), so what a cut or full link still held was delivered later; only the stand-in's network reset. It resets now (SO_LINGER 0); a close after complete answers ends in order as before.

Not broken off: what may run once, and fetches for the cache, which serve others too. A server is not blamed for an attempt that ended since its caller left. Ruled out: waits for room, retries and connections (each is followed by a look at the caller).

--- a/packages/edge/ryelock/edge/dispatch.py
+++ b/packages/edge/ryelock/edge/dispatch.py
@@ -111,6 +111,9 @@
                     continue
                 return Ok(carried)
             error = found.error
+            if exchange.left and self.ends_with_caller(order, fill):
+                self.metrics.cancelled.add(order.service)
+                error = Withdrawn(FailureKind.CALLER_LEFT, "the caller left", error.sent)
             record["fault"] = error.reason
             if error.declined:
                 record["declined"] = error.declined
@@ -189,6 +192,8 @@
                 return Error(Withdrawn(FailureKind.ROUTE_CHANGED, "the term or the route changed"))
             if reader.buffer or link.inbox.items:
                 return Error(CallError("bytes came before the request was sent", False))
+            if self.ends_with_caller(order, fill):
+                exchange.end_with_caller(link)
             if not self.account(exchange, order):
                 return Error(Withdrawn(FailureKind.RETRY_BUDGET, "over the budget of repeats"))
             record["sent"] = True
@@ -236,8 +241,16 @@
             return Error(CallError("no answer in time", True))
         finally:
             if not carried:
+                exchange.keep_from_caller()
                 link.abort()
 
+    def ends_with_caller(self, order: Order, fill: bool) -> bool:
+        """Whether a server's work on a request is for its caller alone and may be broken off.
+
+        What is fetched for the cache serves others too, and what may run once is left to end.
+        """
+        return order.klass == "repeatable" and not fill
+
     def send(
         self,
         exchange: Exchange,
--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -80,23 +80,27 @@
                 exchange.finish()
                 done = True
                 order.outcome = "answered"
+                exchange.keep_from_caller()
                 self.free_link(carried)
         except (Cut, Late, FramingError) as error:
             order.reason = f"the server's answer was cut: {error!r}"
             order.outcome = "cut"
-            self.servers.fared(carried.server, False, 0.0)
-            self.log.write(
-                ANSWER_BROKEN,
-                server=carried.server.server.address,
-                order=order.identity,
-                fault="cut in the body",
-            )
+            if not exchange.left:
+                self.servers.fared(carried.server, False, 0.0)
+                self.log.write(
+                    ANSWER_BROKEN,
+                    server=carried.server.server.address,
+                    order=order.identity,
+                    fault="cut in the body",
+                )
         finally:
             if not done:
+                exchange.keep_from_caller()
                 exchange.cut()
                 carried.link.abort()
 
     def free_link(self, carried: UpstreamAnswer) -> None:
+        """Keep a server's connection for other requests where its answer was read to the end."""
         if carried.answer.keep and carried.answer.body.over:
             self.servers.keep_link(
                 carried.server, carried.link, carried.reader, idle_of(carried.head)
--- a/packages/exchange/ryelock/exchange/http_server.py
+++ b/packages/exchange/ryelock/exchange/http_server.py
@@ -94,6 +94,20 @@
         """Whether the caller is gone."""
         return self.link.ended
 
+    def end_with_caller(self, upstream: Link) -> None:
+        """Reset a connection to a server as soon as the caller leaves, at once where it has.
+
+        One connection at a time; `keep_from_caller` takes it back.
+        """
+        if self.left:
+            upstream.abort()
+        else:
+            self.link.when_ended = upstream.abort
+
+    def keep_from_caller(self) -> None:
+        """The connection to the server lives on when the caller leaves."""
+        self.link.when_ended = None
+
     def whole_body(self) -> Step[bytes]:
         if self.waits_to_send and not self.body.over and not self.reader.buffer:
             self.link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/packages/loop/ryelock/loop/network.py
+++ b/packages/loop/ryelock/loop/network.py
@@ -19,7 +19,8 @@
 class Link:
     """A connection as a stream of bytes; subclasses carry the bytes.
 
-    What is written to a `bulk` connection gives way to what is written to others.
+    What is written to a `bulk` connection gives way to what is written to others. `when_ended` is
+    called once, at the moment when the connection ends, whichever side ended it.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "room",
         "scheduler",
         "unsent",
+        "when_ended",
     )
 
     def __init__(self, scheduler: Scheduler, peer: str) -> None:
@@ -45,6 +47,7 @@
         self.ended = False
         self.held = 0
         self.unsent = 0
+        self.when_ended: Callable[[], None] | None = None
 
     def write(self, data: bytes) -> None:
         """Queue bytes for sending; nothing is sent once the connection has ended."""
@@ -55,7 +58,7 @@
         raise NotImplementedError
 
     def abort(self) -> None:
-        """End at once; what was not sent is lost."""
+        """End at once with a reset: what has not arrived is lost."""
         raise NotImplementedError
 
     def hold(self) -> None:
@@ -78,6 +81,9 @@
             self.unsent = 0
             self.inbox.put(b"")
             self.room.put(False)
+            told, self.when_ended = self.when_ended, None
+            if told is not None:
+                told()
 
     def receive(self, seconds: float | None) -> Step[bytes | None]:
         """The next bytes; empty at the end; None once the seconds are over."""
--- a/packages/loop/ryelock/loop/reactor.py
+++ b/packages/loop/ryelock/loop/reactor.py
@@ -8,9 +8,11 @@
 
 import errno
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 
 from circuits.core.components import BaseComponent
 from circuits.core.handlers import handler
@@ -21,6 +23,8 @@
 from ryelock.loop.tasks import Mailbox, Scheduler
 
 PIECE = 65_536
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
 AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 
 
@@ -96,7 +100,7 @@
                 count = self.socket.send(piece)
             except OSError as error:
                 if error.errno not in AGAIN:
-                    self.abort()
+                    self.end()
                     return sent
                 count, full = 0, True
             full = full or count < len(piece)
@@ -119,7 +123,7 @@
     def all_sent(self) -> None:
         """End a connection that was closed; tell a writer that waits for room."""
         if self.closing:
-            self.abort()
+            self.end()
         elif len(self.room) == 0:
             self.room.put(True)
 
@@ -154,10 +158,20 @@
         if self.pieces and self.opened and not self.ended:
             self.closing = True
         else:
-            self.abort()
+            self.end()
 
     def abort(self) -> None:
-        """Close the socket and drop what was not sent."""
+        """Reset the connection: also what the system still holds for it is dropped.
+
+        Closed in order it would arrive later, for instance once a cut network heals.
+        """
+        if not self.ended:
+            with suppress(OSError):
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            self.end()
+
+    def end(self) -> None:
+        """Close the socket; what the system still holds is sent in order."""
         if self.ended:
             return
         self.reactor.poller.discard(self.socket)
@@ -264,12 +278,12 @@
             data = plain.recv(PIECE)
         except OSError as error:
             if error.errno not in AGAIN:
-                link.abort()
+                link.end()
             return
         if data:
             link.arrived(data)
         else:
-            link.abort()
+            link.end()
 
     @handler("_write")  # type: ignore[untyped-decorator]
     def on_writable(self, plain: socket.socket) -> None:
@@ -279,7 +293,7 @@
             return
         if not link.opened:
             if plain.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0:
-                link.abort()
+                link.end()
                 return
             link.opened = True
             link.want_read(True)
@@ -291,7 +305,7 @@
         """End a connection whose socket failed."""
         link = self.links.get(plain)
         if link is not None:
-            link.abort()
+            link.end()
 
     @handler("signal", channel="*")  # type: ignore[untyped-decorator]
     def on_signal(self, number: int, _: object) -> None:
