Owners in each zone ask the object's home zone; an owner at work says so (102)

An edge asks the owner of its zone, which asks the home's. An owner at work was told from a silent one by patience alone, a part of the aim: two owners in a row would fetch twice. It now sends 102 when it begins or joins a fetch.

--- a/packages/edge/ryelock/edge/handler.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -160,6 +160,8 @@
                 exchange, order, Failure(FailureKind.NOT_CACHED, 504, "not in the cache")
             )
             return
+        if order.peer:
+            exchange.tell_working()
         if fill is not None:
             order.cache = "waited for a fill"
             waited = yield from self.wait_for(fill, exchange, route)
@@ -293,8 +295,8 @@
         )
 
     def may_ask_owner(self, order: Order) -> bool:
-        """Whether an order may be handed to another edge: not twice, and never without a name."""
-        return not (order.peer or order.probe) and (order.named or self.dialect.own)
+        """Whether an order may be handed to another edge: no probe, and none without a name."""
+        return not order.probe and (order.named or self.dialect.own)
 
     def ask_owner(
         self,
@@ -305,13 +307,13 @@
         key: tuple[str, str, str],
         known: Copy | None,
     ) -> Step[Copy | Relayed | Refusal | None]:
-        """What the edge that keeps this object for the region gives; None where it gives nothing.
+        """What the edge that keeps this object for the zone or the region gives, None for nothing.
 
         It is told how many purges are known here: one that knows of fewer uses no copy of its
         own. Where it gives nothing the object is fetched from a server.
         """
         peers.follow(self.member.members)
-        owner = peers.owner(key[1:])
+        owner = peers.owner(key[1:], order.peer_zone)
         if owner is None:
             return None
         return (yield from OwnerAsk(self, peers, owner, exchange, order, route, known).run())
--- a/packages/edge/ryelock/edge/orders.py
+++ b/packages/edge/ryelock/edge/orders.py
@@ -25,6 +25,7 @@
         "outcome",
         "path",
         "peer",
+        "peer_zone",
         "probe",
         "purged",
         "reason",
@@ -59,6 +60,7 @@
         self.named = False
         self.probe = False
         self.peer = False
+        self.peer_zone = ""
         self.purged = 0
         self.known = 0
         self.servers_given: int | None = None
@@ -91,8 +93,12 @@
 
     @property
     def servers_reached(self) -> int:
-        """How many dispatches of this order may have reached a server."""
-        return sum(record["sent"] is True for record in self.dispatches)
+        """How many servers this order may have reached, by itself or through an owner."""
+        return sum(
+            servers if isinstance(servers := record.get("servers", 1), int) else 1
+            for record in self.dispatches
+            if record["sent"]
+        )
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/edge/ryelock/edge/owner.py
+++ b/packages/edge/ryelock/edge/owner.py
@@ -1,5 +1,8 @@
 """Asking the edge that keeps an object (its owner) for a copy of it.
 
+An owner that begins a fetch, or joins one, says so at once (102 Processing): one that is silent is
+told from one whose server is slow, and nothing is fetched a second time for want of patience.
+
 An ask has one step or two on one link. Where the budget of retries has no room for the owner's
 silence, a lookup comes first, which lets the owner send nothing to a server: it answers at once,
 with a copy or that it has none. The fetch waits for a fill that is under way there, or begins one,
@@ -48,6 +51,8 @@
 ANSWER_PART = 0.5
 TARGET_PART = 0.75
 ANSWER_LEAST = 0.25
+HOME_PART = 0.7
+"""The owner of a zone waits less for the home's than the edge that asked waits for it."""
 
 PEER_FIELD = b"X-Ryelock-Peer"
 SERVERS_FIELD = b"X-Ryelock-Servers"
@@ -107,6 +112,7 @@
         "route",
         "sent",
         "until",
+        "working_until",
     )
 
     def __init__(
@@ -130,6 +136,7 @@
         self.sent = 0.0
         now = handler.scheduler.now()
         most = ANSWER_PART * max(0.0, handler.deadline(exchange, route) - now)
+        self.working_until = now + (most * HOME_PART if order.peer else most)
         if route.target_seconds:
             most = min(most, max(ANSWER_LEAST, TARGET_PART * route.target_seconds))
         self.until = now + most
@@ -227,6 +234,7 @@
             answer = found.ok
             if not self.handler.answers(self.order, answer.head):
                 return None
+            until = max(until, self.working_until)
             body, whole = yield from self.handler.read_first(answer, until, True)
         except (Cut, Late, FramingError):
             self.peers.doubt(self.owner)
@@ -235,7 +243,11 @@
         return self.read_reply(answer.head, body, whole)
 
     def read_head(self, until: float) -> Step[Result[Answer, CallError]]:
-        return (yield from read_answer(self.reader, b"GET", self.handler.env.head_bytes, until))
+        return (
+            yield from read_answer(
+                self.reader, b"GET", self.handler.env.head_bytes, until, self.working_until
+            )
+        )
 
     def must_wait(self) -> bool:
         """Whether no server may be sent the order from here, so that only the owner is left."""
--- a/packages/edge/ryelock/edge/peers.py
+++ b/packages/edge/ryelock/edge/peers.py
@@ -1,17 +1,20 @@
-"""Which edge of the region keeps an object for the others, and the connections to it.
+"""Which edges keep an object for the others, and the connections to them.
 
-Each object has an owner among the region's edges that are ready: the highest of their hashes with
-the object's key (rendezvous), so every edge finds the same one from the members it knows, and an
-edge that comes or goes moves only its own objects. An edge that misses a copy asks the owner, who
-joins all who ask into one fill. An owner that gave no answer is passed by for a moment: its
-objects are fetched directly until it answers or is no member any more.
+Each object has an owner in each zone and a home, the zone of its region whose owner alone fetches
+it from servers. All are found by rendezvous hashing among the edges that are ready, so every edge
+finds the same ones from the members it knows, and an edge that comes or goes moves only its own
+objects. An edge that misses a copy asks the owner of its zone; that one, unless its zone is the
+home, asks the home's owner. Each joins all who ask into one fetch. An owner that gave no answer is
+passed by for a moment: its objects are fetched directly until it answers or is no member any more.
 
 Weighed:
 
-- an owner in each zone, which was so at first: each zone then fetches every object for itself, and
-  where the origin's rate is narrow that takes several times of it (four zones of one region: 219
-  fetches a second where 105 do). Bytes between zones cost far less than what is refused then;
-- one owner for all regions (a round trip between regions for every miss);
+- owners in each zone and no home, which was so at first: each zone then fetches every object for
+  itself, and where the origin's rate is narrow that takes several times of it (four zones of one
+  region: 219 fetches a second where 105 do);
+- one owner for a whole region, asked by all: the bytes between zones rise by two thirds, and the
+  owner of a popular large object fills its link;
+- a home for all regions (a round trip between regions for every fetch);
 - a list of owners told by the leader (a message more for what all can work out);
 - copies pushed to all (bytes for objects that nobody asks for there).
 """
@@ -19,6 +22,7 @@
 import hashlib
 from collections import Counter
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from cachetools import LRUCache
 
@@ -46,6 +50,13 @@
     return max(names, key=weight)
 
 
+class Owners(NamedTuple):
+    """Names of the edges that keep an object: for this zone, and for the region."""
+
+    local: str
+    home: str
+
+
 class Peers:
     """The edges of one region as one of them sees them."""
 
@@ -56,13 +67,14 @@
         "kept",
         "known",
         "name",
-        "names",
         "owners",
         "region",
         "regions",
         "scheduler",
         "sessions",
         "waits",
+        "zone",
+        "zones",
     )
 
     def __init__(
@@ -72,11 +84,12 @@
         self.scheduler = scheduler
         self.name = name
         self.regions = regions
+        self.zone = zone
         self.region = regions.get(zone, zone)
-        self.owners: LRUCache[tuple[str, ...], str] = LRUCache(OWNERS_KEPT)
+        self.zones: dict[str, list[str]] = {zone: [name]}
+        self.owners: LRUCache[tuple[str, ...], Owners] = LRUCache(OWNERS_KEPT)
         self.known: dict[str, Session] | None = None
         self.sessions: dict[str, Session] = {}
-        self.names: list[str] = []
         self.answered: dict[str, float] = {}
         self.asked: Counter[str] = Counter()
         self.doubted: dict[str, float] = {}
@@ -96,25 +109,51 @@
             and session.order
             and (session.ready or name == self.name)
         }
-        names = sorted({*self.sessions, self.name})
-        if names != self.names:
-            self.names = names
+        zones: dict[str, list[str]] = {self.zone: [self.name]}
+        for name, session in sorted(self.sessions.items()):
+            if name != self.name:
+                zones.setdefault(session.zone, []).append(name)
+        if zones != self.zones:
+            self.zones = zones
             self.owners.clear()
         addresses = {session.order for session in self.sessions.values()}
         for address in [address for address in self.kept if address not in addresses]:
             for link, _, _ in self.kept.pop(address):
                 link.close()
 
-    def owner(self, key: tuple[str, ...]) -> Session | None:
-        """The other edge to be asked for an object; None where this one fetches it itself."""
-        if len(self.names) < 2:
+    @property
+    def names(self) -> list[str]:
+        """The edges of this zone, this one among them."""
+        return self.zones[self.zone]
+
+    def owners_of(self, key: tuple[str, ...]) -> Owners:
+        """Return the owners of an object in this zone and in its home."""
+        found = self.owners.get(key)
+        if found is None:
+            home = owner_of(key, list(self.zones))
+            found = Owners(owner_of(key, self.zones[self.zone]), owner_of(key, self.zones[home]))
+            self.owners[key] = found
+        return found
+
+    def owner(self, key: tuple[str, ...], asked_from: str = "") -> Session | None:
+        """The other edge to be asked for an object; None where this one fetches it itself.
+
+        Args:
+            key: host and target of the object.
+            asked_from: zone of the edge that asks this one; empty where it is a client's request.
+        """
+        owners = self.owners_of(key)
+        if asked_from and asked_from != self.zone:
             return None
-        name = self.owners.get(key)
-        if name is None:
-            name = self.owners[key] = owner_of(key, self.names)
-        if name == self.name or self.doubted.get(name, 0.0) > self.scheduler.now():
+        if not asked_from and owners.local != self.name and not self.is_doubted(owners.local):
+            return self.sessions[owners.local]
+        if owners.home == self.name or self.is_doubted(owners.home):
             return None
-        return self.sessions[name]
+        return self.sessions[owners.home] if owners.home != owners.local else None
+
+    def is_doubted(self, name: str) -> bool:
+        """Whether an edge is passed by for now."""
+        return self.doubted.get(name, 0.0) > self.scheduler.now()
 
     def doubt(self, session: Session) -> None:
         """Pass an edge by for a while that doubles until it answers or starts anew."""
--- a/packages/edge/ryelock/edge/replies.py
+++ b/packages/edge/ryelock/edge/replies.py
@@ -224,7 +224,7 @@
             back = math.ceil(failure.back + self.random.random() * 2)
             fields.append((b"Retry-After", b"%d" % back))
         fields += self.peer_fields(order)
-        if order.peer and failure.kind is FailureKind.OVER_RATE:
+        if order.peer and failure.kind in (FailureKind.OVER_RATE, FailureKind.OWNER_OVER_RATE):
             fields.append((ROOM_FIELD, b"%.3f" % min(failure.room_in, ROOM_BACK_SECONDS_MOST)))
         body = (
             json.dumps(
--- a/packages/edge/ryelock/edge/routing.py
+++ b/packages/edge/ryelock/edge/routing.py
@@ -39,14 +39,17 @@
         order.path = path_of(order.target)
         order.named = bool(said)
         order.probe = self.is_probe(field(head.fields, b"x-ryelock-probe"))
-        order.peer, order.purged, order.known = self.peer_of(field(head.fields, b"x-ryelock-peer"))
+        order.peer_zone, order.purged, order.known = self.peer_of(
+            field(head.fields, b"x-ryelock-peer")
+        )
+        order.peer = order.peer_zone != ""
         if order.peer:
             order.servers_given = number_of(field(head.fields, SERVERS_FIELD.lower()))
         order.verdict = self.member.verdicts()
         return order
 
-    def peer_of(self, said: bytes | None) -> tuple[bool, int, int]:
-        """Whether an order comes from an edge that is a member; the purges and version it knows.
+    def peer_of(self, said: bytes | None) -> tuple[str, int, int]:
+        """The zone of the edge an order comes from, if it is a member; its purges and version.
 
         What is fetched for another edge goes under the caller's name: servers repeat no other.
         """
@@ -54,10 +57,11 @@
         if len(parts) != 4 or not all(
             part.isascii() and part.isdigit() and len(part) < 19 for part in parts[2:]
         ):
-            return False, 0, 0
+            return "", 0, 0
         session = self.member.members.get(parts[0])
-        fine = session is not None and session.mark != "" and session.mark == parts[1]
-        return (True, int(parts[2]), int(parts[3])) if fine else (False, 0, 0)
+        if session is None or session.mark == "" or session.mark != parts[1]:
+            return "", 0, 0
+        return session.zone, int(parts[2]), int(parts[3])
 
     def is_probe(self, said: bytes | None) -> bool:
         """Whether an order comes from a prober that is a member; others may say so in vain."""
--- a/packages/env/ryelock/env/__init__.py
+++ b/packages/env/ryelock/env/__init__.py
@@ -231,7 +231,7 @@
         False,
         flag,
         "whether an edge that lacks a copy asks the edge of its "
-        "region that keeps this object for all of them",
+        "zone that keeps this object, and that one the edge of its region that does",
     )
     link_idle_seconds = Setting(
         20.0,
--- a/packages/exchange/ryelock/exchange/caller.py
+++ b/packages/exchange/ryelock/exchange/caller.py
@@ -19,6 +19,9 @@
 from ryelock.exchange.reading import Body, Cut, Late, Reader
 from ryelock.loop import Link, Network, Scheduler, Step
 
+PROCESSING = 102
+"""Status of the interim answer that a request arrived and is worked on (RFC 2518, 10.1)."""
+
 
 class CallError(Exception):
     """Why there is no whole answer; `declined` is the status by which a server said "not run"."""
@@ -51,12 +54,22 @@
 
 
 def read_answer(
-    reader: Reader, method: bytes, head_bytes: int, until: float
+    reader: Reader, method: bytes, head_bytes: int, until: float, working_until: float = 0.0
 ) -> Step[Result[Answer, CallError]]:
-    """The head of the final answer; interim ones are passed over."""
+    """The head of the final answer; interim ones are passed over.
+
+    Args:
+        reader: bytes of the connection.
+        method: the request's method.
+        head_bytes: longest head that is taken.
+        until: moment up to which the head is waited for.
+        working_until: the moment that takes its place once 102 says that the request is worked on.
+    """
     try:
         while True:
             head = parse_answer_head((yield from reader.head(head_bytes, until)))
+            if head.status == PROCESSING:
+                until = max(until, working_until)
             if head.status >= 200:
                 break
             if head.status == 101:
--- a/packages/exchange/ryelock/exchange/http_server.py
+++ b/packages/exchange/ryelock/exchange/http_server.py
@@ -114,6 +114,10 @@
         self.waits_to_send = False
         return (yield from self.body.whole(self.listener.limits.body_bytes, self.deadline))
 
+    def tell_working(self) -> None:
+        """Send the interim answer that the request arrived and is worked on."""
+        self.link.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+
     def begin(
         self, status: int, reason: bytes, fields: Fields, length: int | None, dated: bool = True
     ) -> None:
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -141,7 +141,8 @@
         caller.leave()
         note = deployment.ask(SAFE, "GET", "/covers/a", edge=edge, deadline=20.0)
         self.assertEqual(200, note.status)
-        self.assertEqual(1, len(deployment.history), "both were served by one fetch")
+        fetched = [arrival for arrival in deployment.history if arrival.identity]
+        self.assertEqual(1, len(fetched), "both were served by one fetch")
 
     def test_a_request_that_waits_is_not_sent_after_its_caller_left(self) -> None:
         deployment = slow_deployment(68)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,16 +1,20 @@
 """Objects kept by one edge of a zone for all of them: who owns what, and what purges, losses and
 lifetimes do to copies that come by way of another edge."""
 
+from itertools import pairwise
 from unittest import mock
 
 import testtools
+from test_egress import SteppedClock, raise_fault
 
 from ryelock.core.renewals import Renewals
 from ryelock.edge.handler import RequestHandler
 from ryelock.edge.peers import Peers, owner_of
 from ryelock.exchange import call, field
+from ryelock.loop import Scheduler
 from ryelock.proving.checks import Findings
 from ryelock.proving.scenario import Scenario
+from ryelock.roster import Session
 from ryelock.wire import Message
 
 HOST = "site"
@@ -122,7 +126,7 @@
         """Without the number of purges an edge takes back what it has just dropped."""
         plain = RequestHandler.peer_of
 
-        def believing(way: RequestHandler, said: bytes | None) -> tuple[bool, int, int]:
+        def believing(way: RequestHandler, said: bytes | None) -> tuple[str, int, int]:
             return plain(way, said)[0], 0, 0
 
         with mock.patch.object(RequestHandler, "peer_of", believing):
@@ -241,3 +245,81 @@
         before = scenario.world.time
         self.assertEqual((200, b"miss"), fetch(scenario, asking, third))
         self.assertLess(scenario.world.time - before, 0.2)
+
+
+class HomeTests(testtools.TestCase):
+    """Which edges of a region an object goes through, as every edge of it finds them."""
+
+    ZONES = {"a": "north", "b": "north", "c": "north", "far": "south"}
+
+    def edges(self) -> dict[str, Session]:
+        found: dict[str, Session] = {}
+        for zone in self.ZONES:
+            for number in range(4):
+                session = Session()
+                session.name, session.zone, session.role = f"{zone}{number}", zone, "edge"
+                session.order, session.ready = f"10.0.0.{len(found)}:80", True
+                found[session.name] = session
+        return found
+
+    def view(self, name: str, members: dict[str, Session]) -> Peers:
+        peers = Peers(Scheduler(SteppedClock(), raise_fault), name, members[name].zone, self.ZONES)
+        peers.follow(members)
+        return peers
+
+    def way(self, members: dict[str, Session], name: str, key: tuple[str, str]) -> list[str]:
+        """The edges that a request goes through, from the one that a client asked."""
+        found, asked_from = [name], ""
+        while (owner := self.view(found[-1], members).owner(key, asked_from)) is not None:
+            asked_from = members[found[-1]].zone
+            found.append(owner.name)
+        return found
+
+    def test_every_way_ends_at_one_home_of_the_region(self) -> None:
+        members = self.edges()
+        for number in range(40):
+            key = (HOST, f"/covers/{number}")
+            ways = [self.way(members, name, key) for name in members]
+            ends = {members[way[-1]].zone: way[-1] for way in ways}
+            self.assertEqual(2, len({way[-1] for way in ways}), "one for each region")
+            self.assertEqual(2, len(ends))
+            for way in ways:
+                self.assertLessEqual(len(way), 3)
+                self.assertEqual(1, len({self.ZONES[members[name].zone] for name in way}))
+                crossed = [
+                    (one, other)
+                    for one, other in pairwise(way)
+                    if members[one].zone != members[other].zone
+                ]
+                self.assertLessEqual(len(crossed), 1)
+                self.assertTrue(len(way) < 3 or members[way[1]].zone == members[way[0]].zone)
+
+    def test_each_zone_crosses_to_the_home_from_one_edge(self) -> None:
+        members = self.edges()
+        for number in range(40):
+            key = (HOST, f"/covers/{number}")
+            crossing = {
+                (members[one].zone, one)
+                for name in members
+                for way in [self.way(members, name, key)]
+                for one, other in pairwise(way)
+                if members[one].zone != members[other].zone
+            }
+            self.assertEqual(len({zone for zone, _ in crossing}), len(crossing))
+
+    def test_a_doubted_owner_of_the_zone_is_passed_by_to_the_home(self) -> None:
+        members = self.edges()
+        for number in range(40):
+            key = (HOST, f"/covers/{number}")
+            for name in members:
+                peers = self.view(name, members)
+                first = peers.owner(key)
+                if first is None:
+                    continue
+                peers.doubt(first)
+                owners = peers.owners_of(key)
+                then = peers.owner(key)
+                if owners.home in (name, first.name):
+                    self.assertIsNone(then)
+                else:
+                    self.assertEqual(owners.home, then.name if then else "")
