--- a/packages/proving/ryelock/proving/hosting_platform.py
+++ b/packages/proving/ryelock/proving/hosting_platform.py
@@ -11,6 +11,7 @@
 import json
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 from random import Random
 from urllib.parse import parse_qs
 
@@ -20,50 +21,38 @@
 from ryelock.loop import Link, Mailbox, Network, Scheduler, Step
 from ryelock.proving.standins import Objects, body_for
 
-(
-    WHOLE,
-    FULL,
-    LIMITED,
-    LOST,
-    HANGING,
-    CUT,
-    BEHIND,
-    TWIN,
-    UNSEALED,
-    WRONG,
-    FAILING,
-    VAGUE,
-    CLOSING,
-) = (
-    "whole",
-    "full",
-    "limited",
-    "lost",
-    "hanging",
-    "cut",
-    "behind",
-    "twin",
-    "unsealed",
-    "wrong",
-    "failing",
-    "vague",
-    "closing",
-)
-MANNERS = (
-    WHOLE,
-    FULL,
-    LIMITED,
-    LOST,
-    HANGING,
-    CUT,
-    BEHIND,
-    TWIN,
-    UNSEALED,
-    WRONG,
-    FAILING,
-    VAGUE,
-    CLOSING,
-)
+
+class Manner(StrEnum):
+    """How a server treats a request."""
+
+    WHOLE = "whole"
+    """It runs it and answers whole, as a sound server does."""
+    FULL = "full"
+    """It says 503 and that it did not run it."""
+    LIMITED = "limited"
+    """It says 429 and that it did not run it."""
+    LOST = "lost"
+    """It runs it and ends the connection without an answer."""
+    HANGING = "hanging"
+    """It says nothing, nor anything further on that connection."""
+    CUT = "cut"
+    """It ends the connection in the middle of its answer."""
+    BEHIND = "behind"
+    """It sends bytes behind its answer that belong to nothing."""
+    TWIN = "twin"
+    """It answers twice; the second answer comes where the next one is due."""
+    UNSEALED = "unsealed"
+    """Its success lacks the server's mark."""
+    WRONG = "wrong"
+    """It sends bytes that are no answer."""
+    FAILING = "failing"
+    """It says 500."""
+    VAGUE = "vague"
+    """It says 503 and not whether it ran it."""
+    CLOSING = "closing"
+    """It answers whole and says that the connection closes."""
+
+
 TAIL = b"HTTP/1.1 200 OK\r\nbytes that belong to nothing"
 COLD_FACTOR = 4.0
 FOREVER = 3600.0
@@ -272,8 +261,8 @@
         self.history = history
         self.version = "v1"
         self.random = Random(f"server {identifier}")
-        self.manner = WHOLE
-        self.manners: deque[str] = deque()
+        self.manner = Manner.WHOLE
+        self.manners: deque[Manner] = deque()
         self.speed = 1.0
         self.cold_until = scheduler.now() + cold_seconds
         self.draining = False
@@ -325,7 +314,7 @@
         if status:
             yield from self.decline(exchange, arrival, status)
             return
-        why = "hanging" if manner == HANGING else (yield from self.enter(until))
+        why = "hanging" if manner == Manner.HANGING else (yield from self.enter(until))
         if why == "hanging" or (why == "full" and self.service.hangs):
             yield from self.scheduler.pause(FOREVER)
             return
@@ -337,15 +326,15 @@
         finally:
             self.leave()
 
-    def declines(self, arrival: Arrival, manner: str) -> int:
+    def declines(self, arrival: Arrival, manner: Manner) -> int:
         """The status with which an order is turned away unrun, or 0."""
         if arrival.expected and arrival.expected != self.identifier:
             return 421
         if not arrival.identity and arrival.method != "GET":
             return 400
-        if manner == LIMITED or self.service.over_rate(self.scheduler.now()):
+        if manner == Manner.LIMITED or self.service.over_rate(self.scheduler.now()):
             return 429
-        return 503 if manner == FULL else 0
+        return 503 if manner == Manner.FULL else 0
 
     def decline(self, exchange: Exchange, arrival: Arrival, status: int) -> Step[None]:
         """Answer that a request was not run."""
@@ -405,7 +394,7 @@
 
     # Running.
 
-    def run(self, exchange: Exchange, arrival: Arrival, manner: str, until: float) -> Step[None]:
+    def run(self, exchange: Exchange, arrival: Arrival, manner: Manner, until: float) -> Step[None]:
         """Run one request, and answer as the manner says."""
         arrival.ran = True
         now = self.scheduler.now()
@@ -421,37 +410,37 @@
                 arrival.status = 504
                 yield from exchange.answer(504, self.named(arrival), b"too late\n")
                 return
-        if manner == LOST:
+        if manner == Manner.LOST:
             exchange.cut()
             return
-        if manner == WRONG:
+        if manner == Manner.WRONG:
             exchange.link.write(b"\x16\x03\x01 not an answer\r\n\r\n")
             yield from exchange.link.drain(0, 5.0)
             exchange.cut()
             return
-        if manner in (FAILING, VAGUE):
-            arrival.status = 500 if manner == FAILING else 503
+        if manner in (Manner.FAILING, Manner.VAGUE):
+            arrival.status = 500 if manner == Manner.FAILING else 503
             yield from exchange.answer(arrival.status, self.named(arrival), b"broken\n")
             return
         yield from self.give(exchange, arrival, manner)
 
-    def give(self, exchange: Exchange, arrival: Arrival, manner: str) -> Step[None]:
+    def give(self, exchange: Exchange, arrival: Arrival, manner: Manner) -> Step[None]:
         """The object, as it now is."""
         status, fields, body = self.object_for(exchange, arrival)
-        if manner != UNSEALED:
+        if manner != Manner.UNSEALED:
             revision = self.service.objects.revision(arrival.target)
             fields.append((self.words.dialect.seal, self.service.seal(arrival.target, revision)))
         arrival.status = status
-        if manner == CLOSING or self.draining:
+        if manner == Manner.CLOSING or self.draining:
             exchange.keep = False
-        if manner == TWIN:
+        if manner == Manner.TWIN:
             self.late[exchange.link] = raw_answer(status, fields, body)
         exchange.begin(status, b"", fields, None if status == 304 else len(body))
-        sent = body[: len(body) // 2] if manner == CUT else body
-        if manner == BEHIND:
+        sent = body[: len(body) // 2] if manner == Manner.CUT else body
+        if manner == Manner.BEHIND:
             sent += TAIL
         yield from exchange.send(sent, 30.0)
-        if manner == CUT:
+        if manner == Manner.CUT:
             yield from exchange.link.drain(0, 5.0)
             exchange.cut()
         else:
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -8,7 +8,7 @@
 from ryelock.exchange import send_order
 from ryelock.loop import Link, Step
 from ryelock.loop.reactor import Reactor, SocketLink
-from ryelock.proving.hosting_platform import HANGING, Arrival
+from ryelock.proving.hosting_platform import Arrival, Manner
 from ryelock.proving.platform_clients import SAFE
 
 STAYS_SECONDS = 0.3
@@ -94,7 +94,7 @@
     def test_one_that_leaves_a_mute_server_reaches_no_other_one(self) -> None:
         deployment = slow_deployment(64)
         for life in deployment.of_service("pages"):
-            life.manner = HANGING
+            life.manner = Manner.HANGING
         caller = Caller(deployment, deployment.edges[0], "left-mute")
         caller.send(b"GET", b"/plain/a")
         deployment.world.run(STAYS_SECONDS)
--- a/tests/test_owner_asks.py
+++ b/tests/test_owner_asks.py
@@ -8,11 +8,11 @@
 from deployment import HOST, Deployment, route
 from ryelock.edge.peers import owner_of
 from ryelock.loop import Step
-from ryelock.proving.hosting_platform import CUT, FAILING, FULL, HANGING, LOST, WRONG
+from ryelock.proving.hosting_platform import Manner
 from ryelock.proving.platform_clients import CACHEABLE, Note, over_budget
 
 ONE_ZONE = {"a": "north"}
-MANNERS = (FAILING, LOST, WRONG, CUT, FULL)
+MANNERS = (Manner.FAILING, Manner.LOST, Manner.WRONG, Manner.CUT, Manner.FULL)
 
 
 def one_zone(seed: int, limit: int = 3) -> Deployment:
@@ -120,7 +120,7 @@
         deployment = one_zone(4)
         asking, owner = deployment.edges[0], deployment.edges[1]
         for life in deployment.of_service("pages"):
-            life.manner = HANGING
+            life.manner = Manner.HANGING
         for number in range(10):
             get(deployment, f"/covers/{300 + number}", deployment.edges[2], deadline=0.05)
         before = repeats_left(deployment, asking)
@@ -138,7 +138,7 @@
         deployment = one_zone(6)
         asking, owner = deployment.edges[0], deployment.edges[1]
         for life in deployment.of_service("pages"):
-            life.manner = LOST
+            life.manner = Manner.LOST
         spend_all_repeats(deployment, asking)
         note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.8)
         self.assertGreater(deployment.runs(note), 0)
@@ -192,7 +192,7 @@
             deployment = one_zone(20 + limit, limit)
             asking, owner = deployment.edges[0], deployment.edges[1]
             for life in deployment.of_service("pages"):
-                life.manner = HANGING
+                life.manner = Manner.HANGING
             note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.9)
             deployment.world.run(3)
             self.assertFalse(note.served)
@@ -203,7 +203,7 @@
             deployment = one_zone(30 + limit, limit)
             deployment.services["pages"].work_seconds = 0.05
             for life in deployment.of_service("pages"):
-                life.manner = FAILING
+                life.manner = Manner.FAILING
             clients = [deployment.client(f"joined{number}") for number in range(12)]
             for number, client in enumerate(clients):
                 deployment.outside.scheduler.spawn(
@@ -223,6 +223,6 @@
         spend_all_repeats(deployment, owner)
         lives = deployment.of_service("pages")
         for life in lives:
-            life.manners.append(LOST)
+            life.manners.append(Manner.LOST)
         note = get(deployment, kept_by(deployment, asking, owner), asking, deadline=0.9)
         self.assertEqual(2, len(deployment.arrivals(note)))
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -8,21 +8,7 @@
 from deployment import HOST, WORDS, Deployment, route, service_item
 from ryelock.exchange import Reader, field, read_answer
 from ryelock.loop import Step
-from ryelock.proving.hosting_platform import (
-    BEHIND,
-    CLOSING,
-    CUT,
-    FAILING,
-    FULL,
-    HANGING,
-    LIMITED,
-    LOST,
-    TWIN,
-    UNSEALED,
-    VAGUE,
-    WHOLE,
-    WRONG,
-)
+from ryelock.proving.hosting_platform import Manner
 from ryelock.proving.platform_clients import (
     CACHEABLE,
     SAFE,
@@ -40,14 +26,14 @@
     return Deployment(seed, ONE_ZONE, edges=3, cores=3, servers=1).set_up()
 
 
-def manners(deployment: Deployment, service: str, *following: str) -> None:
+def manners(deployment: Deployment, service: str, *following: Manner) -> None:
     """The manners in which the next orders of a service are taken, whatever server they reach."""
     shared = deque(following)
     for life in deployment.of_service(service):
         life.manners = shared
 
 
-def always(deployment: Deployment, service: str, manner: str) -> None:
+def always(deployment: Deployment, service: str, manner: Manner) -> None:
     for life in deployment.of_service(service):
         life.manner = manner
 
@@ -71,7 +57,7 @@
     def test_an_order_that_a_full_server_declined_runs_once_at_another(self) -> None:
         deployment = Deployment(1).set_up()
         for number, edge in enumerate(deployment.edges):
-            manners(deployment, "desks", FULL)
+            manners(deployment, "desks", Manner.FULL)
             note = self.post(deployment, number, edge=edge)
             self.assertEqual(200, note.status)
             arrivals = deployment.arrivals(note)
@@ -82,7 +68,7 @@
 
     def test_where_all_servers_are_full_the_caller_is_told_when_to_come_back(self) -> None:
         deployment = Deployment(2).set_up()
-        always(deployment, "desks", FULL)
+        always(deployment, "desks", Manner.FULL)
         for number in range(6):
             note = self.post(deployment, number)
             self.assertEqual(503, note.status)
@@ -94,7 +80,7 @@
 
     def test_an_order_over_the_services_rate_is_not_sent_to_one_server_after_another(self) -> None:
         deployment = Deployment(3).set_up()
-        always(deployment, "desks", LIMITED)
+        always(deployment, "desks", Manner.LIMITED)
         note = self.post(deployment)
         self.assertIn(note.status, (429, 503))
         self.assertIn(b".", note.field(b"Retry-After") or b"")
@@ -104,7 +90,7 @@
     def test_a_lost_answer_is_told_as_502_and_the_order_is_never_sent_again(self) -> None:
         deployment = Deployment(4).set_up()
         for number in range(8):
-            manners(deployment, "desks", LOST)
+            manners(deployment, "desks", Manner.LOST)
             note = self.post(deployment, number, tries=4)
             self.assertIn(note.status, (502, 504))
             deployment.world.run(2)
@@ -114,7 +100,7 @@
 
     def test_a_server_that_says_nothing_is_told_as_504_and_the_order_not_sent_again(self) -> None:
         deployment = Deployment(5).set_up()
-        manners(deployment, "desks", HANGING)
+        manners(deployment, "desks", Manner.HANGING)
         note = self.post(deployment, deadline=0.8)
         self.assertEqual(504, note.status)
         self.assertLess(note.seconds, 0.8)
@@ -123,7 +109,9 @@
 
     def test_garbage_cuts_and_failures_are_never_told_as_a_promise(self) -> None:
         deployment = Deployment(6).set_up()
-        for number, manner in enumerate((WRONG, CUT, VAGUE, FAILING, UNSEALED)):
+        for number, manner in enumerate(
+            (Manner.WRONG, Manner.CUT, Manner.VAGUE, Manner.FAILING, Manner.UNSEALED)
+        ):
             manners(deployment, "desks", manner)
             note = self.post(deployment, number, tries=4)
             self.assertFalse(note.served, manner)
@@ -134,7 +122,7 @@
 
     def test_a_servers_own_failure_is_passed_on(self) -> None:
         deployment = Deployment(7).set_up()
-        manners(deployment, "desks", FAILING)
+        manners(deployment, "desks", Manner.FAILING)
         note = self.post(deployment)
         self.assertEqual((500, b"broken\n"), (note.status, note.said))
 
@@ -189,7 +177,7 @@
         for seed in range(21, 25):
             deployment = one_server(seed)
             for number in range(6):
-                manners(deployment, "pages", TWIN)
+                manners(deployment, "pages", Manner.TWIN)
                 self.assertTrue(self.get(deployment, f"/plain/{number}").served)
                 note = self.get(deployment, f"/plain/after-{number}")
                 self.assertTrue(note.served)
@@ -200,7 +188,7 @@
     def test_a_late_second_answer_of_one_order_does_not_harm_the_next_unsafe_one(self) -> None:
         deployment = one_server(26)
         for number in range(6):
-            manners(deployment, "desks", TWIN)
+            manners(deployment, "desks", Manner.TWIN)
             self.assertTrue(self.post(deployment, number).served)
             note = self.post(deployment, 100 + number)
             self.assertTrue(note.served)
@@ -209,7 +197,7 @@
 
     def test_a_success_without_its_seal_is_not_passed_on(self) -> None:
         deployment = one_server(27)
-        always(deployment, "pages", UNSEALED)
+        always(deployment, "pages", Manner.UNSEALED)
         for target in ("/plain/1", "/covers/1", "/covers/1"):
             note = self.get(deployment, target)
             self.assertFalse(note.served, target)
@@ -220,7 +208,7 @@
     def test_a_success_without_its_seal_is_asked_for_at_another_server(self) -> None:
         deployment = Deployment(28).set_up()
         for number, edge in enumerate(deployment.edges):
-            manners(deployment, "pages", UNSEALED)
+            manners(deployment, "pages", Manner.UNSEALED)
             note = self.get(deployment, f"/plain/{number}", edge=edge)
             self.assertTrue(note.served)
             self.assertEqual(2, len(deployment.arrivals(note)))
@@ -229,12 +217,12 @@
     def test_bytes_behind_a_whole_answer_do_not_spoil_it(self) -> None:
         deployment = one_server(29)
         for number in range(5):
-            manners(deployment, "pages", BEHIND)
+            manners(deployment, "pages", Manner.BEHIND)
             self.assertTrue(self.get(deployment, f"/plain/{number}").served)
             self.assertTrue(self.get(deployment, f"/plain/after-{number}").served)
-            manners(deployment, "pages", BEHIND)
+            manners(deployment, "pages", Manner.BEHIND)
             self.assertTrue(self.get(deployment, f"/covers/{number}").served)
-            manners(deployment, "desks", BEHIND)
+            manners(deployment, "desks", Manner.BEHIND)
             self.assertTrue(self.post(deployment, number).served)
             self.assertTrue(self.post(deployment, 100 + number).served)
         self.assertEqual([], deployment.broken())
@@ -242,7 +230,7 @@
     def test_bytes_behind_a_long_answer_do_not_spoil_it(self) -> None:
         deployment = one_server(30)
         deployment.services["pages"].objects.size = 200_000
-        manners(deployment, "pages", BEHIND)
+        manners(deployment, "pages", Manner.BEHIND)
         self.assertTrue(self.get(deployment, "/plain/long").served)
         self.assertTrue(self.get(deployment, "/plain/next").served)
         self.assertEqual([], deployment.broken())
@@ -251,7 +239,7 @@
         deployment = one_server(31)
         for size in (600, 200_000):
             deployment.services["pages"].objects.size = size
-            always(deployment, "pages", CUT)
+            always(deployment, "pages", Manner.CUT)
             for target in ("/plain/1", "/covers/1"):
                 note = self.get(deployment, target)
                 self.assertFalse(note.served, f"{target} of {size} bytes")
@@ -259,7 +247,9 @@
 
     def test_a_short_answer_that_was_cut_is_fetched_from_another_server(self) -> None:
         deployment = Deployment(32).set_up()
-        for number, manner in enumerate((CUT, LOST, WRONG, FAILING, VAGUE, FULL)):
+        for number, manner in enumerate(
+            (Manner.CUT, Manner.LOST, Manner.WRONG, Manner.FAILING, Manner.VAGUE, Manner.FULL)
+        ):
             manners(deployment, "pages", manner)
             note = self.get(deployment, f"/plain/{number}", edge=deployment.edges[number])
             self.assertTrue(note.served, manner)
@@ -268,8 +258,8 @@
 
     def test_servers_that_close_their_links_cost_no_order(self) -> None:
         deployment = one_server(33)
-        always(deployment, "pages", CLOSING)
-        always(deployment, "desks", CLOSING)
+        always(deployment, "pages", Manner.CLOSING)
+        always(deployment, "desks", Manner.CLOSING)
         for number in range(10):
             self.assertTrue(self.get(deployment, f"/plain/{number}").served)
             self.assertTrue(self.post(deployment, number).served)
@@ -341,7 +331,7 @@
     def test_a_second_server_is_handed_less(self) -> None:
         deployment = Deployment(44).set_up()
         deployment.services["pages"].work_seconds = 0.15
-        manners(deployment, "pages", LOST)
+        manners(deployment, "pages", Manner.LOST)
         note = self.get(deployment, deadline=0.9)
         first, second = deployment.arrivals(note)
         self.assertTrue(note.served)
@@ -359,7 +349,7 @@
             routes: Any = deployment.configuration["routes"]
             routes[2] = route("orders", "/orders/", UNSAFE, "desks", attempt_limit=limit)
             deployment.set_up()
-            always(deployment, "desks", FULL)
+            always(deployment, "desks", Manner.FULL)
             note = self.post(deployment)
             self.assertEqual(limit, len(deployment.arrivals(note)))
 
@@ -369,7 +359,7 @@
         for number in range(40):
             self.assertTrue(self.post(deployment, number).served)
         for number in range(4):
-            manners(deployment, "desks", FULL)
+            manners(deployment, "desks", Manner.FULL)
             note = self.post(deployment, 100 + number)
             self.assertTrue(note.served, f"the {number + 1}th order on end that was declined once")
             self.assertEqual(2, len(deployment.arrivals(note)))
@@ -383,7 +373,7 @@
             self.post(deployment, number, edge=deployment.edges[number % 6])
         for number in range(20):
             for edge in deployment.edges:
-                manners(deployment, "desks", FULL)
+                manners(deployment, "desks", Manner.FULL)
                 self.post(deployment, 1000 + number, edge=edge)
         self.assertEqual(
             [], over_budget(deployment.notes, deployment.history, "desks", deployment.allowed)
@@ -822,7 +812,7 @@
         routes = [route("a-only", "/only/", SAFE, "desks")]
         plain = {**deployment.configuration, "routes": routes, "version": "r90"}
         self.assertEqual(200, deployment.replace(plain, "r5")[0])
-        always(deployment, "pages", FULL)
+        always(deployment, "pages", Manner.FULL)
         deployment.world.run(3)
         self.assertEqual(2, len(deployment.notes))
         for note in deployment.notes:
@@ -856,7 +846,12 @@
             self.assertEqual([], deployment.broken())
 
     def test_repeats_to_a_service_that_fails_keep_to_their_budget(self) -> None:
-        for seed, manner in ((83, FAILING), (84, LOST), (85, FULL), (86, WRONG)):
+        for seed, manner in (
+            (83, Manner.FAILING),
+            (84, Manner.LOST),
+            (85, Manner.FULL),
+            (86, Manner.WRONG),
+        ):
             deployment = Deployment(seed).set_up()
             deployment.crowd(24, 8.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
             deployment.world.run(5)
@@ -875,9 +870,9 @@
         deployment = Deployment(87).set_up()
         deployment.crowd(12, 6.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
         deployment.world.run(3)
-        always(deployment, "pages", LOST)
+        always(deployment, "pages", Manner.LOST)
         deployment.world.run(10)
-        always(deployment, "pages", WHOLE)
+        always(deployment, "pages", Manner.WHOLE)
         deployment.world.run(5)
         since = deployment.world.time
         deployment.world.run(4)
@@ -887,12 +882,12 @@
 
     def test_an_only_server_that_failed_is_tried_again(self) -> None:
         """Also where the last order that was to try it found no room for a repeat."""
-        for manner in (UNSEALED, LOST, FAILING, WRONG):
+        for manner in (Manner.UNSEALED, Manner.LOST, Manner.FAILING, Manner.WRONG):
             deployment = one_server(91)
             always(deployment, "pages", manner)
             for number in range(4):
                 self.get(deployment, f"/plain/{number}")
-            always(deployment, "pages", WHOLE)
+            always(deployment, "pages", Manner.WHOLE)
             deployment.world.run(12)
             served = 0
             for number in range(6):
@@ -905,9 +900,9 @@
             deployment = one_server(seed)
             deployment.crowd(9, 4.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
             deployment.world.run(3)
-            always(deployment, "pages", LOST)
+            always(deployment, "pages", Manner.LOST)
             deployment.world.run(10)
-            always(deployment, "pages", WHOLE)
+            always(deployment, "pages", Manner.WHOLE)
             deployment.world.run(12)
             since = deployment.world.time
             deployment.world.run(4)
@@ -1016,6 +1011,6 @@
 
     def test_answers_bear_their_orders_name_also_when_they_are_the_edges_own(self) -> None:
         deployment = Deployment(90).set_up()
-        always(deployment, "desks", FULL)
+        always(deployment, "desks", Manner.FULL)
         for note in (self.post(deployment), self.get(deployment, "/none/")):
             self.assertEqual(note.identity.encode(), field(note.fields, b"attempt-id"))
--- a/tests/test_platform_schedules.py
+++ b/tests/test_platform_schedules.py
@@ -14,7 +14,7 @@
 
 from deployment import HOST, Deployment, route, service_item
 from ryelock.loop import Step
-from ryelock.proving.hosting_platform import MANNERS, WHOLE, ServerLife
+from ryelock.proving.hosting_platform import Manner, ServerLife
 from ryelock.proving.platform_clients import (
     CACHEABLE,
     SAFE,
@@ -166,11 +166,11 @@
 
     def misbehave(self) -> None:
         life = self.random.choice(self.live())
-        life.manner = self.random.choice(MANNERS)
+        life.manner = self.random.choice(list(Manner))
 
     def misbehave_all(self) -> None:
         name = self.random.choice(list(self.deployment.services))
-        manner = self.random.choice(MANNERS)
+        manner = self.random.choice(list(Manner))
         self.happened.append(f"  {name}: {manner}")
         for life in self.deployment.of_service(name):
             life.manner = manner
@@ -179,7 +179,7 @@
 
     def behave(self) -> None:
         for life in self.deployment.servers.values():
-            life.manner = WHOLE
+            life.manner = Manner.WHOLE
 
     def silent_list(self) -> None:
         self.deployment.platform.silent = not self.deployment.platform.silent
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -11,19 +11,7 @@
 from deployment import HOST, WORDS, Deployment
 from ryelock.exchange import Fields
 from ryelock.loop import Step
-from ryelock.proving.hosting_platform import (
-    BEHIND,
-    CLOSING,
-    CUT,
-    FULL,
-    LIMITED,
-    LOST,
-    TWIN,
-    UNSEALED,
-    WRONG,
-    Arrival,
-    ServerLife,
-)
+from ryelock.proving.hosting_platform import Arrival, Manner, ServerLife
 from ryelock.proving.platform_clients import SAFE, UNSAFE, Client, Note, over_budget, over_ceiling
 
 
@@ -135,14 +123,18 @@
         self.assertEqual(2, sum(note.served for note in self.many(5)))
 
     def test_the_manners_show(self) -> None:
-        shown: dict[str, Callable[[Note], bool]] = {
-            FULL: lambda note: note.status == 503 and note.field(b"Not-Executed") is not None,
-            LIMITED: lambda note: note.status == 429 and note.field(b"Not-Executed") is not None,
-            LOST: lambda note: note.status == 0,
-            CUT: lambda note: note.status == 200 and not note.whole,
-            WRONG: lambda note: note.status == 0,
-            UNSEALED: lambda note: note.served and note.field(b"Server-Seal") is None,
-            CLOSING: lambda note: note.served and note.field(b"Connection") == b"close",
+        shown: dict[Manner, Callable[[Note], bool]] = {
+            Manner.FULL: lambda note: (
+                note.status == 503 and note.field(b"Not-Executed") is not None
+            ),
+            Manner.LIMITED: lambda note: (
+                note.status == 429 and note.field(b"Not-Executed") is not None
+            ),
+            Manner.LOST: lambda note: note.status == 0,
+            Manner.CUT: lambda note: note.status == 200 and not note.whole,
+            Manner.WRONG: lambda note: note.status == 0,
+            Manner.UNSEALED: lambda note: note.served and note.field(b"Server-Seal") is None,
+            Manner.CLOSING: lambda note: note.served and note.field(b"Connection") == b"close",
         }
         for manner, fits in shown.items():
             self.life.manners.append(manner)
@@ -150,14 +142,14 @@
             self.assertTrue(fits(note), f"{manner}: {note.status} {note.end}")
 
     def test_a_late_second_answer_comes_where_the_next_is_due(self) -> None:
-        self.life.manners.append(TWIN)
+        self.life.manners.append(Manner.TWIN)
         first = self.ask()
         second = self.ask("/plain/2")
         self.assertEqual(first.identity.encode(), second.field(b"Attempt-Id"))
         self.assertIn("answer of another order", " ".join(self.deployment.broken()))
 
     def test_bytes_behind_an_answer_spoil_the_next_for_who_takes_them(self) -> None:
-        self.life.manners.append(BEHIND)
+        self.life.manners.append(Manner.BEHIND)
         self.assertTrue(self.ask().served)
         self.assertFalse(self.ask("/plain/2").served)
 
--- a/tests/test_platform_takeouts.py
+++ b/tests/test_platform_takeouts.py
@@ -12,7 +12,7 @@
 from ryelock.cache import Store
 from ryelock.edge.handler import RequestHandler
 from ryelock.exchange import CallError
-from ryelock.proving.hosting_platform import LOST, TWIN, UNSEALED, VAGUE, WHOLE
+from ryelock.proving.hosting_platform import Manner
 from ryelock.proving.platform_clients import CACHEABLE, SAFE, UNSAFE, over_budget, over_ceiling
 from words import DIALECT
 
@@ -20,7 +20,7 @@
 ONE_ZONE = {"a": "north"}
 
 
-def broken_by(manner: str, kind: str, method: str, target: str) -> Run:
+def broken_by(manner: Manner, kind: str, method: str, target: str) -> Run:
     """Orders at servers of one manner, whatever rule that breaks."""
 
     def run() -> list[str]:
@@ -75,7 +75,7 @@
     deployment = Deployment(84).set_up()
     deployment.crowd(24, 10.0, lambda number: (SAFE, "GET", f"/plain/{number}"))
     deployment.world.run(3)
-    every_second = deque((LOST, WHOLE) * 2500)
+    every_second = deque((Manner.LOST, Manner.WHOLE) * 2500)
     for life in deployment.of_service("pages"):
         life.manners = every_second
     deployment.world.run(8)
@@ -109,26 +109,26 @@
 UNFIT = RequestHandler.unfit
 TAKEOUTS: dict[str, tuple[Run, Any, str, Any]] = {
     "answers_names": (
-        broken_by(TWIN, SAFE, "GET", "/plain/"),
+        broken_by(Manner.TWIN, SAFE, "GET", "/plain/"),
         RequestHandler,
         "answers",
         lambda _self, _order, _head: True,
     ),
     "seals": (
-        broken_by(UNSEALED, SAFE, "GET", "/plain/"),
+        broken_by(Manner.UNSEALED, SAFE, "GET", "/plain/"),
         RequestHandler,
         "sealed",
         lambda _self, _head: True,
     ),
     "lives": (handed_addresses, DIALECT, "expected", b"X-Nothing"),
     "once": (
-        broken_by(LOST, UNSAFE, "POST", "/orders/"),
+        broken_by(Manner.LOST, UNSAFE, "POST", "/orders/"),
         RequestHandler,
         "find_route",
         as_repeatable,
     ),
     "only_what_is_said_not_to_have_run": (
-        broken_by(VAGUE, UNSAFE, "POST", "/orders/"),
+        broken_by(Manner.VAGUE, UNSAFE, "POST", "/orders/"),
         RequestHandler,
         "unfit",
         any_503,
