--- a/packages/proving/ryelock/proving/simulated.py
+++ b/packages/proving/ryelock/proving/simulated.py
@@ -35,14 +35,17 @@
     __slots__ = ("error", "world", "zero")
 
     def __init__(self, world: "World", zero: float) -> None:
+        """Create a node's clock; its monotonic time starts at `zero` seconds."""
         self.world = world
         self.zero = zero
         self.error = 0.0
 
     def now(self) -> float:
+        """Return the node's monotonic time in seconds."""
         return self.world.time + self.zero
 
     def wall(self) -> float:
+        """Return the node's time of day in seconds since 1970, with its error."""
         return WALL_ZERO + self.world.time + self.error
 
 
@@ -52,6 +55,7 @@
     __slots__ = ("closing", "due", "gone", "node", "other", "reading", "waiting", "was_reset")
 
     def __init__(self, node: "SimNode", peer: str) -> None:
+        """Create one end on a node; it stands once `other` is set."""
         super().__init__(node.scheduler, peer)
         self.node = node
         self.other: SimLink | None = None
@@ -63,6 +67,7 @@
         self.waiting: list[bytes] = []
 
     def write(self, data: bytes) -> None:
+        """Send bytes, or keep them until the connection stands."""
         if self.ended or self.closing or not data:
             return
         self.unsent += len(data)
@@ -74,6 +79,7 @@
         self.node.world.carry(self, data)
 
     def close(self) -> None:
+        """End in order: the other side gets what was written, then the end."""
         if self.ended or self.closing:
             return
         if not self.opened:
@@ -83,6 +89,7 @@
         self.node.world.carry(self, b"")
 
     def abort(self) -> None:
+        """Reset the connection at once."""
         if self.ended:
             return
         self.was_reset = True
@@ -90,9 +97,11 @@
         self.finished()
 
     def hold(self) -> None:
+        """Stop reading; what comes waits at the other end."""
         self.reading = False
 
     def release(self) -> None:
+        """Read on."""
         self.reading = True
 
 
@@ -102,9 +111,11 @@
     __slots__ = ("node",)
 
     def __init__(self, node: "SimNode") -> None:
+        """Create the network of a node."""
         self.node = node
 
     def listen(self, address: str, greeting: Greeting) -> str:
+        """Listen at host:port, port 0 for any; raises NetworkError where it is taken."""
         world = self.node.world
         host, _, port = address.rpartition(":")
         if port == "0":
@@ -116,11 +127,13 @@
         return address
 
     def stop_listening(self, address: str) -> None:
+        """Close this node's listener at an address."""
         found = self.node.world.listeners.get(address)
         if found is not None and found[0] is self.node:
             del self.node.world.listeners[address]
 
     def connect(self, address: str) -> Link:
+        """Return a connection that is being opened; see Link.open."""
         link = SimLink(self.node, address)
         self.node.links.append(link)
         self.node.world.try_open(link, address)
@@ -133,40 +146,48 @@
     __slots__ = ("files", "full", "node", "synced")
 
     def __init__(self) -> None:
+        """Create an empty folder that belongs to no node yet."""
         self.files: dict[str, bytearray] = {}
         self.synced: dict[str, int] = {}
         self.full = False
         self.node: SimNode | None = None
 
     def point(self, what: str) -> None:
+        """Pass a numbered point; raises FolderError on a full disk."""
         if self.node is not None:
             self.node.world.point(self.node, what)
         if self.full and what in ("append", "whole"):
             raise FolderError("no space left on device")
 
     def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
         return sorted(self.files)
 
     def read(self, name: str) -> bytes:
+        """Return a file's bytes; raises FolderError where there is none."""
         if name not in self.files:
             raise FolderError(f"{name}: no such file")
         return bytes(self.files[name])
 
     def append(self, name: str, data: bytes) -> None:
+        """Append bytes to a file, which may be new; not synced."""
         self.point("append")
         self.files.setdefault(name, bytearray()).extend(data)
         self.synced.setdefault(name, 0)
 
     def sync(self, name: str) -> None:
+        """Make a file's bytes survive a loss of power."""
         self.point("sync")
         self.synced[name] = len(self.files.get(name, b""))
         self.point("synced")
 
     def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes."""
         del self.files[name][size:]
         self.synced[name] = min(self.synced.get(name, 0), size)
 
     def write_whole(self, name: str, data: bytes) -> None:
+        """Replace a file by bytes that survive a loss of power."""
         self.point("whole")
         self.files[name] = bytearray(data)
         self.synced[name] = len(data)
@@ -176,10 +197,12 @@
         """Nothing to do: names last at once here; the models of the journal's tests tear them."""
 
     def rename(self, name: str, other: str) -> None:
+        """Give a file another name, replacing what had it."""
         self.files[other] = self.files.pop(name)
         self.synced[other] = self.synced.pop(name, 0)
 
     def delete(self, name: str) -> None:
+        """Remove a file, if it is there."""
         self.point("delete")
         self.files.pop(name, None)
         self.synced.pop(name, None)
@@ -215,6 +238,7 @@
     )
 
     def __init__(self, world: "World", name: str, machine: str, host: str) -> None:
+        """Create a node on a machine at a host address; nothing runs in it yet."""
         self.world = world
         self.name = name
         self.machine = machine
@@ -232,6 +256,7 @@
         self.scheduler = Scheduler(self.clock, self.fault)
 
     def fault(self, task: str, error: BaseException) -> None:
+        """Note the error of a failed task among the world's faults."""
         self.world.faults.append(f"{self.world.time:.3f} {self.name} {task}: {error!r}")
 
     def begin(self) -> None:
@@ -244,11 +269,13 @@
 
     @property
     def core(self) -> ControlNode:
+        """The control node that runs here."""
         assert isinstance(self.inner, ControlNode)
         return self.inner
 
     @property
     def traffic(self) -> TrafficNode:
+        """The edge, prober or control API that runs here."""
         assert isinstance(self.inner, TrafficNode)
         return self.inner
 
@@ -275,6 +302,7 @@
     )
 
     def __init__(self, seed: int) -> None:
+        """Create an empty world; all chance in it follows from the seed."""
         super().__init__()
         self.seed = seed
         self.random = Random(f"world {seed}")
@@ -292,6 +320,7 @@
     # Nodes.
 
     def add(self, name: str, machine: str, host: str) -> SimNode:
+        """Add a node; `host` is its IP number."""
         node = SimNode(self, name, machine, host)
         self.nodes[name] = node
         node.begin()
@@ -312,6 +341,7 @@
             self.kill(node.name)
 
     def build(self, node: SimNode, role: str, env: Env) -> ControlNode | TrafficNode:
+        """Create what runs a role on a node, without starting it."""
         if role != "core":
             return TrafficNode(role, env, node.scheduler, node.network, node.log, node.random)
         return self.open_control(node, env)
@@ -351,6 +381,7 @@
             node.folder.lose_power(self.random)
 
     def freeze(self, name: str, frozen: bool) -> None:
+        """Freeze a process, or let it go on."""
         self.nodes[name].frozen = frozen
         self.note(f"freeze {name} {frozen}")
 
@@ -363,26 +394,31 @@
     # The network.
 
     def delay(self) -> float:
+        """Draw the delay of one message in seconds; a few take much longer."""
         if self.random.random() < self.spikes:
             return 0.05 + self.random.random() * 0.3
         return 0.0003 + self.random.random() * 0.002
 
     def cut(self, one: str, other: str, both: bool = True) -> None:
+        """Cut one machine's messages to another, or both ways."""
         self.cuts.add((one, other))
         if both:
             self.cuts.add((other, one))
         self.note(f"cut {one} {other} {both}")
 
     def heal(self) -> None:
+        """Undo all cuts."""
         self.cuts.clear()
         self.note("heal")
 
     def isolate(self, machine: str) -> None:
+        """Cut a machine off from all others."""
         for other in sorted({node.machine for node in self.nodes.values()}):
             if other != machine:
                 self.cut(machine, other)
 
     def blocked(self, source: SimNode, target: SimNode) -> bool:
+        """Whether messages from one node to another are cut off."""
         return (source.machine, target.machine) in self.cuts
 
     def try_open(self, link: SimLink, address: str) -> None:
@@ -415,6 +451,7 @@
         self.later(self.delay(), act)
 
     def owner_of(self, address: str) -> SimNode | None:
+        """Return the node with the host of an address, running or not."""
         host = address.rpartition(":")[0]
         return next((node for node in self.nodes.values() if node.host == host), None)
 
@@ -457,6 +494,7 @@
         self.at(when, act)
 
     def reset(self, link: SimLink) -> None:
+        """Tell the other end that this one was reset."""
         other = link.other
         if other is None:
             return
@@ -472,9 +510,11 @@
     # Running.
 
     def note(self, text: str) -> None:
+        """Add a line to the trace, by which two runs are compared."""
         self.trace.update(f"{self.time:.6f} {text}\n".encode())
 
     def run_processes(self) -> None:
+        """Run the tasks of every living node that are due."""
         busy = True
         while busy:
             busy = False
@@ -489,6 +529,7 @@
                 busy = busy or node.scheduler.has_ready
 
     def next_process_time(self) -> float | None:
+        """Return when a living node's next timer is due; None where there is none."""
         times: list[float] = []
         for node in self.nodes.values():
             if node.alive and not node.frozen:
@@ -512,6 +553,7 @@
         return found[0]
 
     def digest(self) -> str:
+        """Return a digest of all that happened."""
         for name, node in self.nodes.items():
             for number, fields in node.log.kept:
                 self.trace.update(f"{name} {number} {sorted(fields)}\n".encode())
