--- a/packages/proving/ryelock/proving/finals.py
+++ b/packages/proving/ryelock/proving/finals.py
@@ -30,11 +30,13 @@
 
 
 def core(scenario: Scenario, random: Random) -> str:
+    """A control node that follows is lost for good."""
     others = [name for name in scenario.cores if name != scenario.leader()]
     return lose(scenario, [random.choice(others)], random)
 
 
 def leader(scenario: Scenario, random: Random) -> str:
+    """The leader is lost for good."""
     return lose(scenario, [scenario.leader()], random)
 
 
@@ -67,10 +69,12 @@
 
 
 def edge(scenario: Scenario, random: Random) -> str:
+    """One edge is lost for good."""
     return lose(scenario, [random.choice(scenario.edges)], random)
 
 
 def most_edges(scenario: Scenario, random: Random) -> str:
+    """All edges but one are lost for good."""
     kept = random.choice(scenario.edges)
     return lose(scenario, [name for name in scenario.edges if name != kept], random)
 
@@ -85,6 +89,7 @@
 
 
 def listing_out_of_leaders_reach(scenario: Scenario, random: Random) -> str:
+    """The leader cannot reach the platform any more."""
     scenario.world.cut(scenario.leader(), "platform")
     return f"the leader {scenario.leader()} cannot reach the platform"
 
@@ -103,6 +108,7 @@
 
 
 def prober_pair(scenario: Scenario, random: Random) -> str:
+    """All probers of one zone are lost for good."""
     place = random.choice(scenario.zones)
     return lose(
         scenario,
@@ -112,6 +118,7 @@
 
 
 def slow_server(scenario: Scenario, random: Random) -> str:
+    """One server stays slow."""
     server = random.choice(list(scenario.servers.values()))
     server.manner = SLOW
     return f"{server.service} {server.address} stays slow"
@@ -136,6 +143,7 @@
 
 
 def edge_cut_off(scenario: Scenario, random: Random) -> str:
+    """An edge is cut off from all control nodes, perhaps one way only."""
     name, both = random.choice(scenario.edges), random.random() < 0.5
     for other in scenario.cores:
         scenario.world.cut(name, other, both)
@@ -150,6 +158,7 @@
 
 
 def lose(scenario: Scenario, names: list[str], random: Random) -> str:
+    """Kill processes for good, their machines' power with them in half of the runs; say which."""
     power = random.random() < 0.5
     for name in names:
         scenario.world.kill(name, power)
@@ -157,6 +166,7 @@
 
 
 def lose_zones(scenario: Scenario, places: list[str], random: Random) -> str:
+    """Lose all processes and servers of some zones for good."""
     names = [name for name, (_, plain) in scenario.plans.items() if plain["zone"] in places]
     for name, server in scenario.servers.items():
         if scenario.platform.servers[server.address]["zone"] in places:
@@ -166,6 +176,7 @@
 
 
 def voters(scenario: Scenario) -> list[str]:
+    """Return the living control nodes that vote."""
     consensus = scenario.node(scenario.leader()).core.consensus
     return [
         name
@@ -175,6 +186,7 @@
 
 
 def voting_in(scenario: Scenario, places: list[str]) -> list[str]:
+    """Return the voters in some zones."""
     return [name for name in voters(scenario) if scenario.plans[name][1]["zone"] in places]
 
 
@@ -204,6 +216,7 @@
     __slots__ = ("back", "findings", "happened", "scenario")
 
     def __init__(self, scenario: Scenario, happened: list[str]) -> None:
+        """Note a loss in a scenario and what happened; findings are added by the judge."""
         self.scenario = scenario
         self.happened = happened
         self.back: dict[str, float] = {}
@@ -211,6 +224,7 @@
 
     @property
     def slowest(self) -> float:
+        """Return the longest time until a kind was served again, in seconds."""
         return max(self.back.values(), default=0.0)
 
 
@@ -239,6 +253,7 @@
 def order_once(
     scenario: Scenario, edge: str, method: str, target: str, identity: str
 ) -> Step[None]:
+    """Send one request through an edge on a connection of its own."""
     caller = Caller(
         scenario.outside.scheduler, scenario.outside.network, scenario.random, scenario.notes, 8.0
     )
@@ -254,6 +269,7 @@
 
 
 def failed(told: Told) -> bool:
+    """Whether a request got no whole success."""
     return not (told.whole and told.status == 200)
 
 
@@ -378,6 +394,7 @@
 
 
 def judge_return(ended: Final, since: float, asked: dict[str, list[float]]) -> None:
+    """Note how long each kind was not served, and find what took longer than it may."""
     notes = [told for told in ended.scenario.notes if told.end]
     for kind, (method, path) in KINDS.items():
         ended.back[kind] = return_of(notes, method, path, since, since + RETURN_SECONDS + LOOK_ON)
--- a/packages/proving/ryelock/proving/scenario.py
+++ b/packages/proving/ryelock/proving/scenario.py
@@ -106,6 +106,7 @@
         probers: int = 2,
         settings: dict[str, object] | None = None,
     ) -> None:
+        """Plan a deployment of so many processes; `set_up` starts them."""
         settings = dict(settings or {})
         spread = settings.pop("spread_servers", False) is True
         self.world = World(seed)
@@ -164,6 +165,7 @@
     # Building.
 
     def plan(self, role: str, name: str, zone: str) -> str:
+        """Plan a process of a role in a zone; returns its name. `start` starts it."""
         host = f"10.{1 + self.planned // 200}.0.{1 + self.planned % 200}"
         self.planned += 1
         node = self.world.add(name, name, host)
@@ -189,6 +191,7 @@
     def add_server(
         self, service: str, zone: str, name: str, incarnation: int, address: str = ""
     ) -> ServerStandIn:
+        """Start a server of a service in a zone, at a new address unless one is given."""
         host = (
             address.rpartition(":")[0]
             or f"10.8.{len(self.servers) // 200}.{1 + len(self.servers) % 200}"
@@ -209,6 +212,7 @@
         return server
 
     def start(self, name: str) -> None:
+        """Start a planned process."""
         role, plain = self.plans[name]
         node = self.world.nodes[name]
         self.world.start_daemon(node, role, plain)
@@ -218,6 +222,7 @@
             self.row_stores.append((node, prober.rows))
 
     def start_all(self) -> None:
+        """Start all planned processes."""
         for name in self.plans:
             self.start(name)
 
@@ -227,12 +232,15 @@
         self.world.nodes[name].folder = SimFolder()
 
     def node(self, name: str) -> SimNode:
+        """Return the node of a process."""
         return self.world.nodes[name]
 
     def alive(self, names: list[str]) -> list[str]:
+        """Return those of some processes that run."""
         return [name for name in names if self.node(name).alive and not self.node(name).frozen]
 
     def leader(self) -> str:
+        """Return the settled leader's name; empty where there is none."""
         for name in self.alive(self.cores):
             if self.node(name).core.consensus.settled:
                 return name
@@ -243,6 +251,7 @@
     def operator(
         self, method: str, target: str, given: object = None, through: str = ""
     ) -> Step[tuple[int, dict[str, object]]]:
+        """Send an operator's request, through any process unless one is named."""
         names = self.alive(self.cores + self.edges)
         name = through or self.random.choice(names)
         found = yield from ask(
@@ -263,6 +272,7 @@
         through: str = "",
         seconds: float = 40.0,
     ) -> tuple[int, dict[str, object]]:
+        """Send an operator's request and run the world until it is answered."""
         return self.world.task(
             self.operators, self.operator(method, target, given, through), seconds
         )
@@ -408,6 +418,7 @@
             self.platform_node.scheduler.spawn(f"readiness of {name}", self.ask_ready(name))
 
     def ask_ready(self, name: str) -> Step[None]:
+        """Ask one edge again and again whether it is ready, as the platform does."""
         ready = self.asked_ready
         assert ready is not None
         scheduler = self.platform_node.scheduler
@@ -437,6 +448,7 @@
         ]
 
     def pick_order(self, random: Random) -> tuple[str, str]:
+        """Draw the method and target of a caller's request."""
         mark = random.random()
         if mark < 0.5:
             return "GET", f"/covers/{random.randrange(8)}"
@@ -450,6 +462,7 @@
         return "GET", random.choice(asked) if asked else "/nothing"
 
     def start_callers(self, count: int = 12, rate: float = 3.0, again: int = 4) -> None:
+        """Start callers; the first `again` of them repeat what failed."""
         for number in range(count):
             self.outside.scheduler.spawn(
                 f"caller {number}", self.call(number, rate, number < again)
@@ -513,6 +526,7 @@
             server.delay = 0.0
 
     def probed(self) -> list[Probed]:
+        """Return all probes that the probers have kept."""
         return [
             Probed(
                 row.taken - node.clock.zero,
@@ -528,6 +542,7 @@
         ]
 
     def findings(self) -> Findings:
+        """Check all rules against the notes of callers and the histories of servers."""
         found = Findings()
         check_once(found, self.notes, self.history)
         check_bytes(found, self.notes, self.objects, SERVICE_OF)
--- a/packages/proving/ryelock/proving/schedules.py
+++ b/packages/proving/ryelock/proving/schedules.py
@@ -18,10 +18,12 @@
 
 
 def any_of(random: Random, names: list[str]) -> str:
+    """Draw one of some names; empty where there are none."""
     return random.choice(names) if names else ""
 
 
 def kill_core(scenario: Scenario, random: Random) -> str:
+    """Kill a control node and start it again."""
     name = any_of(random, scenario.alive(scenario.cores))
     if name:
         scenario.world.kill(name)
@@ -30,6 +32,7 @@
 
 
 def power_core(scenario: Scenario, random: Random) -> str:
+    """Cut a control node's power and start it again."""
     name = any_of(random, scenario.alive(scenario.cores))
     if name:
         scenario.world.kill(name, True)
@@ -68,6 +71,7 @@
 
 
 def kill_edge(scenario: Scenario, random: Random) -> str:
+    """Kill an edge, perhaps with its power, and start it again."""
     name = any_of(random, scenario.alive(scenario.edges))
     if name:
         scenario.world.kill(name, random.random() < 0.5)
@@ -76,6 +80,7 @@
 
 
 def kill_prober(scenario: Scenario, random: Random) -> str:
+    """Kill a prober and start it again."""
     name = any_of(random, scenario.alive(scenario.probers))
     if name:
         scenario.world.kill(name)
@@ -84,6 +89,7 @@
 
 
 def all_cores(scenario: Scenario, random: Random) -> str:
+    """Kill all control nodes at once, or cut their power, and start them again."""
     power = random.random() < 0.5
     for name in scenario.alive(scenario.cores):
         scenario.world.kill(name, power)
@@ -97,6 +103,7 @@
 
 
 def isolate(scenario: Scenario, random: Random) -> str:
+    """Cut one machine off from all others for some seconds."""
     name = any_of(random, [*scenario.cores, *scenario.edges, *scenario.probers])
     scenario.world.isolate(name)
     scenario.world.later(0.5 + random.random() * 4, scenario.world.heal)
@@ -104,6 +111,7 @@
 
 
 def split_cores(scenario: Scenario, random: Random) -> str:
+    """Cut one control node off from the other ones for some seconds, perhaps one way only."""
     one = any_of(random, scenario.cores)
     both = random.random() < 0.5
     for other in scenario.cores:
@@ -114,6 +122,7 @@
 
 
 def scatter_cores(scenario: Scenario, random: Random) -> str:
+    """Cut all control nodes off from each other for some seconds."""
     for one in scenario.cores:
         for other in scenario.cores:
             if one < other:
@@ -123,6 +132,7 @@
 
 
 def cut_edge(scenario: Scenario, random: Random) -> str:
+    """Cut an edge off from each control node, both ways or one way."""
     name = any_of(random, scenario.edges)
     for core in scenario.cores:
         scenario.world.cut(name, core, random.random() < 0.5)
@@ -131,6 +141,7 @@
 
 
 def freeze(scenario: Scenario, random: Random) -> str:
+    """Freeze a control node or an edge for some seconds."""
     name = any_of(random, scenario.alive([*scenario.cores, *scenario.edges]))
     if name:
         scenario.world.freeze(name, True)
@@ -139,6 +150,7 @@
 
 
 def mean_server(scenario: Scenario, random: Random) -> str:
+    """Let a server treat requests badly for some seconds."""
     servers = [
         server for name, server in scenario.servers.items() if scenario.world.nodes[name].alive
     ]
@@ -209,6 +221,7 @@
 
 
 def silent_platform(scenario: Scenario, random: Random) -> str:
+    """Let the platform say nothing for some seconds."""
     scenario.platform.silent = True
 
     def speak() -> None:
@@ -219,12 +232,14 @@
 
 
 def wrong_clocks(scenario: Scenario, random: Random) -> str:
+    """Set the time of day of some machines wrong."""
     for name in [*scenario.cores, *scenario.edges, *scenario.probers]:
         scenario.node(name).clock.error = random.choice([0.0, 300.0, -300.0, 4000.0])
     return "wall clocks are wrong"
 
 
 def slow_network(scenario: Scenario, random: Random) -> str:
+    """Let many messages take long for some seconds."""
     scenario.world.spikes = 0.15
 
     def calm() -> None:
@@ -255,6 +270,7 @@
 
 
 def kill_many(scenario: Scenario, random: Random, names: list[str]) -> None:
+    """Kill several processes at once and start each again."""
     for name in scenario.alive(names):
         scenario.world.kill(name, random.random() < 0.5)
         scenario.world.later(
@@ -266,6 +282,7 @@
 
 
 def whole_zone(scenario: Scenario, random: Random) -> str:
+    """Kill all processes of a zone at once."""
     place = random.choice(scenario.zones)
     kill_many(
         scenario,
@@ -276,12 +293,14 @@
 
 
 def several_edges(scenario: Scenario, random: Random) -> str:
+    """Kill two thirds of the edges at once."""
     names = random.sample(scenario.edges, max(2, len(scenario.edges) * 2 // 3))
     kill_many(scenario, random, names)
     return f"killed at once: {', '.join(names)}"
 
 
 def freeze_prober(scenario: Scenario, random: Random) -> str:
+    """Freeze a prober for some seconds."""
     name = any_of(random, scenario.alive(scenario.probers))
     if name:
         scenario.world.freeze(name, True)
@@ -301,6 +320,7 @@
 
 
 def full_disk(scenario: Scenario, random: Random) -> str:
+    """Fill a control node's disk for some seconds."""
     name = any_of(random, scenario.alive(scenario.cores))
     folder = scenario.node(name).folder if name else None
     if folder is None:
@@ -347,6 +367,7 @@
 
 
 def new_edge(scenario: Scenario, random: Random) -> str:
+    """Let a new edge join."""
     name = scenario.plan("edge", f"edge-{len(scenario.world.nodes)}", random.choice(scenario.zones))
     scenario.edges.append(name)
     scenario.start(name)
@@ -354,6 +375,7 @@
 
 
 def drain_and_recover(scenario: Scenario, random: Random) -> str:
+    """Drain an edge or a zone and take that back after a while."""
     target = random.choice([*scenario.edges, *(f"zone:{place}" for place in scenario.zones)])
     number = len(scenario.world.events) + scenario.world.points
 
@@ -375,6 +397,7 @@
 
 
 def purge_flood(scenario: Scenario, random: Random) -> str:
+    """Purge objects in quick succession."""
     number = scenario.world.points
 
     def whole(turn: int) -> Step[None]:
@@ -481,6 +504,7 @@
     def __init__(
         self, scenario: Scenario, findings: Findings, happened: list[str], back_after: float | None
     ) -> None:
+        """Note a run: its scenario, what was found, what happened, and seconds until it served."""
         self.scenario = scenario
         self.findings = findings
         self.happened = happened
