--- a/packages/edge/ryelock/edge/owner.py
+++ b/packages/edge/ryelock/edge/owner.py
@@ -51,6 +51,9 @@
 ANSWER_PART = 0.5
 TARGET_PART = 0.75
 ANSWER_LEAST = 0.25
+WORKING_PART = 1.0
+"""An owner that works on a fetch is waited for up to this part of the aim; then a server is asked
+from here, which also takes load from an owner whose link is full."""
 HOME_PART = 0.7
 """The owner of a zone waits less for the home's than the edge that asked waits for it."""
 
@@ -136,10 +139,14 @@
         self.sent = 0.0
         now = handler.scheduler.now()
         most = ANSWER_PART * max(0.0, handler.deadline(exchange, route) - now)
-        self.working_until = now + (most * HOME_PART if order.peer else most)
+        silent = working = most
         if route.target_seconds:
-            most = min(most, max(ANSWER_LEAST, TARGET_PART * route.target_seconds))
-        self.until = now + most
+            silent = min(most, max(ANSWER_LEAST, TARGET_PART * route.target_seconds))
+            working = min(most, max(ANSWER_LEAST, WORKING_PART * route.target_seconds))
+        if order.peer:
+            working *= HOME_PART
+        self.until = now + silent
+        self.working_until = now + working
         kept = peers.kept_link(owner.order)
         self.link: Link = kept[0] if kept is not None else handler.network.connect(owner.order)
         self.reader = kept[1] if kept is not None else Reader(handler.scheduler, self.link)
--- a/tests/test_rate_sharing.py
+++ b/tests/test_rate_sharing.py
@@ -1,10 +1,11 @@
 """What a service's rate is spent on: each object once, whoever asks for it."""
 
 import unittest
-from collections import Counter
+from collections import Counter, deque
 
 from deployment import HOST, Deployment, route, service_item
 from ryelock.edge.process import TrafficNode
+from ryelock.proving.hosting_platform import Manner
 from ryelock.proving.platform_clients import CACHEABLE, Note, over_ceiling
 
 OBJECTS = 240
@@ -95,3 +96,34 @@
             )
         self.assertGreater(planned, 0.0)
         self.assertLess(planned, 0.07 * PROBED_RATE)
+
+
+class SlowOwnerTests(unittest.TestCase):
+    def test_an_owner_that_works_on_for_long_is_passed_by(self) -> None:
+        """One that said 102 and hangs costs a part of the aim, not half of the deadline."""
+        deployment = Deployment(74, edges=3)
+        routes = [
+            route("covers", "/covers/", CACHEABLE, target_ms=600, timeout_ms=8000, attempt_limit=3)
+        ]
+        deployment.configuration["routes"] = routes
+        deployment.set_up()
+        node = deployment.node(deployment.edges[0]).inner
+        assert isinstance(node, TrafficNode) and node.handler is not None
+        peers = node.handler.peers
+        assert peers is not None
+        asked = 0
+        for number in range(12):
+            for name in deployment.edges:
+                edge = deployment.node(name).inner
+                assert isinstance(edge, TrafficNode) and edge.handler is not None
+                edge.handler.gates["pages"].budget.room = 20.0
+            shared = deque([Manner.HANGING])
+            for life in deployment.of_service("pages"):
+                life.manners = shared
+            owner = peers.owner((HOST, f"/covers/{number}"))
+            note = deployment.ask(CACHEABLE, "GET", f"/covers/{number}", deadline=8.0)
+            self.assertTrue(note.served)
+            if owner is not None:
+                asked += 1
+                self.assertLess(note.seconds, 1.6)
+        self.assertGreater(asked, 3)
