--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -51,7 +51,7 @@
     deployment = Deployment(seed).set_up()
     routes = deployment.configuration["routes"]
     assert isinstance(routes, list)
-    slow = [{**item, "timeout_ms": 30_000} for item in routes]
+    slow = [{**item, "timeout_ms": 30_000, "target_ms": 20_000} for item in routes]
     status, said = deployment.amend(
         {"version": "r6", "upsert": {"routes": slow}, "remove": {}}, "r5"
     )
