--- a/packages/edge/ryelock/edge/handler.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -59,6 +59,7 @@
                 return
             self.served += not (order.probe or order.peer)
             order.body = yield from exchange.whole_body()
+            exchange.may_refuse = order.klass == "repeatable"
             if order.klass == "once":
                 yield from self.serve_once(exchange, order, route)
             elif route.cached and exchange.head.method in (b"GET", b"HEAD") and not order.body:
--- a/packages/exchange/ryelock/exchange/http_server.py
+++ b/packages/exchange/ryelock/exchange/http_server.py
@@ -25,6 +25,8 @@
 from ryelock.loop import Link, Network, Scheduler, Step, TaskHandle
 
 UNSENT_MOST = 262_144
+REFUSAL_SECONDS = 0.5
+"""So long before a stop's end, requests that still wait are refused instead of cut."""
 IDLE_GRACE_SECONDS = 0.5
 """After a stop began, a connection without a request stays open for so long."""
 
@@ -59,6 +61,7 @@
         "head",
         "keep",
         "left_to_send",
+        "may_refuse",
         "link",
         "listener",
         "reader",
@@ -85,6 +88,7 @@
         self.deadline = self.started + listener.limits.order_seconds
         self.begun = False
         self.finished = False
+        self.may_refuse = False
         self.chunked = False
         self.left_to_send = 0
         self.waits_to_send = b"100-continue" in tokens(head.fields, b"expect")
@@ -191,6 +195,7 @@
         "busy",
         "closing",
         "closing_links",
+        "exchanges",
         "idle",
         "leaving",
         "limits",
@@ -220,6 +225,7 @@
         self.links: dict[Link, TaskHandle] = {}
         self.closing_links: list[Link] = []
         self.idle: set[Link] = set()
+        self.exchanges: dict[Link, Exchange] = {}
         self.busy = 0
         self.closing = False
         self.leaving = False
@@ -249,7 +255,7 @@
                 while reader.buffer[:2] == b"\r\n":
                     del reader.buffer[:2]
                 head = parse_order_head((yield from reader.head(self.limits.head_bytes, until)))
-                exchange = self.frame(link, reader, head)
+                exchange = self.exchanges[link] = self.frame(link, reader, head)
                 self.busy += 1
                 try:
                     yield from self.serve(exchange)
@@ -270,6 +276,7 @@
             pass
         finally:
             self.links.pop(link, None)
+            self.exchanges.pop(link, None)
             if exchange is not None and exchange.begun and not exchange.finished:
                 link.abort()
             else:
@@ -288,6 +295,14 @@
         for link in [link for link in self.idle if not len(link.inbox)]:
             self.links[link].cancel()
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that wait and may be sent again; their connections end."""
+        for link, exchange in list(self.exchanges.items()):
+            if exchange.may_refuse and not exchange.begun:
+                exchange.begin(503, b"", [(b"Retry-After", b"0")], 0)
+                exchange.finish()
+                self.links[link].cancel()
+
     def close(self, link: Link) -> None:
         """End a connection; one with unsent bytes is remembered until they are sent."""
         self.closing_links = [other for other in self.closing_links if other.unsent]
@@ -336,6 +351,8 @@
         ):
             if self.scheduler.now() >= idle_until:
                 self.close_idle()
+            if self.scheduler.now() >= started + seconds - REFUSAL_SECONDS:
+                self.refuse_waiting()
             yield from self.scheduler.pause(0.02)
         done = self.busy == 0 and not self.has_unsent
         for link, running in list(self.links.items()):
--- a/tests/test_http_server_stop.py
+++ b/tests/test_http_server_stop.py
@@ -31,6 +31,11 @@
 
     def serve(self, exchange: Exchange) -> Step[None]:
         self.taken.append(exchange.head.target)
+        if exchange.head.target == b"/waits":
+            exchange.may_refuse = True
+            yield from self.node.scheduler.pause(2 * STOP_SECONDS)
+        if exchange.head.target == b"/once":
+            yield from self.node.scheduler.pause(2 * STOP_SECONDS)
         if exchange.head.target == b"/slow":
             yield from self.node.scheduler.pause(SLOW_SECONDS)
         yield from exchange.answer(200, [], b"answer")
@@ -87,3 +92,16 @@
         self.world.run(IDLE_GRACE_SECONDS + 0.1)
         self.assertEqual([True], done)
         self.assertTrue(idle.ended)
+
+    def test_a_request_that_still_waits_is_refused_before_the_end(self) -> None:
+        waiting, once = self.connection(), self.connection()
+        self.send(waiting, b"/waits")
+        self.send(once, b"/once")
+        self.world.run(0.2)
+        self.begin_stop()
+        self.world.run(STOP_SECONDS - 0.1)
+        self.assertIn(b"503 Service Unavailable", self.received(waiting))
+        self.assertIn(b"Retry-After", self.received(waiting))
+        self.assertIn(b"Connection: close", self.received(waiting))
+        self.assertTrue(waiting.ended)
+        self.assertEqual(b"", self.received(once), "nothing is promised of what may run once")
