--- a/packages/edge/ryelock/edge/owner.py
+++ b/packages/edge/ryelock/edge/owner.py
@@ -1,7 +1,7 @@
 """Asking the edge that keeps an object (its owner) for a copy of it.
 
 An owner that begins a fetch, or joins one, says so at once (102 Processing): one that is silent is
-told from one whose server is slow, and nothing is fetched a second time for want of patience.
+told from one whose server is slow. One at work is waited for somewhat longer, up to the aim.
 
 An ask has one step or two on one link. Where the budget of retries has no room for the owner's
 silence, a lookup comes first, which lets the owner send nothing to a server: it answers at once,
