--- a/review/harness.py
+++ b/review/harness.py
@@ -195,6 +195,7 @@
         self.slots = slots
         self.run = run
         self.identifier = f"i-{random.getrandbits(40):010x}"
+        self.in_use = 0
 
     def entry(self) -> dict[str, object]:
         """Return the server's entry in the platform's list."""
