Overdue attempts go on while another server is tried beside them

Callers saw 502 or 504 for idempotent requests that a server was working on: an attempt was ended after 0.6 of its time, and only then was it asked whether retry budget, rate, route, lease and servers allow another one.

Now such an attempt is overdue, not over: another server is tried beside it, if all of these allow that, and the first response is used. Otherwise the first server is waited for until the deadline. The same holds for an object's owner that is overdue.

--- a/packages/edge/ryelock/edge/handler.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -7,10 +7,12 @@
   service.
 - An at-most-once request is not sent again once a byte of it may have left.
 - A request that cannot be served is rejected at once.
+- A server that works on a request is waited for until the deadline, unless another one responds.
 - A response is complete, or its connection is closed so that the client sees it is not.
 
-The steps share one EdgeContext. In order: routing.py, cache_lookup.py, owner_client.py,
-admission.py, attempts.py (which uses upstream_client.py), cache_fill.py, relay.py, rejections.py.
+The steps share one EdgeContext. In order: routing.py, cache_lookup.py, object_fetch.py (which uses
+owner_client.py), admission.py, attempts.py (which uses upstream_client.py), cache_fill.py,
+relay.py, rejections.py.
 """
 
 from ryelock.cache import StoredResponse
@@ -20,7 +22,8 @@
 from ryelock.edge.cache_lookup import CacheLookup
 from ryelock.edge.context import EdgeContext
 from ryelock.edge.failures import Failure, FailureKind
-from ryelock.edge.owner_client import OwnerClient, OwnerRejection, RelayedResponse
+from ryelock.edge.object_fetch import ObjectFetcher
+from ryelock.edge.owner_client import OwnerClient, RelayedResponse
 from ryelock.edge.peer_protocol import LOOKUP
 from ryelock.edge.preview import RequestPreview
 from ryelock.edge.rejections import RejectionResponder
@@ -54,7 +57,7 @@
         "cache_filler",
         "cache_lookup",
         "context",
-        "owner_client",
+        "object_fetcher",
         "preview",
         "rejections",
         "relay",
@@ -70,12 +73,18 @@
         self.admission = AdmissionController(context, self.router)
         self.cache_lookup = CacheLookup(context, self.router)
         self.cache_filler = CacheFiller(context, self.cache_lookup, validator)
-        self.owner_client = OwnerClient(context, self.router, validator)
         self.attempts = UpstreamAttempts(
             context,
             self.router,
             UpstreamClient(context, self.router, self.admission, validator),
         )
+        self.object_fetcher = ObjectFetcher(
+            context,
+            self.router,
+            self.admission,
+            OwnerClient(context, self.router, validator),
+            self.attempts,
+        )
         self.served_objects = ServedObjects(context)
         self.relay = ResponseRelay(context, self.served_objects)
         self.rejections = RejectionResponder(context)
@@ -197,41 +206,20 @@
             shareable: whether the response may serve other requests that wait for it.
         """
         progress = self.cache_filler.begin(request, stored, shareable)
-        if shareable:
-            reply = await self.owner_client.fetch(exchange, request, route, progress.stale)
-            if isinstance(reply, OwnerRejection):
-                return owner_over_rate(reply)
-            if reply is not None:
-                await self.serve_from_owner(exchange, request, progress, reply)
-                return None
-        failure = await self.admission.admit(exchange, request, route)
-        if failure is not None:
-            return failure
-        request.cache_status = request.cache_status or CacheStatus.MISS
-        result = await self.attempts.run(self.upstream_call(exchange, request, route, progress))
-        if result.is_error():
-            return result.error
-        await self.serve_fetched(exchange, request, route, progress, result.ok)
+        fetched = await self.object_fetcher.fetch(exchange, request, route, progress, shareable)
+        if fetched.is_error():
+            return fetched.error
+        if isinstance(fetched.ok, UpstreamResponse):
+            await self.serve_fetched(exchange, request, route, progress, fetched.ok)
+        else:
+            await self.serve_from_owner(exchange, request, progress, fetched.ok)
         return None
 
-    def upstream_call(
-        self,
-        exchange: HttpExchange,
-        request: Request,
-        route: Route,
-        progress: FillInProgress | None = None,
-    ) -> UpstreamCall:
-        """Return the call to upstream servers for an admitted request."""
+    def upstream_call(self, exchange: HttpExchange, request: Request, route: Route) -> UpstreamCall:
+        """Return the call to upstream servers for an admitted request that bypasses the cache."""
         assert request.admitted_to is not None
-        return UpstreamCall(
-            exchange,
-            request,
-            route,
-            request.admitted_to,
-            progress is not None,
-            None if progress is None else progress.stale,
-            self.router.deadline(exchange, route),
-        )
+        deadline = self.router.deadline(exchange, route)
+        return UpstreamCall(exchange, request, route, request.admitted_to, False, None, deadline)
 
     async def serve_from_owner(
         self,
@@ -293,13 +281,3 @@
                 Outcome.CLIENT_DISCONNECTED if exchange.client_disconnected else Outcome.ENDED
             )
         context.recent_requests.add(request)
-
-
-def owner_over_rate(rejection: OwnerRejection) -> Failure:
-    """Return the failure of a request whose owner is at the service's rate limit."""
-    return Failure(
-        FailureKind.OWNER_OVER_RATE,
-        503,
-        "the service is at its rate; the order was not sent",
-        capacity_in=rejection.capacity_in or 0.0,
-    )
--- a/packages/edge/ryelock/edge/metrics.py
+++ b/packages/edge/ryelock/edge/metrics.py
@@ -1,12 +1,20 @@
 """Metrics of an edge's request path, by service."""
 
 from collections.abc import Callable, Mapping
+from enum import StrEnum
 
 from ryelock.edge.admission_queue import AdmissionQueue
 from ryelock.metrics import Labels, Metrics
 from ryelock.runtime import Scheduler
 
 
+class HedgeOutcome(StrEnum):
+    """Which server answered a hedged request first; the values are labels of the metrics."""
+
+    FIRST_SERVER = "first server"
+    OTHER_SERVER = "other server"
+
+
 class EdgeMetrics:
     """Counters of an edge's request path, and gauges that read its admission queues."""
 
@@ -16,6 +24,7 @@
         "attempts",
         "cache",
         "cancelled",
+        "hedges",
         "refusals",
         "scheduler",
     )
@@ -39,6 +48,9 @@
         self.cancelled = self.all.counter(
             "cancelled", "Attempts ended since their caller had left.", "service"
         )
+        self.hedges = self.all.counter(
+            "hedges", "Hedged requests, by the server that answered.", "service", "answered_by"
+        )
         self.cache = self.all.counter(
             "cache", "Requests on cached routes.", "service", "asked_by", "outcome"
         )
--- a/packages/edge/ryelock/edge/owner_client.py
+++ b/packages/edge/ryelock/edge/owner_client.py
@@ -3,11 +3,13 @@
 It guards against three failures of an owner:
 
 - An owner that hangs looks like one whose server is slow. So an owner that starts or joins a fetch
-  sends 102 (Processing) at once. A request that gets no 102 is given up at `silence_deadline`, one
-  that got it at `processing_deadline`.
+  sends 102 (Processing) at once. A request that gets no 102 is overdue at `silence_deadline`, one
+  that got it at `processing_deadline`. From then on this edge may try a server itself, while it
+  still waits for the owner.
 - An owner that hangs during a fetch may have sent the request to servers, and to send it to one
   more is then a retry. So a fetch limits how many servers the owner may use (X-Ryelock-Servers),
-  and the response reports how many it reached. After a timeout the limit is charged to the request.
+  and the response reports how many it reached. Once a fetch is overdue, the limit is charged to the
+  request.
 - An owner that hangs would thereby use up the service's retry budget, and requests would be
   rejected. So where the budget does not cover a timeout of every request in flight to the owner, a
   lookup precedes the fetch on the same connection. A lookup lets the owner use no server, so its
@@ -126,7 +128,7 @@
         request: Request,
         route: Route,
         stale: StoredResponse | None,
-    ) -> OwnerReply | None:
+    ) -> "OwnerReply | OwnerRequest | None":
         """Request an object from its owner.
 
         Args:
@@ -136,7 +138,8 @@
             stale: a stored response that the owner may revalidate.
 
         Returns:
-            The owner's reply; None if this edge has to fetch the object from a server.
+            The owner's reply; the request itself if it is overdue and this edge may try a server
+            beside it; None if this edge has to fetch the object from a server.
         """
         peers = self.context.peers
         if peers is None or not self.may_use_owner(request):
@@ -155,15 +158,19 @@
     Attributes:
         stale: a stored response that the owner may revalidate.
         reusable: whether the connection can serve another request.
+        overdue: whether this edge may try a server while it waits for the owner.
+        closed: whether the connection was released.
         sent_at: monotonic time at which the lookup or fetch was sent.
         silence_deadline: monotonic time by which the owner must send a 102 or its response.
         processing_deadline: monotonic time by which it must respond after a 102.
     """
 
     __slots__ = (
+        "closed",
         "connection",
         "context",
         "exchange",
+        "overdue",
         "owner",
         "peers",
         "processing_deadline",
@@ -199,6 +206,8 @@
         self.route = route
         self.stale = stale
         self.reusable = False
+        self.overdue = False
+        self.closed = False
         self.sent_at = 0.0
         self.silence_deadline, self.processing_deadline = self.deadlines()
         idle = peers.take_idle_connection(owner.request_address)
@@ -224,11 +233,12 @@
             processing_timeout *= FORWARDED_TIMEOUT_FRACTION
         return now + silence_timeout, now + processing_timeout
 
-    async def run(self) -> OwnerReply | None:
+    async def run(self) -> "OwnerReply | OwnerRequest | None":
         """Send the request; return None if this edge has to fetch the object from a server.
 
         A rejection for the service's rate limit is returned, not worked around: a direct fetch
-        would use the same rate and fill the cache of this edge only.
+        would use the same rate and fill the cache of this edge only. An overdue request is returned
+        itself; the caller ends it by `finish` and `close`.
         """
         self.peers.requests_in_flight[self.owner.name] += 1
         try:
@@ -238,17 +248,32 @@
                 self.peers.suspect(self.owner)
                 return None
             reply = await self.look_up_and_fetch()
+            if self.overdue:
+                return self
             if isinstance(reply, OwnerRejection) and reply.capacity_in is None:
                 return None
             return reply
         finally:
-            self.peers.requests_in_flight[self.owner.name] -= 1
-            if self.reusable:
-                self.peers.keep_idle_connection(
-                    self.owner.request_address, self.connection, self.reader
-                )
-            else:
-                self.connection.abort()
+            if not self.overdue:
+                self.close()
+
+    async def finish(self) -> StoredResponse | RelayedResponse | None:
+        """Wait for an overdue reply until the request's deadline; None if there is no object."""
+        reply = await self.receive(self.router.deadline(self.exchange, self.route))
+        return None if isinstance(reply, OwnerRejection) else reply
+
+    def close(self) -> None:
+        """Keep the connection for reuse, or abort it."""
+        if self.closed:
+            return
+        self.closed = True
+        self.peers.requests_in_flight[self.owner.name] -= 1
+        if self.reusable:
+            self.peers.keep_idle_connection(
+                self.owner.request_address, self.connection, self.reader
+            )
+        else:
+            self.connection.abort()
 
     async def look_up_and_fetch(self) -> OwnerReply | None:
         """Send the fetch, after a lookup if the retry budget does not cover a timeout."""
@@ -280,7 +305,7 @@
         """Request a fetch; charge the servers that the owner may have reached to the request."""
         max_servers = max(1, self.request.attempts_left - 1)
         self.send(max_servers, self.router.deadline(self.exchange, self.route))
-        reply = await self.receive(self.silence_deadline, may_extend=True)
+        reply = await self.receive(self.silence_deadline, may_be_overdue=True)
         if reply is None:
             self.request.charge_owner(max_servers)
         elif isinstance(reply, OwnerRejection):
@@ -322,24 +347,25 @@
         purges, version = context.store.last_purge, context.plan.version
         return f"{session.name} {session.probe_secret} {purges} {version}".encode()
 
-    async def receive(self, deadline: float, may_extend: bool = False) -> OwnerReply | None:
+    async def receive(self, deadline: float, may_be_overdue: bool = False) -> OwnerReply | None:
         """Return the owner's reply; None if it is late, broken or for another request.
 
         Args:
             deadline: monotonic time by which the owner must send a 102 or its response.
-            may_extend: whether to wait until the request's deadline if no server may be tried from
-                here.
+            may_be_overdue: whether a late reply is still waited for: here if no server may be tried
+                from this edge, else by the caller.
         """
         self.reusable = False
         try:
             result = await self.read_head(deadline)
-            if result.is_error() and may_extend and self.depends_on_owner():
+            if result.is_error() and may_be_overdue and self.depends_on_owner():
                 deadline = self.router.deadline(self.exchange, self.route)
                 result = await self.read_head(deadline)
             if result.is_error():
                 # An owner that has responded to other requests since then is slow, not down.
                 if not self.peers.responded_since(self.owner, self.sent_at):
                     self.peers.suspect(self.owner)
+                self.overdue = may_be_overdue and not self.connection.closed
                 return None
             response = result.ok
             if not self.validator.belongs_to(self.request, response.head):
--- a/packages/edge/ryelock/edge/relay.py
+++ b/packages/edge/ryelock/edge/relay.py
@@ -49,13 +49,13 @@
                 exchange.finish()
                 completed = True
                 request.outcome = Outcome.ANSWERED
-                exchange.detach_from_client()
+                exchange.detach_from_client(upstream.connection)
                 self.release_connection(upstream)
         except (IncompleteMessageError, ReadTimeoutError, FramingError) as error:
             self.on_relay_error(exchange, request, upstream, error)
         finally:
             if not completed:
-                exchange.detach_from_client()
+                exchange.detach_from_client(upstream.connection)
                 exchange.abort()
                 upstream.connection.abort()
 
--- a/packages/edge/ryelock/edge/request.py
+++ b/packages/edge/ryelock/edge/request.py
@@ -72,6 +72,8 @@
         fault: reason why there was none.
         rejected_status: status with which the server rejected the request without running it; 0
             if it did not.
+        overdue_seconds: time after which other servers were tried beside it; None if that did not
+            happen.
     """
 
     server: str
@@ -81,6 +83,12 @@
     status: int | None = None
     fault: str | None = None
     rejected_status: int = 0
+    overdue_seconds: float | None = None
+
+    @property
+    def is_overdue(self) -> bool:
+        """True if other servers were tried while the attempt was in progress."""
+        return self.overdue_seconds is not None
 
     @property
     def servers_reached(self) -> int:
@@ -103,6 +111,8 @@
             wire["fault"] = self.fault
         if self.rejected_status:
             wire["declined"] = self.rejected_status
+        if self.overdue_seconds is not None:
+            wire["overdue_after"] = self.overdue_seconds
         return wire
 
 
--- a/packages/edge/ryelock/edge/upstream_client.py
+++ b/packages/edge/ryelock/edge/upstream_client.py
@@ -34,8 +34,9 @@
 
 MAX_SKIPPED_RESPONSES = 2
 """Limit of responses to other requests that are skipped on one connection."""
-ATTEMPT_TIMEOUT_FRACTION = 0.6
-"""Fraction of the remaining time given to an attempt that another may follow."""
+HEDGE_DELAY_FRACTION = 0.6
+"""Fraction of the remaining time after which an attempt without a response is overdue, so that
+another server may be tried beside it."""
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +59,25 @@
         return bool(self.reader.buffer or self.connection.received.items)
 
 
+@dataclass(slots=True, eq=False)
+class PendingResponse:
+    """A request that was sent to a server and has no response yet.
+
+    Attributes:
+        call: the call.
+        server: the server.
+        upstream: the connection, which is owned until the response has arrived.
+        sent_at: monotonic time at which the request was sent.
+        answered: whether a response has taken over the connection.
+    """
+
+    call: UpstreamCall
+    server: ServerState
+    upstream: UpstreamConnection
+    sent_at: float
+    answered: bool = False
+
+
 class UpstreamClient:
     """Sends requests to servers and reads the start of their responses."""
 
@@ -79,42 +99,55 @@
 
     async def fetch(
         self, call: UpstreamCall, server: ServerState, attempt: Attempt, is_last: bool
-    ) -> Result[UpstreamResponse, ClientError]:
-        """Make one attempt.
+    ) -> Result[UpstreamResponse | PendingResponse, ClientError]:
+        """Send a request to a server and wait for its response until the attempt is overdue.
 
-        A response that is returned owns the connection; else the connection is aborted.
+        What is returned owns the connection; after an error the connection is aborted.
 
         Args:
             call: the call.
             server: the server to send it to.
             attempt: record of the attempt.
-            is_last: whether no other server may be tried after it.
+            is_last: whether no other server may be tried, so that the attempt is never overdue.
+
+        Returns:
+            The response, or the pending response of an attempt that is overdue.
         """
         upstream = self.open_connection(call.request, server)
-        succeeded = False
+        pending = PendingResponse(call, server, upstream, 0.0)
+        is_owned = False
         try:
             error = await self.prepare(call, server, upstream)
             if error is not None:
                 return Error(error)
             attempt.sent = True
             self.context.metrics.attempts.add(call.request.service)
-            sent_at = self.context.scheduler.now()
+            pending.sent_at = self.context.scheduler.now()
             self.writer.write(call, server, upstream.connection)
-            result = await self.receive(call, server, upstream, sent_at, is_last)
-            succeeded = result.is_ok()
+            deadline = self.response_deadline(pending)
+            overdue_at = deadline if is_last else self.overdue_time(pending, deadline)
+            result = await self.receive(pending, overdue_at)
+            is_overdue = is_response_timeout(result) and self.context.scheduler.now() < deadline
+            is_owned = is_overdue or result.is_ok()
+            return Ok(pending) if is_overdue else result
+        finally:
+            if not is_owned:
+                self.abandon(pending)
+
+    async def finish(self, pending: PendingResponse) -> Result[UpstreamResponse, ClientError]:
+        """Wait for an overdue response until the deadline; after an error abort the connection."""
+        try:
+            result = await self.receive(pending, self.response_deadline(pending))
+            pending.answered = result.is_ok()
             return result
-        except FramingError as error:
-            self.log_broken_response(call.request, server, error.reason)
-            return Error(UnusableResponseError(error.reason))
-        except IncompleteMessageError:
-            self.log_broken_response(call.request, server, "cut")
-            return Error(ResponseCutError("the answer was cut"))
-        except ReadTimeoutError:
-            return Error(ResponseTimeoutError("no answer in time"))
         finally:
-            if not succeeded:
-                call.exchange.detach_from_client()
-                upstream.connection.abort()
+            self.abandon(pending)
+
+    def abandon(self, pending: PendingResponse) -> None:
+        """Abort the connection of a request that is not waited for any longer."""
+        if not pending.answered:
+            pending.call.exchange.detach_from_client(pending.upstream.connection)
+            pending.upstream.connection.abort()
 
     def open_connection(self, request: Request, server: ServerState) -> UpstreamConnection:
         """Return an idle connection to a server, or a new one."""
@@ -154,18 +187,33 @@
         return None
 
     async def receive(
-        self,
-        call: UpstreamCall,
-        server: ServerState,
-        upstream: UpstreamConnection,
-        sent_at: float,
-        is_last: bool,
+        self, pending: PendingResponse, deadline: float
+    ) -> Result[UpstreamResponse, ClientError]:
+        """Read the start of the response; after a timeout it may be called again.
+
+        Args:
+            pending: the request that was sent.
+            deadline: monotonic time by which the response's head must arrive.
+        """
+        request, server = pending.call.request, pending.server
+        try:
+            return await self.read_usable_response(pending, deadline)
+        except FramingError as error:
+            self.log_broken_response(request, server, error.reason)
+            return Error(UnusableResponseError(error.reason))
+        except IncompleteMessageError:
+            self.log_broken_response(request, server, "cut")
+            return Error(ResponseCutError("the answer was cut"))
+        except ReadTimeoutError:
+            return Error(ResponseTimeoutError("no answer in time"))
+
+    async def read_usable_response(
+        self, pending: PendingResponse, deadline: float
     ) -> Result[UpstreamResponse, ClientError]:
         """Read the start of the response and check that the response may be used."""
+        call, upstream, server = pending.call, pending.upstream, pending.server
         request, own = call.request, self.context.profile.own
-        result = await self.read_matching_response(
-            call, upstream, self.response_deadline(call, sent_at, is_last)
-        )
+        result = await self.read_matching_response(call, upstream, deadline)
         if result.is_error():
             return Error(result.error)
         response, prefix, complete = result.ok
@@ -186,20 +234,25 @@
                 upstream.connection,
                 upstream.reader,
                 server,
-                sent_at,
+                pending.sent_at,
             )
         )
 
-    def response_deadline(self, call: UpstreamCall, sent_at: float, is_last: bool) -> float:
-        """Return the monotonic time by which the response's head must arrive.
+    def response_deadline(self, pending: PendingResponse) -> float:
+        """Return the monotonic time by which the response's head must arrive."""
+        call = pending.call
+        return min(call.deadline, pending.sent_at + self.service_timeout_seconds(call.request))
+
+    def overdue_time(self, pending: PendingResponse, deadline: float) -> float:
+        """Return the monotonic time from which another server may be tried as well.
 
-        An attempt that another may follow leaves it part of the remaining time.
+        An at-most-once request is never overdue: no other server may be tried.
         """
-        deadline = min(call.deadline, sent_at + self.service_timeout_seconds(call.request))
-        idempotent = call.request.request_class is RequestClass.IDEMPOTENT
-        if idempotent and not is_last and not self.context.profile.own:
-            deadline = min(deadline, sent_at + ATTEMPT_TIMEOUT_FRACTION * (call.deadline - sent_at))
-        return deadline
+        call = pending.call
+        if call.request.request_class is not RequestClass.IDEMPOTENT or self.context.profile.own:
+            return deadline
+        remaining = call.deadline - pending.sent_at
+        return min(deadline, pending.sent_at + HEDGE_DELAY_FRACTION * remaining)
 
     def service_timeout_seconds(self, request: Request) -> float:
         """Return the response timeout of the request's service."""
@@ -240,3 +293,8 @@
             order=request.identity,
             fault=fault,
         )
+
+
+def is_response_timeout(result: Result[UpstreamResponse, ClientError]) -> bool:
+    """Return True if no response has arrived by the deadline."""
+    return result.is_error() and isinstance(result.error, ResponseTimeoutError)
--- a/packages/http/ryelock/http/exchange.py
+++ b/packages/http/ryelock/http/exchange.py
@@ -40,6 +40,7 @@
             a stopping server then responds 503 in place of the handler.
         response_started: True once the head of the response was sent.
         finished: True once the response was sent or aborted.
+        upstreams: upstream connections that are aborted when the client disconnects.
     """
 
     __slots__ = (
@@ -56,6 +57,7 @@
         "received_at",
         "response_started",
         "server",
+        "upstreams",
     )
 
     def __init__(
@@ -79,6 +81,7 @@
         self.finished = False
         self.may_refuse = False
         self.chunked = False
+        self.upstreams: list[Connection] = []
         self.expects_continue = b"100-continue" in tokens(head.fields, b"expect")
 
     @property
@@ -89,16 +92,26 @@
     def abort_with_client(self, upstream: Connection) -> None:
         """Abort an upstream connection when the client disconnects, or now if it already has.
 
-        Only the latest upstream connection is aborted; `detach_from_client` cancels this.
+        A hedged request has several; `detach_from_client` cancels this for one.
         """
         if self.client_disconnected:
             upstream.abort()
-        else:
-            self.connection.on_closed = upstream.abort
+            return
+        self.upstreams.append(upstream)
+        self.connection.on_closed = self.abort_upstreams
+
+    def abort_upstreams(self) -> None:
+        """Abort the upstream connections of a client that disconnected."""
+        upstreams, self.upstreams = self.upstreams, []
+        for upstream in upstreams:
+            upstream.abort()
 
-    def detach_from_client(self) -> None:
-        """Keep the upstream connection open when the client disconnects."""
-        self.connection.on_closed = None
+    def detach_from_client(self, upstream: Connection) -> None:
+        """Keep an upstream connection open when the client disconnects."""
+        if upstream in self.upstreams:
+            self.upstreams.remove(upstream)
+        if not self.upstreams:
+            self.connection.on_closed = None
 
     async def read_body(self) -> bytes:
         """Return the complete body; sends 100 Continue first if the client expects it.
