A change that cannot be decoded is rejected, and no committed entry ends consensus

Cause: cbor2 encodes lists of any depth and decodes fewer than 400. The leader proposed what no node could decode, and decode_command raised outside of the guard around a command's handler, which ended the owner task of consensus at that entry on each node.

Related: an unknown field nested 900 deep and a number too big for a float ended the operator's connection without an answer; both get 400.

--- a/packages/control_api/ryelock/control_api/__init__.py
+++ b/packages/control_api/ryelock/control_api/__init__.py
@@ -11,6 +11,7 @@
     OperatorAction,
     OperatorRequest,
     OutcomeStatus,
+    is_nested_too_deeply,
 )
 from ryelock.control_api.server import LOCAL_LEADER, PATHS, STATUSES, ControlApi
 
@@ -24,4 +25,5 @@
     "OperatorAction",
     "OperatorRequest",
     "OutcomeStatus",
+    "is_nested_too_deeply",
 ]
--- a/packages/control_api/ryelock/control_api/requests.py
+++ b/packages/control_api/ryelock/control_api/requests.py
@@ -1,6 +1,6 @@
 """Operator requests, as forwarded to the leader, and their outcomes."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -38,6 +38,11 @@
 )
 
 
+MAX_PAYLOAD_DEPTH = 64
+"""Limit of lists and objects inside each other in a payload. RPC messages and log entries are
+decoded up to a depth only, and encoded at any."""
+
+
 class OutcomeStatus(StrEnum):
     """Outcome of a request; the values are used on the wire and in responses.
 
@@ -88,3 +93,20 @@
         name = message.get("what")
         action = next((action for action in OperatorAction if action.value == name), None)
         return cls(action, message.get("given"))
+
+
+def is_nested_too_deeply(value: object) -> bool:
+    """Return True if more than MAX_PAYLOAD_DEPTH lists and objects stand inside each other."""
+    level = [value]
+    for _ in range(MAX_PAYLOAD_DEPTH):
+        level = [item for container in level for item in nested_values(container)]
+        if not level:
+            return False
+    return any(isinstance(item, dict | list) for item in level)
+
+
+def nested_values(value: object) -> Iterable[object]:
+    """Return the items of a list and the values of an object; nothing for other values."""
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
--- a/packages/control_api/ryelock/control_api/server.py
+++ b/packages/control_api/ryelock/control_api/server.py
@@ -15,6 +15,7 @@
     OperatorAction,
     OperatorRequest,
     OutcomeStatus,
+    is_nested_too_deeply,
 )
 from ryelock.events import Log
 from ryelock.http import (
@@ -167,6 +168,8 @@
         If this node cannot reach the leader, another control node may. The status is NOT_TAKEN
         only if the request certainly was not executed, and UNKNOWN if it may have been.
         """
+        if is_nested_too_deeply(request.payload):
+            return {"status": OutcomeStatus.MALFORMED, "fault": "nested too deeply"}
         message = request.to_wire()
         until = self.scheduler.now() + FORWARD_TIMEOUT_SECONDS
         while True:
--- a/packages/control_plane/ryelock/control_plane/operator_requests.py
+++ b/packages/control_plane/ryelock/control_plane/operator_requests.py
@@ -14,6 +14,7 @@
 from ryelock.membership import Membership
 from ryelock.replicated_state import (
     ReplicatedState,
+    decode_command,
     derived_targets,
     encode_command,
     merge_change,
@@ -133,6 +134,8 @@
             data = encode_command(kind, id=request_id, wall=self.scheduler.clock.wall(), **fields)
         except (ValueError, TypeError, RecursionError, OverflowError):
             return {"status": OutcomeStatus.MALFORMED, "fault": "not readable"}
+        if decode_command(data) is None:
+            return {"status": OutcomeStatus.MALFORMED, "fault": "not readable"}
         outcome = await self.consensus.propose(data)
         if outcome.is_error():
             certain = outcome.error.certain
--- a/packages/replicated_state/ryelock/replicated_state/__init__.py
+++ b/packages/replicated_state/ryelock/replicated_state/__init__.py
@@ -9,7 +9,7 @@
 """
 
 from ryelock.replicated_state.change import merge_change
-from ryelock.replicated_state.commands import CommandKind, encode_command
+from ryelock.replicated_state.commands import CommandKind, decode_command, encode_command
 from ryelock.replicated_state.configuration import (
     CallerLimits,
     Configuration,
@@ -62,6 +62,7 @@
     "Service",
     "Vector",
     "Watch",
+    "decode_command",
     "derivable_routes",
     "derived_name",
     "derived_targets",
--- a/packages/replicated_state/ryelock/replicated_state/commands.py
+++ b/packages/replicated_state/ryelock/replicated_state/commands.py
@@ -41,6 +41,12 @@
 
 
 def decode_command(data: bytes) -> CommandFields | None:
-    """Decode a stored command; return None if it is not a map."""
-    command = cbor2.loads(data)
+    """Decode a stored command; return None if it cannot be decoded or is not a map.
+
+    Never raises: a committed entry that raised would end consensus at every node that applies it.
+    """
+    try:
+        command = cbor2.loads(data)
+    except (cbor2.CBORError, ValueError, TypeError, LookupError, ArithmeticError, RecursionError):
+        return None
     return command if isinstance(command, dict) else None
--- a/packages/replicated_state/ryelock/replicated_state/state.py
+++ b/packages/replicated_state/ryelock/replicated_state/state.py
@@ -152,7 +152,14 @@
         """Apply a command; a malformed one leaves the state unchanged on every node."""
         try:
             return handler(command)
-        except (KeyError, TypeError, ValueError, AttributeError, RecursionError):
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            ArithmeticError,
+            AttributeError,
+            RecursionError,
+        ):
             faults = [Fault("", "not readable").to_wire()]
             return make_outcome(CommandStatus.MALFORMED, faults=faults)
 
