A stopping edge rejects waiting requests only in the last sixth of its grace period

Requests that clients of one simulated deployment send together move to tests/support.

test_a_stopping_edge_waits_for_servers_until_the_grace_period_ends: fails before (503), passes after.

--- a/packages/http/ryelock/http/server.py
+++ b/packages/http/ryelock/http/server.py
@@ -9,8 +9,10 @@
 from ryelock.http.limits import Limits
 from ryelock.runtime import Connection, Network, Scheduler, Task
 
-REJECT_BEFORE_DEADLINE_SECONDS = 0.5
-"""Time before the deadline of a stop at which requests that still wait get a 503 response."""
+REJECT_BEFORE_DEADLINE_FRACTION = 0.1
+MAX_REJECT_BEFORE_DEADLINE_SECONDS = 0.3
+"""Time before the deadline of a stop at which requests that still wait get a 503 response: a
+fraction of the stop's timeout, up to the maximum. Short, since a server may be about to respond."""
 IDLE_GRACE_SECONDS = 0.5
 """Time for which idle connections stay open after a stop has begun."""
 STOP_POLL_SECONDS = 0.02
@@ -154,12 +156,15 @@
         """
         now = self.scheduler.now()
         idle_until, deadline = now + IDLE_GRACE_SECONDS, now + timeout
+        reject_at = deadline - min(
+            MAX_REJECT_BEFORE_DEADLINE_SECONDS, REJECT_BEFORE_DEADLINE_FRACTION * timeout
+        )
         while now < deadline and (
             self.is_handling or self.has_unsent or (self.connections and now < idle_until)
         ):
             if now >= idle_until:
                 self.close_idle()
-            if now >= deadline - REJECT_BEFORE_DEADLINE_SECONDS:
+            if now >= reject_at:
                 self.reject_waiting()
             await self.scheduler.sleep(STOP_POLL_SECONDS)
             now = self.scheduler.now()
--- a/tests/edge/test_slow_servers.py
+++ b/tests/edge/test_slow_servers.py
@@ -4,20 +4,22 @@
 """
 
 import unittest
+from random import Random
 
-from deployment import HOST, Deployment, JsonObject
+from concurrent_requests import REQUESTS, amend_routes, finish, send_together
+
+from deployment import Deployment
 from ryelock.edge.process import TrafficNode
-from ryelock.runtime import Task
 from ryelock.testing.hosting_platform import Manner
 from ryelock.testing.hosting_platform.attempts import CACHEABLE, SAFE, AttemptRecord
 
 TIMEOUT_MS = 4000
 TARGET_MS = 400
-CLIENT_DEADLINE_SECONDS = 4.0
 MOST_OF_THE_TIME_SECONDS = 2.8
 """Servers take 0.7 to 1.3 times this: the longest work ends before the deadline."""
-REQUESTS = 12
-STOPPED_AFTER_SECONDS = 0.1
+STOPPED_AFTER_SECONDS = 0.02
+GRACE_PERIOD_SECONDS = 6.0
+"""`grace_period_s` of the simulated deployment."""
 
 
 def new_deployment(seed: int, target_ms: int = TARGET_MS) -> Deployment:
@@ -36,47 +38,6 @@
     return deployment
 
 
-def amend_routes(deployment: Deployment, changed: JsonObject, base: str, version: str) -> None:
-    """Change fields of all routes."""
-    routes = deployment.configuration["routes"]
-    assert isinstance(routes, list)
-    amendment = {
-        "version": version,
-        "upsert": {"routes": [{**item, **changed} for item in routes]},
-        "remove": {},
-    }
-    status, body = deployment.amend(amendment, base)
-    assert status == 200, body
-    deployment.world.run(3)
-
-
-def send_together(
-    deployment: Deployment,
-    kind: str,
-    prefix: str,
-    edge: str,
-    count: int = REQUESTS,
-    deadline: float = CLIENT_DEADLINE_SECONDS,
-) -> list[Task]:
-    """Start requests for different objects at the same moment; return the clients' tasks."""
-    client_node = deployment.client_node
-    tasks: list[Task] = []
-
-    async def send(number: int) -> None:
-        client = deployment.client(f"slow-{prefix}-{number}")
-        await client.request(kind, "GET", HOST, f"{prefix}{number}", b"", deadline, None, 1, edge)
-
-    for number in range(count):
-        tasks.append(client_node.scheduler.create_task(send(number), name="slow client"))
-    return tasks
-
-
-def finish(deployment: Deployment, tasks: list[Task]) -> list[AttemptRecord]:
-    """Run until the clients have their answers; return the records of their requests."""
-    assert deployment.world.run_until(lambda: all(task.done for task in tasks), 30)
-    return deployment.records[-len(tasks) :]
-
-
 def traffic_node(deployment: Deployment, edge: str) -> TrafficNode:
     node = deployment.node(edge).inner
     assert isinstance(node, TrafficNode)
@@ -93,6 +54,13 @@
         queue.budget.ratio = 0.0
 
 
+class MeanRandom(Random):
+    """Makes servers work for exactly the mean time."""
+
+    def random(self) -> float:
+        return 0.5
+
+
 class SlowServerTests(unittest.TestCase):
     def served(self, records: list[AttemptRecord]) -> None:
         self.assertEqual([200] * len(records), [record.status for record in records])
@@ -124,6 +92,26 @@
         node.scheduler.create_task(node.traffic.stop(), name="stop")
         self.served(finish(deployment, tasks))
 
+    def test_a_stopping_edge_waits_for_servers_until_the_grace_period_ends(self) -> None:
+        """Guards against a 503 shortly before the last sixth of the grace period."""
+        deployment = new_deployment(110)
+        amend_routes(deployment, {"timeout_ms": 8000, "target_ms": 8000}, "r6", "r7")
+        for service in deployment.services.values():
+            service.work_seconds = 5 / 6 * GRACE_PERIOD_SECONDS
+        for instance in deployment.servers.values():
+            instance.random = MeanRandom()
+        edge = deployment.edges[0]
+        tasks = send_together(deployment, SAFE, "/plain/", edge, deadline=8.0)
+        deployment.world.run(STOPPED_AFTER_SECONDS)
+        node = deployment.node(edge)
+        node.scheduler.create_task(node.traffic.stop(), name="stop")
+        stopped_at = node.scheduler.now()
+        records = finish(deployment, tasks)
+        # A connection whose first packet is lost is opened later, and so is its request sent.
+        at_work = [one for one in records if deployment.arrivals(one)[0].at <= stopped_at]
+        self.assertGreaterEqual(len(at_work), REQUESTS // 2)
+        self.served(at_work)
+
     def test_a_route_that_changes_meanwhile_does_not_end_the_attempt(self) -> None:
         """Guards against a 503 for a changed route while a server works on the request."""
         deployment = new_deployment(104)
