A request ends at its route's timeout, neither later nor sooner

A body that did not come was waited for until the listener's limit of 10 s, and that limit ended requests of routes with a longer timeout while servers were at work on them.

Cause: the deadline was looked at up to the head of the answer, and was the earlier of the listener's and the route's. Now the route's timeout and the client's deadline hold for the request's body, the attempts and the answer in progress, and the route's timeout takes the place of the listener's limit. A service that leaves the configuration keeps its response timeout for attempts in progress.

--- a/packages/edge/ryelock/edge/handler.py
+++ b/packages/edge/ryelock/edge/handler.py
@@ -112,6 +112,7 @@
         if request.is_probe and not route.cached and not context.profile.own:
             return NOT_CACHEABLE
         context.requests_served += not (request.is_probe or request.peer is not None)
+        exchange.deadline = self.router.deadline(exchange, route)
         request.body = await exchange.read_body()
         exchange.may_refuse = request.request_class is RequestClass.IDEMPOTENT
         if self.may_use_cache(exchange, request, route):
@@ -149,7 +150,8 @@
                 return failure
         result = await self.attempts.run(self.upstream_call(exchange, request, route))
         if result.is_ok():
-            await self.relay.stream(exchange, request, result.ok)
+            ends_by = self.router.hold_deadline(exchange, route)
+            await self.relay.stream(exchange, request, result.ok, ends_by)
             return None
         if key is not None and not result.error.outcome_unknown:
             self.admission.release_key(exchange, request, key)
@@ -248,7 +250,8 @@
         """Send a server's response, and store it if it is cacheable."""
         stored = self.cache_filler.store_from_server(exchange, request, route, progress, upstream)
         if stored is None:
-            await self.relay.stream(exchange, request, upstream)
+            ends_by = self.router.hold_deadline(exchange, route)
+            await self.relay.stream(exchange, request, upstream, ends_by)
             return
         self.relay.release_connection(upstream)
         await self.relay.send_stored(exchange, request, stored)
--- a/packages/edge/ryelock/edge/relay.py
+++ b/packages/edge/ryelock/edge/relay.py
@@ -36,16 +36,23 @@
         self.served_objects = served_objects
 
     async def stream(
-        self, exchange: HttpExchange, request: Request, upstream: UpstreamResponse
+        self, exchange: HttpExchange, request: Request, upstream: UpstreamResponse, ends_by: float
     ) -> None:
-        """Stream a server's response; abort the client's connection if the server's ends early."""
+        """Stream a server's response; abort the client's connection if it cannot be completed.
+
+        Args:
+            exchange: the client's exchange.
+            request: the request.
+            upstream: the server's response.
+            ends_by: monotonic time by which it must be complete, also if the server still sends it.
+        """
         request.status = upstream.head.status
         completed = False
         try:
             fields = self.streamed_fields(request, upstream)
             length = length_to_send(exchange.head.method, upstream)
             exchange.send_head(upstream.head.status, upstream.head.reason, fields, length, False)
-            if await self.stream_body(exchange, upstream):
+            if await self.stream_body(exchange, upstream, ends_by):
                 exchange.finish()
                 completed = True
                 request.outcome = Outcome.ANSWERED
@@ -67,18 +74,21 @@
             fields.append((RELAYED_FIELD, b"1"))
         return fields
 
-    async def stream_body(self, exchange: HttpExchange, upstream: UpstreamResponse) -> bool:
-        """Send the body; return False if the client stops receiving."""
+    async def stream_body(
+        self, exchange: HttpExchange, upstream: UpstreamResponse, ends_by: float
+    ) -> bool:
+        """Send the body; return False if the client stops receiving or `ends_by` has passed."""
         now, idle_seconds = self.context.scheduler.now, self.context.settings.idle_seconds
         body = upstream.response.body
-        accepted = await exchange.send(upstream.prefix, idle_seconds)
-        deadline = now() + idle_seconds
+        accepted = await exchange.send(upstream.prefix, min(idle_seconds, ends_by - now()))
+        deadline = min(ends_by, now() + idle_seconds)
         while accepted and not body.complete:
             chunk = await body.read_chunk(deadline)
-            if not chunk:
-                continue
-            deadline = now() + idle_seconds
-            accepted = await exchange.send(chunk, idle_seconds)
+            if now() >= ends_by and not body.complete:
+                return False
+            deadline = min(ends_by, now() + idle_seconds)
+            if chunk:
+                accepted = await exchange.send(chunk, min(idle_seconds, ends_by - now()))
         if accepted and upstream.reader.buffer and self.context.profile.own:
             raise FramingError(502, "bytes behind the answer's end")
         return accepted
--- a/packages/edge/ryelock/edge/routing.py
+++ b/packages/edge/ryelock/edge/routing.py
@@ -1,5 +1,7 @@
 """Routing of a request: its sender, route, service, class and deadline."""
 
+import math
+
 from ryelock.edge.context import EdgeContext
 from ryelock.edge.peer_protocol import PEER_FIELD, SERVERS_FIELD, parse_count
 from ryelock.edge.plan import has_dot_segments, parse_host, parse_path
@@ -113,13 +115,22 @@
         return self.context.random.choices(names, [route.split[name] for name in names])[0]
 
     def deadline(self, exchange: HttpExchange, route: Route) -> float:
-        """Return the monotonic deadline of a request.
+        """Return the monotonic time by which a request must have a response.
+
+        It is the earlier of the deadlines of the client and the route; a route without one has that
+        of the listener.
+        """
+        deadline = self.hold_deadline(exchange, route)
+        return deadline if route.deadline_seconds else min(deadline, exchange.deadline)
+
+    def hold_deadline(self, exchange: HttpExchange, route: Route) -> float:
+        """Return the monotonic time by which the response must have ended, also one in progress.
 
-        It is the earliest of the deadlines of the listener, the route and the client.
+        Infinite if neither the route nor the client has a deadline.
         """
-        deadline = exchange.deadline
+        deadline = math.inf
         if route.deadline_seconds:
-            deadline = min(deadline, exchange.received_at + route.deadline_seconds)
+            deadline = exchange.received_at + route.deadline_seconds
         deadline_field = self.context.profile.deadline
         if deadline_field:
             value = field(exchange.head.fields, deadline_field.lower()) or b""
--- a/packages/edge/ryelock/edge/upstream_client.py
+++ b/packages/edge/ryelock/edge/upstream_client.py
@@ -241,7 +241,7 @@
     def response_deadline(self, pending: PendingResponse) -> float:
         """Return the monotonic time by which the response's head must arrive."""
         call = pending.call
-        return min(call.deadline, pending.sent_at + self.service_timeout_seconds(call.request))
+        return min(call.deadline, pending.sent_at + call.queue.service.answer_seconds)
 
     def overdue_time(self, pending: PendingResponse, deadline: float) -> float:
         """Return the monotonic time from which another server may be tried as well.
@@ -254,13 +254,6 @@
         remaining = call.deadline - pending.sent_at
         return min(deadline, pending.sent_at + HEDGE_DELAY_FRACTION * remaining)
 
-    def service_timeout_seconds(self, request: Request) -> float:
-        """Return the response timeout of the request's service."""
-        queue = self.context.admission_queues.get(request.service)
-        if queue is None:
-            return self.context.settings.order_seconds
-        return queue.service.answer_seconds
-
     async def read_matching_response(
         self, call: UpstreamCall, upstream: UpstreamConnection, deadline: float
     ) -> Result[tuple[Response, bytes, bool], ClientError]:
--- a/packages/testing/ryelock/testing/hosting_platform/servers.py
+++ b/packages/testing/ryelock/testing/hosting_platform/servers.py
@@ -347,13 +347,25 @@
         sent = body[: len(body) // 2] if manner == Manner.CUT else body
         if manner == Manner.BEHIND:
             sent += TAIL
-        await exchange.send(sent, 30.0)
+        await self.send_parts(exchange, sent)
         if manner == Manner.CUT:
             await exchange.connection.drain(0, 5.0)
             exchange.abort()
         else:
             exchange.finish()
 
+    async def send_parts(self, exchange: HttpExchange, body: bytes) -> None:
+        """Send a body, in parts where the service says so, until the client disconnects."""
+        part_bytes = self.service.part_bytes or len(body) or 1
+        next_at = self.scheduler.now()
+        for start in range(0, len(body), part_bytes):
+            while self.scheduler.now() < next_at and not exchange.client_disconnected:
+                await self.scheduler.sleep(min(0.05, next_at - self.scheduler.now() + 1e-6))
+            if exchange.client_disconnected:
+                return
+            await exchange.send(body[start : start + part_bytes], 30.0)
+            next_at = self.scheduler.now() + self.service.part_interval_seconds
+
     def object_for(self, exchange: HttpExchange, arrival: Arrival) -> tuple[int, Fields, bytes]:
         """Status, fields and body of an object: whole, one range of it, or not changed."""
         revision = self.service.objects.revision(arrival.target)
--- a/packages/testing/ryelock/testing/hosting_platform/services.py
+++ b/packages/testing/ryelock/testing/hosting_platform/services.py
@@ -12,6 +12,7 @@
     """What all servers of a service have in common.
 
     `echoes_identity` tells which requests' names its answers bear: those that callers sent only.
+    With `part_bytes`, answers are sent in parts of so many bytes, `part_interval_seconds` apart.
     """
 
     __slots__ = (
@@ -22,6 +23,8 @@
         "max_connections",
         "name",
         "objects",
+        "part_bytes",
+        "part_interval_seconds",
         "queue",
         "rate",
         "recent_requests",
@@ -56,6 +59,8 @@
         self.queue = queue
         self.hangs = hangs
         self.work_seconds = work_seconds
+        self.part_bytes = 0
+        self.part_interval_seconds = 0.0
         self.max_connections = 110
         self.idle_seconds = 5
         self.health_path = "/health"
