A signal while a daemon is loaded or exits does not end it with an error

The soak found processes that ended with -15 in place of 0, where a second SIGTERM came after the stop was complete: Python resets the handlers before it unloads modules. The platform says SIGHUP whenever the settings file changes.

--- a/packages/cli/ryelock/cli/daemon.py
+++ b/packages/cli/ryelock/cli/daemon.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from ryelock.cli.settings_file import WatchedSettingsFile
+from ryelock.cli.signals import ignore_further_signals
 from ryelock.control_plane.identity import open_disk
 from ryelock.control_plane.process import ControlNode
 from ryelock.edge.process import TrafficNode
@@ -107,6 +108,7 @@
         )
     reactor.scheduler.create_task(stop_at_signal(reactor, node), name="signals")
     reactor.run()
+    ignore_further_signals()
     return 0
 
 
--- a/packages/cli/ryelock/cli/main.py
+++ b/packages/cli/ryelock/cli/main.py
@@ -3,7 +3,14 @@
 import sys
 import warnings
 
-import defopt
+from ryelock.cli.signals import ignore_hangup
+
+DAEMONS = ("core", "edge", "prober")
+"""Subcommands that run until a signal stops them."""
+if sys.argv[1:2] and sys.argv[1] in DAEMONS:
+    ignore_hangup()
+
+import defopt  # noqa: E402
 
 # circuits imports pkg_resources, whose deprecation warning is of no use to an operator.
 warnings.filterwarnings("ignore", message="pkg_resources is deprecated")
