Soak of real processes under overlapping series of signals, restarts and changes

A seed stands for a plan of series: SIGTERM to edges, control nodes and probers, once or several times, SIGHUP, changes, purges, servers that are replaced, and in some plans kills and freezes. They overlap. Clients keep using their connection until the process is gone; a tenth of the requests takes up to 2.5 s at its server. Judged are, from the records of clients, servers and processes: answers that are lost or given in place of a server at work, requests that are held, requests that may run once, bytes, acknowledged changes at every control node, exit codes, processes that end by themselves, tasks that end by an exception, and recovery. A crash excuses only its own time.

--- a/packages/testing/ryelock/testing/__main__.py
+++ b/packages/testing/ryelock/testing/__main__.py
@@ -22,6 +22,8 @@
 from ryelock.testing.scale.catch_up import measure_catch_up  # noqa: E402
 from ryelock.testing.scale.pieces import measure_pieces  # noqa: E402
 from ryelock.testing.schedules import ScheduleResult, run_schedule  # noqa: E402
+from ryelock.testing.soak.plan import DEFAULT_SECONDS, FleetSize  # noqa: E402
+from ryelock.testing.soak.run import run_soak  # noqa: E402
 
 
 def fleet(
@@ -43,6 +45,27 @@
     return run_fleet(shape, seconds, seed, faults, keep)
 
 
+def soak(
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    size: str = FleetSize.SMALL,
+    seconds: float = DEFAULT_SECONDS,
+    keep: str = "",
+    crowded_every: int = 0,
+) -> int:
+    """Play overlapping series of signals, restarts and changes on real processes, one run a seed.
+
+    :param seed: first seed
+    :param runs: number of seeds
+    :param size: small or crowded
+    :param seconds: seconds of traffic in each run
+    :param keep: folder for settings, data and logs; by default a temporary one that is removed
+    :param crowded_every: a seed that this number divides is crowded, whatever the size; 0 for none
+    """
+    return run_soak(seed, runs, size, seconds, keep, crowded_every)
+
+
 def simulate(
     *, seed: int = 1, runs: int = 1, faults: int = 8, size: str = "small", verbose: bool = False
 ) -> int:
@@ -362,6 +385,7 @@
     warnings.filterwarnings("ignore", "coroutine .* was never awaited", RuntimeWarning)
     commands = [
         fleet,
+        soak,
         simulate,
         case,
         finals,
