Soak: bounds on the machine's clock leave room for a busy machine

The soak judged two times on the machine's clock: 0.2 s for a request that crosses the close of an idle connection, 20 s for one that is held.

--- a/packages/testing/ryelock/testing/soak/judging.py
+++ b/packages/testing/ryelock/testing/soak/judging.py
@@ -1,16 +1,15 @@
 """The rules of a soak run, checked on the records of clients, servers and processes."""
 
 from ryelock.testing.checks import Findings, check_at_most_once, check_bytes
-from ryelock.testing.soak.clients import SoakRequest
+from ryelock.testing.soak.clients import CLIENT_TIMEOUT_SECONDS, SoakRequest
 from ryelock.testing.soak.processes import Supervisor
 from ryelock.testing.soak.servers import Arrival, Arrivals
 from ryelock.testing.stand_ins.callers import COMPLETE, NO_CONNECTION
 from ryelock.testing.stand_ins.servers import Objects, ServedRequest
 
-CLOSE_CROSSING_SECONDS = 0.2
-"""A request that crosses an edge's close of an idle connection ends within this time."""
-MAX_HELD_SECONDS = 20.0
-"""No request is held longer than the listener's limit of 10 s and the time of a stop."""
+MAX_CROSSING_SECONDS = 3.0
+"""A request that crosses an edge's close of an idle connection ends within this time. A busy
+machine delays the edge and this process; the bench holds 0.2 s, on a clock of its own."""
 MIN_SERVER_ERROR = 500
 ENDS = "ends of processes"
 
@@ -33,7 +32,7 @@
             return
         if self.supervisor.excuses(request.process, record.sent_at, request.ended_at):
             return
-        if request.ended_at - record.sent_at > MAX_HELD_SECONDS:
+        if request.ended_at - record.sent_at >= CLIENT_TIMEOUT_SECONDS:
             self.add("held", request, f"for {request.ended_at - record.sent_at:.1f} s")
         arrivals = self.arrivals.get(record.identity, [])
         if record.ending != COMPLETE:
@@ -46,7 +45,7 @@
         self.findings.count_check("no answer")
         if arrivals and not any(arrival.server_closed for arrival in arrivals):
             self.add("lost", request, "was passed on to a server")
-        elif not arrivals and (request.ended_at - request.record.sent_at > CLOSE_CROSSING_SECONDS):
+        elif not arrivals and (request.ended_at - request.record.sent_at > MAX_CROSSING_SECONDS):
             self.add("lost", request, "was neither answered nor passed on")
 
     def check_answered_in_place(self, request: SoakRequest, arrivals: list[Arrival]) -> None:
