--- a/packages/testing/ryelock/testing/soak/run.py
+++ b/packages/testing/ryelock/testing/soak/run.py
@@ -27,6 +27,8 @@
 from ryelock.testing.stand_ins.servers import Objects, ServedRequest
 
 SETTINGS: dict[str, object] = {**FAST, "stop_seconds": 6.0, "linger_seconds": 0.5}
+CROWDED_PROBE_SECONDS = 30.0
+"""Each edge probes every edge of its zone, so that probes grow with the square of their number."""
 READY_SECONDS = 120.0
 CLIENTS_PER_EDGE = 2
 MAX_CLIENTS = 80
@@ -96,7 +98,10 @@
         for service, count in self.shape.servers.items():
             for number in range(count):
                 self.servers.add(service, self.shape.zones[number % len(self.shape.zones)])
-        self.fleet = Fleet(self.shape, folder, self.servers.platform.address, SETTINGS)
+        settings = dict(SETTINGS)
+        if plan.size is FleetSize.CROWDED:
+            settings["probe_seconds"] = CROWDED_PROBE_SECONDS
+        self.fleet = Fleet(self.shape, folder, self.servers.platform.address, settings)
         self.supervisor = Supervisor(self.scheduler, self.fleet)
         self.operator = SoakOperator(self.scheduler, reactor, self.random, self.fleet)
         self.series = SeriesPlayer(
