--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -451,7 +451,7 @@
                 body = await read_body(reader, head)
                 writer.write(await self.answer(head, body))
                 await writer.drain()
-        except NETWORK_ERRORS:
+        except (*NETWORK_ERRORS, asyncio.CancelledError):
             pass
         finally:
             writer.close()
