Show that draining servers get requests too late while the list's reader stands still

Cause: other control nodes read the list only once it is 2.5 s old, and the role goes over after 3 s.

--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -319,7 +319,7 @@
         self.front_port, self.readiness_port, self.control_port = base, base + 1, base + 2
         self.internal_port = base + 4
         self.platform_addresses: dict[str, str] = {}
-        self.last_reader: Machine | None = None
+        self.readers: list[Machine] = []
         self.shown: list[tuple[float, str, Json | None]] = []
         self.servers = 0
 
@@ -360,7 +360,7 @@
                 writer: asyncio.StreamWriter,
                 machine: Machine = machine,
             ) -> None:
-                self.last_reader = machine
+                self.readers.append(machine)
                 await self.serve_list(reader, writer)
 
             server = await asyncio.start_server(serve, f"127.{self.block}.250.{number + 1}", 0)
