Report the age of the server list by edges and control nodes

Change: gauge ryelock_server_list_age at every process with metrics.

Test: test_the_age_of_the_server_list_shows_whether_it_is_read.

--- a/packages/control_plane/ryelock/control_plane/metrics.py
+++ b/packages/control_plane/ryelock/control_plane/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a control node: consensus, membership and quota."""
+"""Metrics of a control node: consensus, membership, server list and quota."""
 
 from ryelock.consensus import Consensus, Role
 from ryelock.control_plane.lease_renewal import LeaseRenewals
@@ -25,6 +25,11 @@
             "version", "Version of the configuration.", lambda: {(): replicated_state.version}
         )
         self.all.gauge("edges", "Edges that are members.", lambda: {(): len(renewals.edges())})
+        self.all.gauge(
+            "server_list_age",
+            "Seconds since the newest reading of the platform's server list was requested.",
+            self.server_list_age,
+        )
         self.all.gauge("rate", "Requests a second a service may get.", self.rates, "service")
         self.all.gauge("rate_given", "Sum of the shares given.", self.given, "service")
         self.all.gauge("demand", "Sum of the edges' demands.", self.demands, "service")
@@ -33,6 +38,11 @@
         """Return 1 if this node leads, else 0."""
         return {(): float(self.consensus.role == Role.LEADER)}
 
+    def server_list_age(self) -> dict[Labels, float]:
+        """Return the age of this node's newest reading in seconds; empty without one."""
+        age = self.renewals.platform.reading_age()
+        return {} if age is None else {(): age}
+
     def rates(self) -> dict[Labels, float]:
         """Return the rate of each service that has one, in requests per second."""
         services = self.replicated_state.configuration.services
--- a/packages/control_plane/ryelock/control_plane/platform.py
+++ b/packages/control_plane/ryelock/control_plane/platform.py
@@ -154,6 +154,12 @@
         if has_changed:
             self.on_change()
 
+    def reading_age(self) -> float | None:
+        """Return the seconds since the newest reading was requested; None before the first."""
+        if self.server_list is None:
+            return None
+        return self.scheduler.now() - self.server_list.requested_at
+
     def current_list(self, now: float) -> ServerList | None:
         """Return the newest reading; None if it has expired or there is none."""
         server_list = self.server_list
--- a/packages/edge/ryelock/edge/process.py
+++ b/packages/edge/ryelock/edge/process.py
@@ -18,6 +18,7 @@
 from ryelock.edge.readiness import NodeReadiness
 from ryelock.edge.session_delegate import SessionDelegate
 from ryelock.edge.session_messages import LEADER_QUERY
+from ryelock.edge.session_metrics import add_session_metrics
 from ryelock.edge.targets import ProbeTargets
 from ryelock.events import STARTED, STOPPED, STOPPING, Log
 from ryelock.health import Prober
@@ -102,6 +103,7 @@
             self.handler = self.build_handler(random, profile)
             delegate = self.build_request_path(self.handler)
             metrics = self.handler.context.metrics.all
+        add_session_metrics(metrics, self.member.server_lists)
         self.renewal = LeaseRenewal(scheduler, self.rpc_clients, log, self.member, delegate)
         self.start_metrics_export(metrics)
         self.probe_targets = ProbeTargets(settings, self.replicated_state, self.member.membership)
--- a/packages/edge/ryelock/edge/server_list_view.py
+++ b/packages/edge/ryelock/edge/server_list_view.py
@@ -35,6 +35,12 @@
             if server_list is not None
         }
 
+    def age(self) -> float | None:
+        """Return the seconds since the current list was requested; None without a list."""
+        if self.current is None:
+            return None
+        return self.scheduler.now() - self.current.requested_at
+
     def apply(self, update: ServerListUpdate, requested_at: float) -> ServerList | None:
         """Apply an update; return the list if it becomes the current one.
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -8,11 +8,12 @@
 from ryelock.testing.hosting_platform.attempts import SAFE
 
 METRICS_PORT = 9464
+CONTROL_METRICS_PORT = 9465
 
 
-def read_metrics(deployment: Deployment, edge: str) -> str:
-    """Fetch the metrics of an edge over HTTP, as the platform does."""
-    address = f"{deployment.node(edge).host}:{METRICS_PORT}"
+def read_metrics(deployment: Deployment, name: str, port: int = METRICS_PORT) -> str:
+    """Fetch the metrics of a process over HTTP, as the platform does."""
+    address = f"{deployment.node(name).host}:{port}"
 
     async def fetch() -> bytes:
         connection = deployment.client_node.network.connect(address)
@@ -45,6 +46,27 @@
         self.assertIn("# TYPE ryelock_refusals_total counter", lines)
         self.assertIn("# TYPE ryelock_share gauge", lines)
 
+    def test_the_age_of_the_server_list_shows_whether_it_is_read(self) -> None:
+        deployment = Deployment(42).set_up()
+        scraped = [
+            *((name, METRICS_PORT) for name in deployment.edges),
+            *((name, CONTROL_METRICS_PORT) for name in deployment.cores),
+        ]
+        deployment.world.run(3)
+        for name, port in scraped:
+            self.assertLess(self.server_list_age(deployment, name, port), 3.0, name)
+        deployment.platform.silent = True
+        deployment.world.run(6)
+        for name, port in scraped:
+            self.assertGreater(self.server_list_age(deployment, name, port), 5.0, name)
+
+    def server_list_age(self, deployment: Deployment, name: str, port: int) -> float:
+        """Return the age of the server list that a process reports, in seconds."""
+        prefix = "ryelock_server_list_age "
+        lines = read_metrics(deployment, name, port).splitlines()
+        (line,) = (line for line in lines if line.startswith(prefix))
+        return float(line.removeprefix(prefix))
+
     def test_an_edge_counts_rejections_by_reason(self) -> None:
         deployment = Deployment(41).set_up()
         record = deployment.request(SAFE, "GET", "/plain/a")
