Read an overdue server list at the leader, within the drain limit

Cause: other nodes read only once their newest reading was over 2.5 s old, a figure in the code and longer than the limit; the role moves after 3.0 s and more.

Change: ReaderRole gives each control node its duty. The leader, or a node that knows no leader, reads once its newest reading is older than listing_takeover, which is worked out from drain_limit_ms less the steps after it; a follower renews its own reading when that has expired. Event 1805 tells of it.

--- a/packages/control_plane/ryelock/control_plane/platform.py
+++ b/packages/control_plane/ryelock/control_plane/platform.py
@@ -11,7 +11,13 @@
 from expression import Error, Result
 
 from ryelock.control_plane.errors import MalformedServerListUpdateError
-from ryelock.events import SERVER_LIST_REJECTED, SERVER_LIST_UNAVAILABLE, Log
+from ryelock.control_plane.reader_role import ReaderDuty, ReaderRole
+from ryelock.events import (
+    SERVER_LIST_REJECTED,
+    SERVER_LIST_TAKEOVER,
+    SERVER_LIST_UNAVAILABLE,
+    Log,
+)
 from ryelock.http import fetch
 from ryelock.membership import (
     Server,
@@ -24,9 +30,9 @@
 from ryelock.runtime import Network, Scheduler, TaskCoroutine
 from ryelock.settings import Settings
 
-STALE_SECONDS = 2.5
-"""Maximum age of the newest reading; beyond it every node polls the list."""
 READ_TIMEOUT_SECONDS = 1.0
+AGE_CHECK_SECONDS = 0.1
+"""How often a node that reads in another's place looks whether it has to."""
 MAX_AGE_SECONDS = 1e9
 ServerListResult = Result[list[Server], ServerListError]
 ReadServerList = Callable[[], TaskCoroutine[ServerListResult]]
@@ -41,6 +47,8 @@
         peer_digest: digest of the servers that a peer last reported; empty if it had none.
         on_change: called when the servers have changed.
         read_server_list: reads the list; a deployment may set a reader for its platform's format.
+        role: decides when this node reads the list.
+        substituting: True while this node reads since the readings of the role's owner are overdue.
         unavailable: True while the platform does not answer.
     """
 
@@ -51,11 +59,12 @@
         "on_change",
         "peer_digest",
         "read_server_list",
+        "role",
         "scheduler",
         "server_list",
         "settings",
-        "should_read",
         "source",
+        "substituting",
         "unavailable",
     )
 
@@ -66,7 +75,7 @@
         network: Network,
         log: Log,
         source: str,
-        should_read: Callable[[], bool],
+        role: ReaderRole,
     ) -> None:
         """Create a reader without a reading.
 
@@ -76,7 +85,7 @@
             network: opens connections.
             log: the event log.
             source: key of the list's version among those that a node keeps; unique to this run.
-            should_read: returns True if this node polls even while its reading is recent.
+            role: decides when this node reads the list.
         """
         self.settings = settings
         self.scheduler = scheduler
@@ -85,25 +94,37 @@
         self.source = source
         self.server_list: ServerList | None = None
         self.digest = b""
-        self.should_read = should_read
+        self.role = role
         self.peer_digest = b""
+        self.substituting = False
         self.unavailable = False
         self.on_change: Callable[[], None] = lambda: None
         self.read_server_list: ReadServerList = self.fetch_list
 
     async def run(self) -> None:
-        """Poll the list periodically.
-
-        If `should_read` returns False, another node polls; this one does so while its newest
-        reading is stale.
-        """
+        """Read the list whenever the newest reading is older than this node's duty allows."""
         while True:
-            newest = self.server_list
-            is_stale = newest is None or self.scheduler.now() - newest.requested_at > STALE_SECONDS
-            if self.should_read() or is_stale:
-                await self.read()
+            duty = self.role.duty()
+            if not self.is_due(duty):
+                await self.scheduler.sleep(AGE_CHECK_SECONDS)
+                continue
+            self.log_takeover(duty)
+            await self.read()
             await self.scheduler.sleep(self.settings.listing_seconds)
 
+    def is_due(self, duty: ReaderDuty) -> bool:
+        """Return True if the newest reading is too old for a node with this duty."""
+        age = self.reading_age()
+        return age is None or age >= self.role.max_reading_age(duty)
+
+    def log_takeover(self, duty: ReaderDuty) -> None:
+        """Write an event when this node begins to read in place of the role's owner."""
+        if duty is not ReaderDuty.SUBSTITUTE:
+            self.substituting = False
+        elif not self.substituting and self.server_list is not None and self.role.owner:
+            self.substituting = True
+            self.log.write(SERVER_LIST_TAKEOVER, owner=self.role.owner, age=self.reading_age())
+
     async def fetch_list(self) -> ServerListResult:
         """Fetch the list in the format of docs/platform.md."""
         response = await fetch(
@@ -142,17 +163,18 @@
             self.unavailable = True
             self.log.write(SERVER_LIST_UNAVAILABLE, reason=reason)
 
-    def adopt_if_later(self, reading: ServerList) -> None:
-        """Replace the current reading by one that was certainly made later."""
+    def adopt_if_later(self, reading: ServerList) -> bool:
+        """Replace the current reading by one that was certainly made later; return True if so."""
         server_list = self.server_list
         if server_list is not None and not reading.follows(server_list):
-            return
+            return False
         digest = reading.digest()
         has_changed = digest != self.digest
         reading.version = (server_list.version if server_list is not None else 0) + has_changed
         self.server_list, self.digest = reading, digest
         if has_changed:
             self.on_change()
+        return True
 
     def reading_age(self) -> float | None:
         """Return the seconds since the newest reading was requested; None before the first."""
@@ -214,7 +236,9 @@
         else:
             return
         answered_at = self.scheduler.now() - fresh
-        self.adopt_if_later(ServerList(self.source, 0, peer_servers, sent_at - age, answered_at))
+        reading = ServerList(self.source, 0, peer_servers, sent_at - age, answered_at)
+        if self.adopt_if_later(reading):
+            self.substituting = False
 
     # Updates for edges and probers.
 
--- a/packages/control_plane/ryelock/control_plane/process.py
+++ b/packages/control_plane/ryelock/control_plane/process.py
@@ -15,6 +15,7 @@
 from ryelock.control_plane.metrics import ControlMetrics
 from ryelock.control_plane.operator_requests import OperatorRequests
 from ryelock.control_plane.platform import PlatformReader
+from ryelock.control_plane.reader_role import ReaderRole
 from ryelock.control_plane.readiness import NodeReadiness
 from ryelock.control_plane.rpc_handlers import RpcHandlers
 from ryelock.control_plane.singleton_roles import (
@@ -106,8 +107,9 @@
         self.consensus = self.build_consensus(disk, journal, random)
         self.readiness = NodeReadiness(settings, self.consensus, self.replicated_state)
         self.voters = VoterManager(scheduler, self.consensus, self.membership)
+        reader_role = ReaderRole(settings, self.consensus, self.replicated_state)
         self.platform = PlatformReader(
-            settings, scheduler, network, log, f"servers@{source}", self.reads_server_list
+            settings, scheduler, network, log, f"servers@{source}", reader_role
         )
         self.build_leader_parts(f"members@{source}")
         self.build_aggregator()
@@ -321,13 +323,6 @@
         """
         self.rpc_handlers.handle(message, reply)
 
-    def reads_server_list(self) -> bool:
-        """Return True if this node should poll the platform's server list."""
-        if not self.settings.reader_duty:
-            return True
-        role = self.replicated_state.singletons.get(SERVER_LIST_READER_ROLE)
-        return role is not None and role.owner == self.settings.name
-
     def leader(self) -> str:
         """Return the leader's address, LOCAL_LEADER if this node leads, or "" if unknown."""
         return leader_location(self.consensus)
--- a/packages/events/ryelock/events/__init__.py
+++ b/packages/events/ryelock/events/__init__.py
@@ -126,6 +126,12 @@
     "the platform returns no server list",
     "see whether the platform runs; edges stop sending to servers",
 )
+SERVER_LIST_TAKEOVER = Event(
+    1805,
+    WARNING,
+    "readings of the server list are overdue; this node reads it in place of its reader",
+    "see whether the reader's machine runs",
+)
 LEASE_EXPIRED = Event(
     1901,
     WARNING,
--- a/packages/settings/ryelock/settings/declaration.py
+++ b/packages/settings/ryelock/settings/declaration.py
@@ -149,6 +149,12 @@
     )
     listing_seconds = Setting(0.3, number(0.05, 5), "how often servers are read anew")
     listing_term = Setting(1.8, number(0.3, 30), "how long a listing of servers is believed")
+    listing_takeover = Setting(
+        1.0,
+        number(0.1, 30),
+        "age of the newest listing at which the leader reads the list itself, where another "
+        "control node has that duty",
+    )
     gone_seconds = Setting(600.0, number(1, 86_400), "how long a lost edge is still probed")
     image_records = Setting(4000, integer(10, 10_000_000), "records between two images")
     disk_bytes = Setting(0, integer(0, 1 << 50), "size of the data folder's disk; 0: not known")
--- a/tests/platform/test_platform_requests.py
+++ b/tests/platform/test_platform_requests.py
@@ -12,6 +12,7 @@
 from ryelock.testing.hosting_platform.checks import rate_violations, retry_violations
 
 ONE_ZONE = {"a": "north"}
+RETRY_SECONDS = 0.2
 
 
 def one_server(seed: int) -> Deployment:
@@ -780,9 +781,18 @@
             for target in targets:
                 for edge in deployment.edges:
                     if edge != partitioned:
-                        record = deployment.request(CACHEABLE, "GET", target, edge=edge)
+                        record = self.request_until_served(deployment, target, edge)
                         self.assertEqual(1, self.revision(record), f"{seconds} s: {edge}")
 
+    def request_until_served(self, deployment: Deployment, target: str, edge: str) -> AttemptRecord:
+        """Request an object, and once more if the edge refuses for want of a retry budget."""
+        record = deployment.request(CACHEABLE, "GET", target, edge=edge)
+        if record.status == 503 and record.field(b"retry-after") is not None:
+            self.assertEqual([], deployment.arrivals(record))
+            deployment.world.run(RETRY_SECONDS)
+            record = deployment.request(CACHEABLE, "GET", target, edge=edge)
+        return record
+
     def test_a_frozen_peer_does_not_fail_requests(self) -> None:
         deployment = Deployment(79, edges=3).set_up()
         deployment.world.freeze(deployment.edges[1], True)
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -166,6 +166,16 @@
             settings = translate("core", lines(cloud_api__rate_per_s=rate))
             self.assertLessEqual(1.0 / settings.listing_seconds, float(rate))
 
+    def test_the_leader_reads_an_overdue_list_within_the_drain_limit(self) -> None:
+        for drain_limit_ms in (1200, 2000, 2500, 3000, 6000):
+            bounds = deployment.BOUNDS.replace(
+                "drain_limit_ms=2500", f"drain_limit_ms={drain_limit_ms}"
+            )
+            core = translate("core", lines(bounds=bounds))
+            self.assertGreaterEqual(core.listing_takeover, core.listing_seconds)
+            # The leader looks, reads and passes on the list, and requests on their way arrive.
+            self.assertLess(core.listing_takeover + 0.5, drain_limit_ms / 1000)
+
     def test_each_fault_is_reported_once(self) -> None:
         values = lines(internal_port_range="7660,7661")
         faults = self.faults("edge", values)
--- a/tests/support/simulated_runs.py
+++ b/tests/support/simulated_runs.py
@@ -62,6 +62,7 @@
     world.run(3.0)
     lose_all_power(scenario)
     without_leader(scenario)
+    lose_edge(scenario, scenario.edges[0])
     return scenario
 
 
@@ -100,6 +101,16 @@
     scenario.world.run(1.0)
 
 
+def lose_edge(scenario: Scenario, name: str) -> None:
+    """Lose an edge until its session has ended, and start another one meanwhile."""
+    scenario.world.kill(name, True)
+    scenario.world.run(5.0)
+    stop(scenario, scenario.edges[1])
+    scenario.world.run(1.0)
+    scenario.start(name)
+    scenario.world.run(1.0)
+
+
 def desk() -> Scenario:
     """A deployment with a control API without a disk, over which an operator works."""
     scenario = Scenario(12, 3, 1, 1, 0)
