Work out the timeout of a page of the server list from the drain limit

With reader and leader on one machine nobody else reads meanwhile, and a draining server was known 2.3 s after the list showed it, limit 2.0 s.

Change: the timeout of a page is a third of the drain limit, 1.0 s at most, and the time of a failed read counts toward the interval. A read that succeeds is followed by the same pause as before.

--- a/packages/control_plane/ryelock/control_plane/platform.py
+++ b/packages/control_plane/ryelock/control_plane/platform.py
@@ -109,8 +109,13 @@
                 await self.scheduler.sleep(AGE_CHECK_SECONDS)
                 continue
             self.log_takeover(duty)
-            await self.read()
-            await self.scheduler.sleep(self.settings.listing_seconds)
+            started_at = self.scheduler.now()
+            if await self.read():
+                await self.scheduler.sleep(self.settings.listing_seconds)
+            else:
+                # A read that timed out must not lengthen the time without a reading further.
+                elapsed = self.scheduler.now() - started_at
+                await self.scheduler.sleep(max(0.0, self.settings.listing_seconds - elapsed))
 
     def is_due(self, duty: ReaderDuty) -> bool:
         """Return True if the newest reading is too old for a node with this duty."""
@@ -144,18 +149,20 @@
             return Error(ServerListError(f"status {head.status}", True))
         return decode_server_list(body)
 
-    async def read(self) -> None:
-        """Read the list once; after a failure the last reading stays."""
+    async def read(self) -> bool:
+        """Read the list once; return False after a failure, by which the last reading stays."""
         requested_at = self.scheduler.now()
         listed = await self.read_server_list()
         if listed.is_ok():
             self.unavailable = False
             reading = ServerList(self.source, 0, listed.ok, requested_at, self.scheduler.now())
             self.adopt_if_later(reading)
-        elif listed.error.no_answer:
+            return True
+        if listed.error.no_answer:
             self.log_unavailable(str(listed.error))
         else:
             self.log.write(SERVER_LIST_REJECTED, fault=str(listed.error))
+        return False
 
     def log_unavailable(self, reason: str) -> None:
         """Write an event when the platform stops answering, not for each failed reading."""
--- a/tests/platform/test_platform_server_list.py
+++ b/tests/platform/test_platform_server_list.py
@@ -10,6 +10,8 @@
 from ryelock.testing.hosting_platform.attempts import SAFE, UNSAFE
 from servers import ServerListReader
 
+PAGE_TIMEOUT_SECONDS = 1.0
+
 
 def entry(
     service: object = "pages",
@@ -50,7 +52,9 @@
         node = deployment.operator_node
         return deployment.world.task(
             node,
-            ServerListReader(node.scheduler, node.network, deployment.platform.address).read(),
+            ServerListReader(
+                node.scheduler, node.network, deployment.platform.address, PAGE_TIMEOUT_SECONDS
+            ).read(),
             60,
         )
 
--- a/tests/platform/test_reader_loss.py
+++ b/tests/platform/test_reader_loss.py
@@ -22,6 +22,8 @@
 STEP_SECONDS = 0.02
 DRAIN_INTERVAL_SECONDS = 0.25
 SERVERS_PER_ZONE = 10
+SILENT_SECONDS = 0.7
+"""Just longer than the interval between two reads, so that one read gets no answer."""
 Lose = Callable[[Deployment, str], None]
 
 
@@ -157,3 +159,23 @@
 
     def test_edges_know_of_draining_servers_while_the_reader_is_isolated(self) -> None:
         self.check(isolate, leads=False)
+
+    def test_a_read_without_an_answer_delays_the_next_one_within_the_limit(self) -> None:
+        played = 0
+        for seed in range(1, 13):
+            deployment = self.deploy(seed)
+            if not deployment.node(self.reader(deployment)).core.consensus.leader_ready:
+                continue
+            servers = DrainingServers(deployment, deployment.edges)
+            servers.drain_next()
+            deployment.world.run(deployment.platform.lag)
+            deployment.platform.silent = True
+            for _ in range(round(DRAIN_LIMIT_SECONDS / STEP_SECONDS)):
+                deployment.world.run(STEP_SECONDS)
+                servers.observe(0.0)
+                deployment.platform.silent = deployment.platform.silent and (
+                    deployment.world.time < next(iter(servers.listed_at.values())) + SILENT_SECONDS
+                )
+            self.assertEqual(len(deployment.edges), len(servers.known), f"seed {seed}")
+            played += 1
+        self.assertGreater(played, 1)
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -353,7 +353,10 @@
             if role == "core":
                 core = self.world.open_control(node, process_settings)
                 core.platform.read_server_list = ServerListReader(
-                    node.scheduler, node.network, process_settings.platform_address
+                    node.scheduler,
+                    node.network,
+                    process_settings.platform_address,
+                    settings.list_page_timeout(node_settings),
                 ).read
                 OperatorApi(
                     node.scheduler,
