--- a/packages/testing/ryelock/testing/soak/processes.py
+++ b/packages/testing/ryelock/testing/soak/processes.py
@@ -94,10 +94,7 @@
             supervised.process.signal(signal.SIGTERM)
             if signals > 1:
                 await self.scheduler.sleep(pause_seconds)
-        await self.wait_over(supervised)
-        self.check_exit(supervised)
-        await self.scheduler.sleep(pause_seconds)
-        self.restart(supervised)
+        await self.restart_after_end(supervised, pause_seconds)
 
     async def kill(self, name: str, pause_seconds: float, settle_seconds: float) -> None:
         """Kill a process and start it again after a pause."""
@@ -107,10 +104,7 @@
         supervised.expected_codes = (-signal.SIGKILL,)
         killed_at = self.scheduler.now()
         supervised.process.signal(signal.SIGKILL)
-        await self.wait_over(supervised)
-        self.check_exit(supervised)
-        await self.scheduler.sleep(pause_seconds)
-        self.restart(supervised)
+        await self.restart_after_end(supervised, pause_seconds)
         supervised.crashes.append(Span(killed_at, self.scheduler.now() + settle_seconds))
 
     async def freeze(self, name: str, seconds: float, settle_seconds: float) -> None:
@@ -124,6 +118,13 @@
         supervised.process.signal(signal.SIGCONT)
         supervised.crashes.append(Span(frozen_at, self.scheduler.now() + settle_seconds))
 
+    async def restart_after_end(self, supervised: Supervised, pause_seconds: float) -> None:
+        """Wait until a process has ended, check its exit code, and start it again after a pause."""
+        await self.wait_over(supervised)
+        self.check_exit(supervised)
+        await self.scheduler.sleep(pause_seconds)
+        self.restart(supervised)
+
     async def wait_over(self, supervised: Supervised) -> None:
         """Wait until a process has ended; kill it if it hangs."""
         until = self.scheduler.now() + MAX_STOP_SECONDS
