Testing: plain names and docstrings in the measures of simulated runs

Docstrings say what a function returns and its arguments; standing, told, found_word, crowd_at and spread get the names of what they do; numbers in the middle of functions become constants. The names and units of the printed rows stay.

--- a/packages/testing/ryelock/testing/measure.py
+++ b/packages/testing/ryelock/testing/measure.py
@@ -1,7 +1,8 @@
-"""Measures in the simulator, over seeds: times that follow from the protocol, not from a machine.
+"""Times of the protocol, measured in simulated runs of several seeds.
 
-The network's delays are the simulator's (0.3 to 2.3 ms, now and then 50 to 350 ms), processing
-takes no time. `python -m ryelock.testing measure` prints the lowest, median and highest of each.
+They do not depend on a machine: processing takes no time, and the network has the simulator's
+delays (0.3 to 2.3 ms, for a few messages 50 to 350 ms). `python -m ryelock.testing measures` prints
+minimum, median and maximum of each.
 """
 
 from collections.abc import Callable
@@ -15,20 +16,31 @@
 from ryelock.testing.stand_ins.servers import ServerBehavior
 
 Measure = Callable[[int], float | None]
-STANDING_SECONDS = 4
-VOTERS_BEFORE = 3
+WARM_UP_SECONDS = 4
+VOTER_COUNT = 3
+SAMPLE_SECONDS = 0.01
+OVERLOAD_FACTOR = 3.0
+LIGHT_LOAD_REQUESTS_PER_SECOND = 20.0
 
 
-def standing(seed: int) -> Scenario:
-    """Return a network that has been up for some seconds, with its first configuration."""
+def start_scenario(seed: int) -> Scenario:
+    """Return a deployment that has run for WARM_UP_SECONDS with its first configuration."""
     scenario = Scenario(seed)
     scenario.set_up()
-    scenario.world.run(STANDING_SECONDS)
+    scenario.world.run(WARM_UP_SECONDS)
     return scenario
 
 
-def timed_change(scenario: Scenario, through: str = "") -> float | None:
-    """Return seconds to acknowledge a change, None where it is not; `through` names a node."""
+def acknowledgement_delay(scenario: Scenario, through: str = "") -> float | None:
+    """Send a change and return the seconds until its acknowledgement.
+
+    Args:
+        scenario: the deployment.
+        through: name of the node that gets the change; empty for any node.
+
+    Returns:
+        The seconds; None if the change was not acknowledged.
+    """
     started = scenario.world.time
     put: dict[str, object] = {"routes": {"m": {"path": "/m", "service": "pages"}}}
     change = scenario.change("measured", 1, put, "", through)
@@ -37,29 +49,29 @@
 
 
 def change_delay(seed: int) -> float | None:
-    """From the asking to the acknowledgement of a change, all edges there."""
-    return timed_change(standing(seed))
+    """Return the seconds from sending a change to its acknowledgement, with all edges connected."""
+    return acknowledgement_delay(start_scenario(seed))
 
 
 def change_with_a_cut_edge(seed: int) -> float | None:
-    """The same with one edge cut off from the core the moment before."""
-    scenario = standing(seed)
+    """Return the seconds to an acknowledgement with one edge partitioned from all control nodes."""
+    scenario = start_scenario(seed)
     for core in scenario.cores:
         scenario.world.cut(scenario.edges[0], core)
-    return timed_change(scenario, scenario.leader())
+    return acknowledgement_delay(scenario, scenario.leader())
 
 
 def purge_delay(seed: int) -> float | None:
-    """Measure seconds from sending a purge to its acknowledgement."""
-    scenario = standing(seed)
+    """Return the seconds from sending a purge to its acknowledgement."""
+    scenario = start_scenario(seed)
     started = scenario.world.time
     status, _ = scenario.ask_now("POST", "/purges", {"id": "m", "scopes": [{"prefix": "/c"}]})
     return scenario.world.time - started if status == 200 else None
 
 
 def after_leader_lost(seed: int) -> float | None:
-    """From the leader's end to the next acknowledged change."""
-    scenario = standing(seed)
+    """Return the seconds from the loss of the leader to the next acknowledged change."""
+    scenario = start_scenario(seed)
     leader = scenario.leader()
     scenario.world.kill(leader, seed % 2 == 0)
     started = scenario.world.time
@@ -79,63 +91,70 @@
 
 
 def edges_without_leader(seed: int) -> float | None:
-    """How long the worst edge held no term around the loss of the leader."""
-    scenario = standing(seed)
+    """Return the longest time, over edges, without a lease after the loss of the leader."""
+    scenario = start_scenario(seed)
     scenario.world.kill(scenario.leader(), seed % 2 == 0)
-    idle = dict.fromkeys(scenario.edges, 0.0)
+    without_lease = dict.fromkeys(scenario.edges, 0.0)
     for _ in range(400):
-        scenario.world.run(0.01)
+        scenario.world.run(SAMPLE_SECONDS)
         for name in scenario.edges:
-            idle[name] += 0.0 if scenario.node(name).traffic.member.serving else 0.01
-    return max(idle.values())
+            if not scenario.node(name).traffic.member.serving:
+                without_lease[name] += SAMPLE_SECONDS
+    return max(without_lease.values())
 
 
 def voter_replaced(seed: int) -> float | None:
-    """From an empty machine's start to its being a voter."""
-    scenario = standing(seed)
+    """Return the seconds from the start of a control node with an empty disk until it votes."""
+    scenario = start_scenario(seed)
     lost = scenario.cores[seed % 3]
     scenario.lose_disk(lost)
     scenario.world.run(1)
     scenario.start(lost)
     started = scenario.world.time
 
-    def stands() -> bool:
+    def is_voter() -> bool:
         leader = scenario.leader()
         return bool(leader) and (
             scenario.node(lost).core.consensus.disk in scenario.node(leader).core.consensus.voters
         )
 
-    return scenario.world.time - started if scenario.world.run_until(stands, 40) else None
+    return scenario.world.time - started if scenario.world.run_until(is_voter, 40) else None
 
 
-def found_word(seed: int, word: str, cadence: float) -> float | None:
-    """Measure seconds until a zone's verdict is `word`, with probes every `cadence` seconds."""
+def verdict_delay(seed: int, status: str, probe_seconds: float) -> float | None:
+    """Return the seconds from a fault of a zone until the zone has a health status.
+
+    Args:
+        seed: seed of the run.
+        status: "down" after the loss of the zone's edges, "stale" after a change of an object.
+        probe_seconds: interval between two probes.
+    """
     probing: dict[str, object] = {
-        "probe_seconds": cadence,
-        "probe_timeout": min(6.0, cadence * 0.8),
+        "probe_seconds": probe_seconds,
+        "probe_timeout": min(6.0, probe_seconds * 0.8),
     }
     scenario = Scenario(seed, settings=probing)
     scenario.set_up()
     scenario.start_callers(4, 2.0, 0)
-    scenario.world.run(4 * cadence + seed % 7)
-    if word == "down":
+    scenario.world.run(4 * probe_seconds + seed % 7)
+    if status == "down":
         for name in scenario.edges[:2]:
             scenario.world.kill(name, seed % 2 == 0)
     else:
-        outdate_copies(scenario, 3 * cadence)
+        outdate_cached_object(scenario, 3 * probe_seconds)
     started = scenario.world.time
 
-    def found() -> bool:
+    def has_status() -> bool:
         leader = scenario.leader()
         zones = scenario.node(leader).core.replicated_state.verdict.get("zones") if leader else None
-        return isinstance(zones, dict) and zones.get("zone0", {}).get("verdict") == word
+        return isinstance(zones, dict) and zones.get("zone0", {}).get("verdict") == status
 
-    back = scenario.world.run_until(found, 20 * cadence + 60)
-    return scenario.world.time - started if back else None
+    reached = scenario.world.run_until(has_status, 20 * probe_seconds + 60)
+    return scenario.world.time - started if reached else None
 
 
-def outdate_copies(scenario: Scenario, seconds: float) -> None:
-    """Let copies of covers live long, wait until they are kept, and change the watched one."""
+def outdate_cached_object(scenario: Scenario, seconds: float) -> None:
+    """Let edges cache covers with a long lifetime for some seconds, then change the watched one."""
     for server in scenario.servers.values():
         server.lifetime = "max-age=600"
     version = scenario.node(scenario.leader()).core.replicated_state.version
@@ -146,8 +165,8 @@
     scenario.objects["pages"].change("/covers/watched", scenario.world.time)
 
 
-def lapsed_share(seed: int) -> float | None:
-    """Of the orders of stubborn callers at an edge cut off for 10 s, the part declined."""
+def rejected_share(seed: int) -> float | None:
+    """Return the share of requests that an edge rejects while it is partitioned for 10 s."""
     scenario = Scenario(seed)
     scenario.set_up()
     scenario.start_callers(8, 4.0, 0)
@@ -156,25 +175,29 @@
     for core in scenario.cores:
         scenario.world.cut(edge, core)
     since = scenario.world.time
-    scenario.outside.scheduler.create_task(poll_edge(scenario, edge), name="stubborn")
+    scenario.outside.scheduler.create_task(poll_edge(scenario, edge), name="polling client")
     scenario.world.run(10)
     scenario.world.heal()
     address = f"{scenario.node(edge).host}:3"
-    told = [
-        one
-        for one in scenario.request_records
-        if one.edge == address
-        and one.sent_at >= since
-        and one.ending
-        and one.identity.startswith("s")
+    answered = [
+        record
+        for record in scenario.request_records
+        if record.edge == address
+        and record.sent_at >= since
+        and record.ending
+        and record.identity.startswith("s")
     ]
-    return sum(one.status == 503 for one in told) / len(told) if told else None
+    return sum(record.status == 503 for record in answered) / len(answered) if answered else None
 
 
 def goodput(seed: int, rate: float, edges: int, busy: int) -> float | None:
-    """Measure the fraction of a service's rate that is served in a crowd, over 20 s.
+    """Return the fraction of a service's rate limit that is served under overload, over 20 s.
 
-    The crowd sends three times the rate, to `busy` of the edges.
+    Args:
+        seed: seed of the run.
+        rate: rate limit in requests per second; three times as many are sent.
+        edges: number of edges.
+        busy: number of edges that get requests.
     """
     scenario = Scenario(seed, zones=2, edges=edges // 2, probers=0)
     scenario.set_up()
@@ -185,10 +208,11 @@
         ),
         20,
     )
-    crowded = scenario.random.sample(scenario.edges, min(busy, len(scenario.edges)))
-    for number, name in enumerate(crowded):
+    busy_edges = scenario.random.sample(scenario.edges, min(busy, len(scenario.edges)))
+    for number, name in enumerate(busy_edges):
         scenario.outside.scheduler.create_task(
-            crowd_at(scenario, name, number, 3.0 * rate / len(crowded)), name="crowd"
+            send_unsafe_requests(scenario, name, number, OVERLOAD_FACTOR * rate / len(busy_edges)),
+            name="overload",
         )
     scenario.world.run(6.0)
     since = scenario.world.time
@@ -201,8 +225,15 @@
     return served / (20.0 * rate)
 
 
-async def crowd_at(scenario: Scenario, edge: str, number: int, rate: float) -> None:
-    """Orders that come evenly to one edge, each by a caller of its own."""
+async def send_unsafe_requests(scenario: Scenario, edge: str, number: int, rate: float) -> None:
+    """Send requests to one edge as a Poisson process, each on a connection of its own.
+
+    Args:
+        scenario: the deployment.
+        edge: name of the edge.
+        number: distinguishes the requests of this task from those of others.
+        rate: mean number of requests per second.
+    """
     scheduler = scenario.outside.scheduler
     count = 0
     while scenario.callers_on:
@@ -220,10 +251,14 @@
         )
 
 
-def spread(seed: int, what: str) -> float | None:
-    """Four servers of one service in one zone under light load, one of them a while away.
+def load_spread(seed: int, figure: str) -> float | None:
+    """Return a figure of how light load spreads over four servers of one service in one zone.
 
-    Shares are in parts of an even one; `tail` is the 99th percentile while one server is slow.
+    Args:
+        seed: seed of the run.
+        figure: "most" or "least", the largest or smallest server's share, where 1 is an even share;
+            "back", the share of a server that failed for 6 s; "tail", the 99th percentile of the
+            response time in seconds while one server is slow.
     """
     scenario = Scenario(seed, zones=1, edges=2, probers=0)
     for name in ("pages8", "pages9"):
@@ -232,33 +267,39 @@
     for server in servers:
         server.delay = 0.02
     scenario.set_up()
-    scenario.outside.scheduler.create_task(plain_requests(scenario, 20.0), name="light")
+    scenario.outside.scheduler.create_task(
+        send_safe_requests(scenario, LIGHT_LOAD_REQUESTS_PER_SECOND), name="light load"
+    )
     scenario.world.run(4.0)
     since = scenario.world.time
-    if what == "tail":
+    if figure == "tail":
         servers[0].behavior = ServerBehavior.SLOW
     scenario.world.run(20.0)
-    if what == "tail":
+    if figure == "tail":
         times = sorted(
-            told.seconds
-            for told in scenario.request_records
-            if told.sent_at >= since and told.ending and told.identity.startswith("l")
+            record.seconds
+            for record in scenario.request_records
+            if record.sent_at >= since and record.ending and record.identity.startswith("l")
         )
         return times[int(len(times) * 0.99)] if times else None
-    if what == "back":
+    if figure == "back":
         servers[0].behavior = ServerBehavior.FAILING
         scenario.world.run(6.0)
         servers[0].behavior = ServerBehavior.SOUND
         scenario.world.run(12.0)
         since = scenario.world.time
         scenario.world.run(15.0)
-    ran = [one.address for one in scenario.history if one.service == "pages" and one.at >= since]
-    parts = [len(servers) * ran.count(server.address) / len(ran) for server in servers]
-    return {"most": max(parts), "least": min(parts), "back": parts[0]}[what]
+    addresses = [
+        execution.address
+        for execution in scenario.history
+        if execution.service == "pages" and execution.at >= since
+    ]
+    shares = [len(servers) * addresses.count(one.address) / len(addresses) for one in servers]
+    return {"most": max(shares), "least": min(shares), "back": shares[0]}[figure]
 
 
-async def plain_requests(scenario: Scenario, rate: float) -> None:
-    """Send plain reads to random edges, so many a second."""
+async def send_safe_requests(scenario: Scenario, rate: float) -> None:
+    """Send safe requests to random edges as a Poisson process of a mean rate per second."""
     count = 0
     while scenario.callers_on:
         count += 1
@@ -287,17 +328,17 @@
 }
 
 
-def isolated(seed: int, leading: bool, way: str, figure: str) -> float | None:
-    """Return one of the times of an isolation, in seconds."""
-    value: float = getattr(run_isolation(seed, leading, way), figure)
-    return value
+def isolation_time(seed: int, leading: bool, way: str, figure: str) -> float | None:
+    """Return a time in seconds that `run_isolation` measured, by the name of its attribute."""
+    seconds: float = getattr(run_isolation(seed, leading, way), figure)
+    return seconds
 
 
 def lost_voter_replaced(seed: int) -> float | None:
-    """Measure seconds from a voter's loss of power to as many live voters as before."""
+    """Return the seconds from a voter's loss of power until a standby has replaced it."""
     scenario = Scenario(seed, cores=4, edges=1, probers=0, settings=LOSS_SETTINGS)
     scenario.set_up()
-    scenario.world.run(STANDING_SECONDS)
+    scenario.world.run(WARM_UP_SECONDS)
     leader = scenario.leader()
     consensus = scenario.node(leader).core.consensus
     lost = next(
@@ -310,17 +351,22 @@
     scenario.world.kill(lost, True)
 
     def replaced() -> bool:
-        return disk not in consensus.voters and len(consensus.voters) == VOTERS_BEFORE
+        return disk not in consensus.voters and len(consensus.voters) == VOTER_COUNT
 
-    back = scenario.world.run_until(replaced, 20)
-    return scenario.world.time - started if back else None
+    reached = scenario.world.run_until(replaced, 20)
+    return scenario.world.time - started if reached else None
 
 
 def stop_of_a_voter(seed: int, cores: int) -> float | None:
-    """Measure seconds that a follower's stop in order takes, with or without a spare."""
+    """Return the seconds that a graceful shutdown of a follower takes.
+
+    Args:
+        seed: seed of the run.
+        cores: number of control nodes; with four there is a standby that becomes a voter.
+    """
     scenario = Scenario(seed, cores=cores, edges=1, probers=0, settings=LOSS_SETTINGS)
     scenario.set_up()
-    scenario.world.run(STANDING_SECONDS)
+    scenario.world.run(WARM_UP_SECONDS)
     leader = scenario.leader()
     voters = scenario.node(leader).core.consensus.voters
     name = next(
@@ -338,7 +384,7 @@
 ISOLATED: dict[str, tuple[str, Measure]] = {
     f"{who} isolated, {way}: {what}": (
         "s",
-        lambda seed, leading=leading, way=way, figure=figure: isolated(  # type: ignore[misc]
+        lambda seed, leading=leading, way=way, figure=figure: isolation_time(  # type: ignore[misc]
             seed, leading, way, figure
         ),
     )
@@ -362,27 +408,30 @@
     "leader lost": ("s to the next acknowledged change", after_leader_lost),
     "leader lost, edges": ("s without a term, worst edge", edges_without_leader),
     "voter replaced": ("s from an empty start to a vote", voter_replaced),
-    "dead zone, cadence 1 s": ("s to the verdict", lambda seed: found_word(seed, "down", 1.0)),
-    "dead zone, cadence 30 s": ("s to the verdict", lambda seed: found_word(seed, "down", 30.0)),
-    "stale zone, cadence 30 s": ("s to the verdict", lambda seed: found_word(seed, "stale", 30.0)),
-    "edge cut for 10 s": ("part of its orders declined", lapsed_share),
+    "dead zone, cadence 1 s": ("s to the verdict", lambda seed: verdict_delay(seed, "down", 1.0)),
+    "dead zone, cadence 30 s": ("s to the verdict", lambda seed: verdict_delay(seed, "down", 30.0)),
+    "stale zone, cadence 30 s": (
+        "s to the verdict",
+        lambda seed: verdict_delay(seed, "stale", 30.0),
+    ),
+    "edge cut for 10 s": ("part of its orders declined", rejected_share),
     **GOODPUT,
-    "spread, busiest of four": ("its share, 1 is even", lambda seed: spread(seed, "most")),
-    "spread, idlest of four": ("its share, 1 is even", lambda seed: spread(seed, "least")),
-    "spread, one that comes back": ("its share, 1 is even", lambda seed: spread(seed, "back")),
-    "spread, one slow": ("s, 99th percentile", lambda seed: spread(seed, "tail")),
+    "spread, busiest of four": ("its share, 1 is even", lambda seed: load_spread(seed, "most")),
+    "spread, idlest of four": ("its share, 1 is even", lambda seed: load_spread(seed, "least")),
+    "spread, one that comes back": ("its share, 1 is even", lambda seed: load_spread(seed, "back")),
+    "spread, one slow": ("s, 99th percentile", lambda seed: load_spread(seed, "tail")),
 }
 
 
 def measure(name: str, seeds: range) -> str:
-    """One line of a table: lowest, median, highest, and how many runs had no outcome."""
-    what, work = MEASURES[name]
-    found = [work(seed) for seed in seeds]
-    known = sorted(value for value in found if value is not None)
-    if not known:
-        return f"| {name} | {what} | - | - | - | {len(found)} without |"
-    missing = len(found) - len(known)
+    """Return a row of the table: minimum, median, maximum, and the runs without an outcome."""
+    unit, measure_once = MEASURES[name]
+    outcomes = [measure_once(seed) for seed in seeds]
+    values = sorted(value for value in outcomes if value is not None)
+    if not values:
+        return f"| {name} | {unit} | - | - | - | {len(outcomes)} without |"
+    missing = len(outcomes) - len(values)
     return (
-        f"| {name} | {what} | {known[0]:.2f} | {known[len(known) // 2]:.2f} "
-        f"| {known[-1]:.2f} | {len(known)}{f', {missing} without' if missing else ''} |"
+        f"| {name} | {unit} | {values[0]:.2f} | {values[len(values) // 2]:.2f} "
+        f"| {values[-1]:.2f} | {len(values)}{f', {missing} without' if missing else ''} |"
     )
