Tests: the signal tests give the same verdict where the test run ignores SIGHUP

The child begins with the default action, so that the test that a daemon ignores SIGHUP can't pass by inheritance either; that the run's own handler stays is compared with what it was before.

--- a/tests/cli/test_signals_outside_the_loop.py
+++ b/tests/cli/test_signals_outside_the_loop.py
@@ -40,6 +40,8 @@
             print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
             raise SystemExit(0)
 
+# The run of the tests may ignore SIGHUP itself, as under nohup, and children inherit that.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 sys.meta_path.insert(0, HangupDuringImport())
 sys.argv = {arguments!r}
 {run}
@@ -74,12 +76,13 @@
             self.assertEqual("True", ended.stdout.strip(), ended.stderr)
 
     def test_an_operators_command_still_ends_with_its_terminal(self) -> None:
+        before = signal.getsignal(signal.SIGHUP)
         run = "runpy.run_module('ryelock.cli', run_name='__main__', alter_sys=False)"
         ended = run_code(
             LOADING.format(modules=("defopt",), arguments=["ryelock", "read"], run=run)
         )
         self.assertEqual("False", ended.stdout.strip(), ended.stderr)
-        self.assertEqual(signal.SIG_DFL, signal.getsignal(signal.SIGHUP))
+        self.assertEqual(before, signal.getsignal(signal.SIGHUP))
 
 
 if __name__ == "__main__":
